--- /dev/null
+++ b/Hallchute/src/Admission/ShardOwner.cpp
@@ -0,0 +1,325 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Admission/ShardOwner.h"
+
+#include <algorithm>
+
+#include "Hallchute/src/Core/StableHash.h"
+#include "Hallchute/src/Routing/UpstreamChooser.h"
+
+namespace Hallchute {
+namespace {
+
+constexpr Millis kFirstShun{500};
+constexpr Millis kLongestShun{30'000};
+constexpr Millis kShortestRetryAfter{100};
+constexpr Millis kLongestRetryAfter{60'000};
+constexpr double kReleaseSmoothing = 0.1;
+/// A resumption goes before any new work, whatever its class.
+constexpr double kResumptionUrgency = 1e6;
+
+std::size_t costOf(const GrantWanted& wanted) {
+  return wanted.promptTokens + wanted.expectedTokens;
+}
+
+bool avoids(const GrantWanted& wanted, const UpstreamId& upstream) {
+  const auto& avoid = wanted.avoid;
+  return std::find(avoid.begin(), avoid.end(), upstream) != avoid.end();
+}
+
+Refusal refusal(RefusalReason reason, std::string detail, Millis retryAfter) {
+  const Millis bounded = std::clamp(retryAfter, kShortestRetryAfter, kLongestRetryAfter);
+  return {reason, std::move(detail), RunOutcome::notRun, bounded};
+}
+
+}  // namespace
+
+ShardOwner::ShardOwner(ShardPolicy policy) : policy_(std::move(policy)) {}
+
+void ShardOwner::setPolicy(ShardPolicy policy) {
+  policy_ = std::move(policy);
+  for (OwnedUpstream& upstream : upstreams_) {
+    upstream.prefixes.setCapacity(policy_.prefixTokensPerUpstream);
+  }
+}
+
+std::optional<std::size_t> ShardOwner::slotOf(const UpstreamId& upstream) const {
+  for (std::size_t slot = 0; slot < upstreams_.size(); ++slot) {
+    if (upstreams_[slot].id == upstream) return slot;
+  }
+  return std::nullopt;
+}
+
+std::vector<GrantAction> ShardOwner::setUpstreams(std::span<const UpstreamId> live, Instant now) {
+  std::vector<GrantAction> actions;
+  for (OwnedUpstream& upstream : upstreams_) {
+    if (std::find(live.begin(), live.end(), upstream.id) == live.end()) upstream.leaving = true;
+  }
+  for (const UpstreamId& id : live) {
+    if (slotOf(id)) continue;
+    upstreams_.emplace_back(id, stableHash(id.str()), policy_.prefixTokensPerUpstream);
+  }
+  // Slots are indices held by running grants, so only the unused tail is given back.
+  while (!upstreams_.empty() && upstreams_.back().leaving && upstreams_.back().inFlight == 0) {
+    upstreams_.pop_back();
+  }
+  grantWaiting(now, actions);
+  return actions;
+}
+
+std::vector<GrantAction> ShardOwner::markLeaving(const UpstreamId& upstream, Instant now) {
+  std::vector<GrantAction> actions;
+  if (const auto slot = slotOf(upstream)) upstreams_[*slot].leaving = true;
+  grantWaiting(now, actions);
+  return actions;
+}
+
+bool ShardOwner::usable(const OwnedUpstream& upstream, Instant now) const {
+  return !upstream.leaving && now >= upstream.shunnedUntil;
+}
+
+std::size_t ShardOwner::limitOf(const OwnedUpstream& upstream) const {
+  return upstream.failures > 0 ? 1 : policy_.maxInFlightPerUpstream;
+}
+
+std::size_t ShardOwner::usableUpstreams(Instant now) const {
+  return static_cast<std::size_t>(
+      std::count_if(upstreams_.begin(), upstreams_.end(),
+                    [&](const OwnedUpstream& upstream) { return usable(upstream, now); }));
+}
+
+std::size_t ShardOwner::freePlaces(Instant now) const {
+  std::size_t places = 0;
+  for (const OwnedUpstream& upstream : upstreams_) {
+    const std::size_t limit = limitOf(upstream);
+    if (usable(upstream, now) && upstream.inFlight < limit) places += limit - upstream.inFlight;
+  }
+  return places;
+}
+
+std::size_t ShardOwner::inFlightAt(const UpstreamId& upstream) const {
+  const auto slot = slotOf(upstream);
+  return slot ? upstreams_[*slot].inFlight : 0;
+}
+
+std::vector<GrantAction> ShardOwner::want(GrantWanted wanted, Instant now) {
+  if (auto refused = limitRefusal(wanted, now)) return {GrantRefused{wanted.id, *refused}};
+  if (queue_.empty() || wanted.resumption) {
+    if (auto granted = tryGrant(wanted, now)) return {*granted};
+  }
+  std::vector<GrantAction> actions;
+  if (queue_.size() >= policy_.maxQueue) {
+    const GrantId id = wanted.id;
+    const auto refused = makeRoom(wanted, now);
+    actions.emplace_back(*refused);
+    if (refused->id == id) return actions;
+  }
+  actions.emplace_back(Queued{wanted.id});
+  queue_.push_back({std::move(wanted), now});
+  grantWaiting(now, actions);
+  return actions;
+}
+
+std::optional<Refusal> ShardOwner::limitRefusal(const GrantWanted& wanted, Instant now) {
+  if (now >= wanted.deadline) {
+    return refusal(RefusalReason::overloaded, "its deadline passed before it came to be queued",
+                   expectedWait(now));
+  }
+  if (usableUpstreams(now) == 0) {
+    return refusal(RefusalReason::noUpstream, "the shard has no usable upstream", kFirstShun);
+  }
+  if (wanted.resumption) return std::nullopt;
+  if (inFlightOf_[wanted.organisation] >= policy_.organisationInFlight) {
+    return refusal(RefusalReason::organisationLimit, "organisationInFlight is reached",
+                   expectedWait(now));
+  }
+  TokenBucket& bucket = buckets_[wanted.organisation];
+  bucket.setRate(policy_.organisationTokensPerSecond, now);
+  const Millis wait = bucket.take(static_cast<double>(costOf(wanted)), now);
+  if (wait == Millis(0)) return std::nullopt;
+  return refusal(RefusalReason::organisationLimit, "organisationTokensPerSecond is reached", wait);
+}
+
+/// The queue is full: the least urgent wish goes, be it the new one.
+std::optional<GrantRefused> ShardOwner::makeRoom(const GrantWanted& wanted, Instant now) {
+  const Refusal full = refusal(RefusalReason::overloaded, "the queue is full", expectedWait(now));
+  if (queue_.empty()) return GrantRefused{wanted.id, full};
+  const auto least = std::min_element(
+      queue_.begin(), queue_.end(),
+      [&](const Waiting& a, const Waiting& b) { return urgency(a, now) < urgency(b, now); });
+  if (urgency(*least, now) >= urgency(Waiting{wanted, now}, now)) {
+    return GrantRefused{wanted.id, full};
+  }
+  const GrantRefused evicted{least->wanted.id, full};
+  queue_.erase(least);
+  return evicted;
+}
+
+double ShardOwner::urgency(const Waiting& waiting, Instant now) const {
+  const std::chrono::duration<double, std::milli> waited = now - waiting.since;
+  const double raised = waited.count() / static_cast<double>(policy_.aging.count());
+  const double base = waiting.wanted.resumption ? kResumptionUrgency : 0;
+  return base + static_cast<double>(waiting.wanted.priority) + raised;
+}
+
+std::optional<Granted> ShardOwner::tryGrant(const GrantWanted& wanted, Instant now) {
+  std::vector<Candidate> candidates;
+  std::size_t usableCount = 0;
+  std::size_t usableInFlight = 0;
+  // A request that failed everywhere may go back to where it failed.
+  const bool avoidable =
+      std::any_of(upstreams_.begin(), upstreams_.end(), [&](const OwnedUpstream& upstream) {
+        return usable(upstream, now) && !avoids(wanted, upstream.id);
+      });
+  for (std::size_t slot = 0; slot < upstreams_.size(); ++slot) {
+    const OwnedUpstream& upstream = upstreams_[slot];
+    if (!usable(upstream, now)) continue;
+    ++usableCount;
+    usableInFlight += upstream.inFlight;
+    if (upstream.inFlight >= limitOf(upstream)) continue;
+    if (avoidable && avoids(wanted, upstream.id)) continue;
+    candidates.push_back({slot, upstream.idHash, upstream.inFlight, upstream.pendingTokens,
+                          upstream.prefixes.cachedTokens(wanted.prefixHashes)});
+  }
+  ChoiceRequest request{wanted.affinity, wanted.promptTokens, 0};
+  if (usableCount > 0) {
+    request.meanInFlight = static_cast<double>(usableInFlight) / static_cast<double>(usableCount);
+  }
+  const auto slot = chooseUpstream(policy_.choice, request, candidates);
+  if (!slot) return std::nullopt;
+  const auto chosen = std::find_if(candidates.begin(), candidates.end(),
+                                   [&](const Candidate& c) { return c.slot == *slot; });
+  return place(wanted, *slot, chosen->cachedTokens, now);
+}
+
+Granted ShardOwner::place(const GrantWanted& wanted, std::size_t slot, std::size_t cached,
+                          Instant now) {
+  OwnedUpstream& upstream = upstreams_[slot];
+  const std::size_t cost = costOf(wanted);
+  ++upstream.inFlight;
+  upstream.pendingTokens += cost;
+  upstream.prefixes.use(wanted.prefixHashes);
+  ++inFlightOf_[wanted.organisation];
+  shares_.charge(wanted.organisation, static_cast<double>(cost + 1), wanted.weight);
+  grants_[wanted.id] = {slot, wanted.organisation, cost, now};
+  return {wanted.id, upstream.id, cached};
+}
+
+std::vector<std::size_t> ShardOwner::queueOrder(Instant now) const {
+  struct Ranked {
+    std::size_t index;
+    std::int64_t step;
+    double share;
+    Instant since;
+  };
+  std::vector<Ranked> ranked;
+  ranked.reserve(queue_.size());
+  for (std::size_t i = 0; i < queue_.size(); ++i) {
+    const Waiting& waiting = queue_[i];
+    ranked.push_back({i, static_cast<std::int64_t>(urgency(waiting, now)),
+                      shares_.startOf(waiting.wanted.organisation), waiting.since});
+  }
+  std::sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) {
+    if (a.step != b.step) return a.step > b.step;
+    if (a.share != b.share) return a.share < b.share;
+    return a.since != b.since ? a.since < b.since : a.index < b.index;
+  });
+  std::vector<std::size_t> order;
+  order.reserve(ranked.size());
+  for (const Ranked& entry : ranked) order.push_back(entry.index);
+  return order;
+}
+
+void ShardOwner::grantWaiting(Instant now, std::vector<GrantAction>& actions) {
+  while (!queue_.empty() && freePlaces(now) > 0) {
+    bool any = false;
+    for (const std::size_t index : queueOrder(now)) {
+      const auto granted = tryGrant(queue_[index].wanted, now);
+      if (!granted) continue;
+      actions.emplace_back(*granted);
+      queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(index));
+      any = true;
+      break;
+    }
+    if (!any) return;
+  }
+}
+
+void ShardOwner::hold(const GrantHeld& held) {
+  auto slot = slotOf(held.upstream);
+  if (!slot) {
+    upstreams_.emplace_back(held.upstream, stableHash(held.upstream.str()),
+                            policy_.prefixTokensPerUpstream);
+    slot = upstreams_.size() - 1;
+    upstreams_[*slot].leaving = true;
+  }
+  ++upstreams_[*slot].inFlight;
+  upstreams_[*slot].pendingTokens += held.tokens;
+  ++inFlightOf_[held.organisation];
+  grants_[held.id] = {*slot, held.organisation, held.tokens, Instant{}};
+}
+
+std::vector<GrantAction> ShardOwner::release(GrantId id, GrantEnd end, Instant now) {
+  std::vector<GrantAction> actions;
+  std::erase_if(queue_, [&](const Waiting& waiting) { return waiting.wanted.id == id; });
+  const auto it = grants_.find(id);
+  if (it == grants_.end()) return actions;
+  OwnedUpstream& upstream = upstreams_[it->second.slot];
+  --upstream.inFlight;
+  upstream.pendingTokens -= std::min(upstream.pendingTokens, it->second.tokens);
+  const auto organisation = inFlightOf_.find(it->second.organisation);
+  if (--organisation->second == 0) inFlightOf_.erase(organisation);
+  grants_.erase(it);
+  noteEnd(upstream, end, now);
+  noteRelease(now);
+  grantWaiting(now, actions);
+  return actions;
+}
+
+void ShardOwner::noteEnd(OwnedUpstream& upstream, GrantEnd end, Instant now) {
+  switch (end) {
+    case GrantEnd::finished:
+      upstream.failures = 0;
+      return;
+    case GrantEnd::cancelled:
+      return;
+    case GrantEnd::connectFailed:
+    case GrantEnd::broke:
+      break;
+  }
+  const std::uint32_t doublings = std::min(upstream.failures, 6U);
+  ++upstream.failures;
+  upstream.shunnedUntil = now + std::min(kFirstShun * (1 << doublings), kLongestShun);
+}
+
+void ShardOwner::noteRelease(Instant now) {
+  if (lastRelease_ != Instant{}) {
+    const std::chrono::duration<double, std::milli> gap = now - lastRelease_;
+    releaseGapMs_ += kReleaseSmoothing * (gap.count() - releaseGapMs_);
+  }
+  lastRelease_ = now;
+}
+
+Millis ShardOwner::expectedWait(Instant now) const {
+  if (freePlaces(now) > queue_.size()) return kShortestRetryAfter;
+  return Millis(static_cast<std::int64_t>(releaseGapMs_ * static_cast<double>(queue_.size() + 1)));
+}
+
+std::vector<GrantAction> ShardOwner::tick(Instant now) {
+  std::vector<GrantAction> actions;
+  grantWaiting(now, actions);
+  const Millis wait = expectedWait(now);
+  const bool none = usableUpstreams(now) == 0;
+  std::erase_if(queue_, [&](const Waiting& waiting) {
+    if (now < waiting.wanted.deadline && !none) return false;
+    const Refusal gone =
+        none ? refusal(RefusalReason::noUpstream, "the shard has no usable upstream", kFirstShun)
+             : refusal(RefusalReason::overloaded, "waited queueLimitMs for a place", wait);
+    actions.emplace_back(GrantRefused{waiting.wanted.id, gone});
+    return true;
+  });
+  return actions;
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Admission/ShardOwner.h
@@ -0,0 +1,94 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_ADMISSION_SHARDOWNER_H
+#define HALLCHUTE_ADMISSION_SHARDOWNER_H
+
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "Hallchute/src/Admission/FairShare.h"
+#include "Hallchute/src/Admission/GrantAction.h"
+#include "Hallchute/src/Admission/GrantWanted.h"
+#include "Hallchute/src/Admission/OwnedUpstream.h"
+#include "Hallchute/src/Admission/ShardPolicy.h"
+#include "Hallchute/src/Admission/TokenBucket.h"
+
+namespace Hallchute {
+
+/// \brief Hands out the places of one shard's upstreams.
+/// \ingroup Admission
+///
+/// Events and the time go in, actions come out; no I/O, no clock, one thread. Every wish gets
+/// exactly one final action (Granted or GrantRefused), unless it is released before.
+///
+/// Order of the queue: resumptions first, then class priority raised by waiting time, then the
+/// organisation that had least of its weighted share, then age. Cost: a grant from the queue is
+/// one pass over the wishes and one over the upstreams.
+class ShardOwner {
+ public:
+  explicit ShardOwner(ShardPolicy policy);
+
+  void setPolicy(ShardPolicy policy);
+  /// \brief Sets the upstreams that live. Those not named are forgotten once their work ends.
+  std::vector<GrantAction> setUpstreams(std::span<const UpstreamId> live, Instant now);
+  /// \brief From now on nothing is granted at \p upstream. Idempotent.
+  std::vector<GrantAction> markLeaving(const UpstreamId& upstream, Instant now);
+  std::vector<GrantAction> want(GrantWanted wanted, Instant now);
+  /// \brief Counts work that an earlier owner granted.
+  void hold(const GrantHeld& held);
+  /// \brief Frees the place or leaves the queue. Unknown ids are ignored.
+  std::vector<GrantAction> release(GrantId id, GrantEnd end, Instant now);
+  /// \brief Refuses wishes whose deadline passed; call it every few tens of ms.
+  std::vector<GrantAction> tick(Instant now);
+
+  std::size_t queued() const { return queue_.size(); }
+  std::size_t inFlight() const { return grants_.size(); }
+  std::size_t inFlightAt(const UpstreamId& upstream) const;
+  /// \brief Places not taken, over all usable upstreams.
+  std::size_t freePlaces(Instant now) const;
+  std::size_t usableUpstreams(Instant now) const;
+
+ private:
+  struct Waiting {
+    GrantWanted wanted;
+    Instant since;
+  };
+  struct Running {
+    std::size_t slot;
+    OrganisationName organisation;
+    std::size_t tokens;
+    Instant since;
+  };
+
+  std::optional<Refusal> limitRefusal(const GrantWanted& wanted, Instant now);
+  std::optional<GrantRefused> makeRoom(const GrantWanted& wanted, Instant now);
+  std::optional<Granted> tryGrant(const GrantWanted& wanted, Instant now);
+  Granted place(const GrantWanted& wanted, std::size_t slot, std::size_t cached, Instant now);
+  void grantWaiting(Instant now, std::vector<GrantAction>& actions);
+  std::vector<std::size_t> queueOrder(Instant now) const;
+  double urgency(const Waiting& waiting, Instant now) const;
+  bool usable(const OwnedUpstream& upstream, Instant now) const;
+  std::size_t limitOf(const OwnedUpstream& upstream) const;
+  void noteEnd(OwnedUpstream& upstream, GrantEnd end, Instant now);
+  std::optional<std::size_t> slotOf(const UpstreamId& upstream) const;
+  Millis expectedWait(Instant now) const;
+  void noteRelease(Instant now);
+
+  ShardPolicy policy_;
+  std::vector<OwnedUpstream> upstreams_;
+  std::vector<Waiting> queue_;
+  std::map<GrantId, Running> grants_;
+  std::map<OrganisationName, std::size_t> inFlightOf_;
+  std::map<OrganisationName, TokenBucket> buckets_;
+  FairShare shares_;
+  /// Smoothed time between releases, for an honest Retry-After.
+  double releaseGapMs_ = 0;
+  Instant lastRelease_{};
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_ADMISSION_SHARDOWNER_H
--- /dev/null
+++ b/Hallchute/src/Cli/ServeCommand.cpp
@@ -0,0 +1,79 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Cli/ServeCommand.h"
+
+#include <absl/flags/flag.h>
+#include <pthread.h>
+#include <signal.h>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <string>
+#include <thread>
+
+#include "Hallchute/src/Daemon/Daemon.h"
+#include "Hallchute/src/Observability/Log.h"
+#include "Hallchute/src/Observability/LogContext.h"
+
+ABSL_FLAG(std::string, config, "", "the daemon's start-up file");
+
+namespace Hallchute {
+namespace {
+
+LogLevel levelNamed(const std::string& word) {
+  if (word == "debug") return LogLevel::debug;
+  if (word == "warning") return LogLevel::warning;
+  return word == "error" ? LogLevel::error : LogLevel::info;
+}
+
+sigset_t stopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+}  // namespace
+
+ExitCode serveCommand() {
+  const std::string path = absl::GetFlag(FLAGS_config);
+  std::ifstream file(path);
+  if (!file) {
+    std::cerr << "--config: can't read '" << path << "'\n";
+    return ExitCode::usage;
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  Findings findings;
+  StartupFile startup = readStartupFile(text.str(), findings);
+  if (!findings.empty()) {
+    std::cerr << path << " has faults:\n" << describe(findings);
+    return ExitCode::invalid;
+  }
+  // Every thread inherits the mask: only the waiter below takes the signals.
+  const sigset_t signals = stopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+  startLogging(levelNamed(startup.logLevel));
+  const LogContext daemonContext("daemon", startup.daemon.str());
+  const LogContext domainContext("failureDomain", startup.domain.str());
+  try {
+    Daemon daemon(std::move(startup));
+    std::thread waiter([&] {
+      int number = 0;
+      while (sigwait(&signals, &number) == 0) daemon.stop();
+    });
+    // It waits for signals until the process ends.
+    waiter.detach();
+    daemon.run();
+  } catch (const Poco::Exception& e) {
+    std::cerr << "can't start: " << e.displayText() << "\n";
+    return ExitCode::unavailable;
+  }
+  return ExitCode::ok;
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Core/Refusal.cpp
@@ -0,0 +1,52 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Core/Refusal.h"
+
+#include <array>
+
+namespace Hallchute {
+namespace {
+
+struct ReasonRow {
+  RefusalReason reason;
+  int status;
+  std::string_view word;
+};
+
+constexpr std::array kReasons{
+    ReasonRow{RefusalReason::badRequest, 400, "bad-request"},
+    ReasonRow{RefusalReason::unauthorised, 401, "unauthorised"},
+    ReasonRow{RefusalReason::forbidden, 403, "forbidden"},
+    ReasonRow{RefusalReason::notFound, 404, "not-found"},
+    ReasonRow{RefusalReason::tooLarge, 413, "too-large"},
+    ReasonRow{RefusalReason::keyRequired, 400, "idempotency-key-required"},
+    ReasonRow{RefusalReason::keyReused, 422, "idempotency-key-reused"},
+    ReasonRow{RefusalReason::inProgress, 409, "in-progress"},
+    ReasonRow{RefusalReason::overloaded, 503, "overloaded"},
+    ReasonRow{RefusalReason::organisationLimit, 429, "organisation-limit"},
+    ReasonRow{RefusalReason::noUpstream, 503, "no-upstream"},
+    ReasonRow{RefusalReason::platformOut, 503, "platform-out"},
+    ReasonRow{RefusalReason::draining, 503, "draining"},
+    ReasonRow{RefusalReason::upstreamFailed, 502, "upstream-failed"},
+    ReasonRow{RefusalReason::outcomeUnknown, 502, "outcome-unknown"},
+};
+
+const ReasonRow& rowOf(RefusalReason reason) {
+  for (const ReasonRow& row : kReasons) {
+    if (row.reason == reason) return row;
+  }
+  return kReasons.front();
+}
+
+}  // namespace
+
+int httpStatus(RefusalReason reason) {
+  return rowOf(reason).status;
+}
+
+std::string_view reasonWord(RefusalReason reason) {
+  return rowOf(reason).word;
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Core/Refusal.h
@@ -0,0 +1,56 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_CORE_REFUSAL_H
+#define HALLCHUTE_CORE_REFUSAL_H
+
+#include <optional>
+#include <string>
+
+#include "Hallchute/src/Core/RunOutcome.h"
+#include "Hallchute/src/Core/Time.h"
+
+namespace Hallchute {
+
+/// \brief Why a request gets no answer of its own.
+/// \ingroup Core
+enum class RefusalReason {
+  badRequest,
+  unauthorised,
+  forbidden,
+  notFound,
+  tooLarge,
+  keyRequired,
+  keyReused,
+  inProgress,
+  overloaded,
+  organisationLimit,
+  noUpstream,
+  platformOut,
+  draining,
+  upstreamFailed,
+  outcomeUnknown,
+};
+
+/// \brief A final answer that is not a success.
+/// \ingroup Core
+///
+/// Units: `retryAfter` in milliseconds, absent where waiting does not help.
+struct Refusal {
+  RefusalReason reason = RefusalReason::badRequest;
+  std::string detail;
+  RunOutcome outcome = RunOutcome::notRun;
+  std::optional<Millis> retryAfter;
+};
+
+/// \brief The HTTP status for \p reason.
+/// \ingroup Core
+int httpStatus(RefusalReason reason);
+
+/// \brief The stable machine-readable name of \p reason, used in problem documents and metrics.
+/// \ingroup Core
+std::string_view reasonWord(RefusalReason reason);
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_CORE_REFUSAL_H
--- /dev/null
+++ b/Hallchute/src/Daemon/CompletionBody.h
@@ -0,0 +1,35 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_DAEMON_COMPLETIONBODY_H
+#define HALLCHUTE_DAEMON_COMPLETIONBODY_H
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+#include "Hallchute/src/Core/Finding.h"
+#include "Hallchute/src/Core/Id.h"
+
+namespace Hallchute {
+
+/// \brief What hallchute reads of a completion request; members it does not know are let through
+/// unread, as other servers of this interface do.
+/// \ingroup Daemon
+struct CompletionBody {
+  ServiceName service;
+  std::string prompt;
+  std::size_t maxTokens = 0;
+  bool stream = false;
+  /// `user`: what ties requests of one session together.
+  std::string session;
+};
+
+/// \brief Reads the body of `/v1/chat/completions` or `/v1/completions`.
+/// \ingroup Daemon
+CompletionBody readCompletionBody(std::string_view text, bool chat, std::size_t maxTokens,
+                                  Findings& findings);
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_DAEMON_COMPLETIONBODY_H
--- /dev/null
+++ b/Hallchute/src/Daemon/Control.cpp
@@ -0,0 +1,324 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Daemon/Control.h"
+
+#include <algorithm>
+#include <map>
+
+#include "Hallchute/src/Core/Overloaded.h"
+#include "Hallchute/src/Core/StableHash.h"
+#include "Hallchute/src/Daemon/Job.h"
+#include "Hallchute/src/Daemon/JobTable.h"
+#include "Hallchute/src/Daemon/SettingsStore.h"
+#include "Hallchute/src/Daemon/StartupFile.h"
+#include "Hallchute/src/Net/PeerMessages.h"
+#include "Hallchute/src/Observability/Log.h"
+#include "Hallchute/src/Observability/Metrics.h"
+#include "Hallchute/src/Recovery/MigrationPlan.h"
+#include "Hallchute/src/Routing/Rendezvous.h"
+
+namespace Hallchute {
+namespace {
+
+constexpr Millis kTick{50};
+constexpr Millis kFetchLimit{1'000};
+constexpr std::size_t kChangesPerReply = 64;
+
+Instant clockNow() {
+  return std::chrono::steady_clock::now();
+}
+
+std::uint64_t wallClockMs() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<Millis>(now).count());
+}
+
+MemberNews selfNews(const StartupFile& startup) {
+  MemberNews self;
+  self.id = startup.daemon;
+  self.domain = startup.domain;
+  self.address = startup.peerAdvertise;
+  self.incarnation = wallClockMs();
+  return self;
+}
+
+std::uint64_t seedOf(const StartupFile& startup) {
+  return stableHash(startup.daemon.str(), wallClockMs());
+}
+
+}  // namespace
+
+Control::Control(const StartupFile& startup, SettingsStore& settings, JobTable& jobs,
+                 Metrics& metrics)
+    : settings_(settings),
+      jobs_(jobs),
+      metrics_(metrics),
+      transport_(loop_, startup.peerListen, startup.peerSecret),
+      membership_(MembershipPolicy{}, selfNews(startup), seedOf(startup)),
+      owners_(settings, directory_),
+      broker_(loop_, transport_, membership_, directory_, settings, owners_, metrics),
+      gossip_(loop_, transport_, membership_,
+              [this](const MembershipAction& action) { onAction(action); }) {
+  for (const std::string& seed : startup.seeds) membership_.addSeed(seed);
+  transport_.serve(PeerPath::kSettings, [this](const PeerStreamPtr& s) { serveSettings(s); });
+  transport_.serve(PeerPath::kHosts, [this](const PeerStreamPtr& s) { serveHosts(s); });
+  settings_.set(changes_.inForce());
+}
+
+Control::~Control() {
+  stop();
+}
+
+void Control::start() {
+  gossip_.start();
+  loop_.every(kTick, [this] { tick(); });
+  thread_ = std::thread([this] { loop_.run(); });
+}
+
+void Control::stop() {
+  if (!thread_.joinable()) return;
+  loop_.stop();
+  thread_.join();
+}
+
+void Control::tick() {
+  owners_.tick(clockNow());
+  directMigrations();
+}
+
+void Control::onAction(const MembershipAction& action) {
+  std::visit(Overloaded{[](const SendProbe&) {},
+                        [&](const OwnersChanged&) {
+                          broker_.onOwnersChanged();
+                          if (membersChanged_) membersChanged_();
+                        },
+                        [&](const WokeOutdated& woke) {
+                          metrics_.add("hallchute_pauses_total", "");
+                          logLine(LogLevel::warning, "was paused for " +
+                                                         std::to_string(woke.gap.count()) +
+                                                         " ms; joins again");
+                        },
+                        [&](const LeaveHeard& heard) { onLeaveHeard(heard.news); },
+                        [&](const NewerSettings& newer) { fetchSettings(newer.address); },
+                        [&](const NewerHosts& newer) { fetchHosts(newer.address); }},
+             action);
+}
+
+void Control::noteLeave(const LeaveNews& news) {
+  loop_.post([this, news] { spreadLeave(news); });
+}
+
+void Control::spreadLeave(const LeaveNews& news) {
+  gossip_.perform(membership_.announceLeave(news, clockNow()));
+}
+
+void Control::onLeaveHeard(const LeaveNews& news) {
+  if (news.upstream.str() == membership_.self().id.str()) {
+    if (ownNotice_) ownNotice_(news.remaining);
+    return;
+  }
+  logLine(LogLevel::info, "upstream " + news.upstream.str() + " leaves in " +
+                              std::to_string(news.remaining.count()) + " ms");
+  metrics_.add("hallchute_leaves_total", "");
+  directory_.noteLeave(news.upstream, news.remaining, clockNow());
+  owners_.refresh(clockNow());
+  directMigrations();
+}
+
+/// Orders the streams on leaving upstreams away, as their windows close.
+void Control::directMigrations() {
+  const Instant now = clockNow();
+  std::map<UpstreamId, std::vector<JobPtr>> leaving;
+  for (const JobPtr& job : jobs_.running()) {
+    const UpstreamInfo* info = directory_.find(job->upstream());
+    if (info != nullptr && info->leavesAt && job->order() == JobOrder::none) {
+      leaving[info->id].push_back(job);
+    }
+  }
+  for (const auto& [upstream, jobs] : leaving) {
+    const UpstreamInfo* info = directory_.find(upstream);
+    const PolicyScope scope{info->host.domain, info->host.service, OrganisationName()};
+    const auto& tree = settings_.get()->tree;
+    const auto left = std::chrono::duration_cast<Millis>(*info->leavesAt - now) -
+                      Millis(tree.policy(PolicyKey::leaveMarginMs, scope));
+    const LeaveWindow window{
+        std::max(left, Millis(0)),
+        static_cast<double>(tree.policy(PolicyKey::transferTokensPerSecond, scope))};
+    std::vector<RunningStream> streams;
+    for (std::size_t i = 0; i < jobs.size(); ++i) {
+      streams.push_back(jobs[i]->streamFacts(now));
+      streams.back().stream = i;
+    }
+    for (const StreamMigration& planned : planMigrations(streams, window)) {
+      if (std::holds_alternative<FinishInPlace>(planned.migration)) continue;
+      jobs[planned.stream]->orderMove(planned.migration);
+    }
+  }
+}
+
+void Control::learnChange(const SettingsChange& change) {
+  loop_.call([this, change] {
+    if (changes_.add(change)) publishSettings();
+  });
+}
+
+void Control::learnSnapshot(std::uint64_t revision, const JsonObject& json) {
+  loop_.call([this, revision, json] {
+    if (changes_.startFrom(revision, json)) publishSettings();
+  });
+}
+
+void Control::publishSettings() {
+  settings_.set(changes_.inForce());
+  membership_.setRevision(changes_.revision());
+  owners_.refresh(clockNow());
+  metrics_.set("hallchute_settings_revision", "", static_cast<double>(changes_.revision()));
+  logLine(LogLevel::info,
+          "settings revision " + std::to_string(changes_.revision()) + " is in force");
+}
+
+void Control::learnHosts(const HostList& hosts) {
+  loop_.call([this, hosts] { applyHosts(hosts); });
+}
+
+void Control::applyHosts(const HostList& hosts) {
+  if (hosts.version < hosts_.version) return;
+  hosts_ = hosts;
+  membership_.setHostsVersion(hosts.version);
+  for (const HostListEntry& host : hosts.hosts) {
+    const bool known = membership_.find(DaemonId(host.host.str())) != nullptr;
+    if (host.role == HostRole::entry && !known) membership_.addSeed(host.address);
+  }
+  for (const LeaveNews& news : directory_.applyList(hosts.version, hosts.hosts, clockNow())) {
+    spreadLeave(news);
+  }
+  owners_.refresh(clockNow());
+}
+
+void Control::beginLeaving() {
+  loop_.call([this] { gossip_.perform(membership_.leave(clockNow())); });
+}
+
+ControlView Control::view() {
+  ControlView view;
+  loop_.call([&] {
+    view.revision = changes_.revision();
+    view.hostsVersion = hosts_.version;
+    view.self = membership_.self();
+    view.others = membership_.others();
+    view.upstreams = directory_.all();
+    view.shards = owners_.loads(clockNow());
+    view.grantsHeld = broker_.held();
+    view.peerBytesSent = transport_.bytesSent();
+    view.peerBytesReceived = transport_.bytesReceived();
+  });
+  return view;
+}
+
+bool Control::mayLive(const DaemonId& id) {
+  bool lives = true;
+  loop_.call([&] { lives = membership_.mayLive(id); });
+  return lives;
+}
+
+bool Control::hasDuty(std::string_view duty, std::size_t first) {
+  bool has = false;
+  loop_.call([&] {
+    const MemberNews& self = membership_.self();
+    const std::string key = std::string(duty) + "/" + self.domain.str();
+    const std::vector<DaemonId> ranked = rankOwners(key, membership_.owners(self.domain));
+    const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(first, ranked.size()));
+    has = std::find(ranked.begin(), end, self.id) != end;
+  });
+  return has;
+}
+
+std::uint64_t Control::revision() {
+  return settings_.get()->revision;
+}
+
+void Control::fetchSettings(const std::string& address) {
+  if (fetchingSettings_) return;
+  fetchingSettings_ = true;
+  const SettingsRequestMessage request{changes_.revision()};
+  const PeerStreamPtr stream = transport_.open(address, PeerPath::kSettings, pack(request));
+  const std::weak_ptr<PeerStream> weak = stream;
+  stream->onMessage = [this, weak](std::string_view bytes) {
+    const auto reply = unpack<SettingsReplyMessage>(bytes);
+    if (const PeerStreamPtr open = weak.lock()) open->close();
+    fetchingSettings_ = false;
+    if (reply) takeSettings(*reply);
+  };
+  stream->onClosed = [this] { fetchingSettings_ = false; };
+  loop_.after(kFetchLimit, [this, stream] {
+    if (!stream->isOpen()) return;
+    stream->close();
+    fetchingSettings_ = false;
+  });
+}
+
+void Control::takeSettings(const SettingsReplyMessage& reply) {
+  Findings findings;
+  bool rose = false;
+  if (!reply.snapshot.empty()) {
+    const JsonObject json = parseJsonObject(reply.snapshot, findings);
+    if (json) rose = changes_.startFrom(reply.snapshotRevision, json);
+  }
+  for (const std::string& text : reply.changes) {
+    SettingsChange change = parseChange(text, findings);
+    if (change.number != 0) rose = changes_.add(std::move(change)) || rose;
+  }
+  if (rose) publishSettings();
+}
+
+void Control::serveSettings(const PeerStreamPtr& stream) {
+  const std::weak_ptr<PeerStream> weak = stream;
+  stream->onMessage = [this, weak](std::string_view bytes) {
+    const PeerStreamPtr open = weak.lock();
+    const auto request = unpack<SettingsRequestMessage>(bytes);
+    if (!open || !request) return;
+    SettingsReplyMessage reply;
+    const auto newer = changes_.after(request->revision, kChangesPerReply);
+    for (const SettingsChange& change : newer) reply.changes.push_back(changeText(change));
+    if (newer.empty() && changes_.revision() > request->revision) {
+      reply.snapshotRevision = changes_.revision();
+      reply.snapshot = jsonText(changes_.inForce()->json);
+    }
+    open->send(pack(reply));
+    open->finish();
+  };
+}
+
+void Control::fetchHosts(const std::string& address) {
+  if (fetchingHosts_) return;
+  fetchingHosts_ = true;
+  const PeerStreamPtr stream =
+      transport_.open(address, PeerPath::kHosts, pack(HostsRequestMessage{hosts_.version}));
+  const std::weak_ptr<PeerStream> weak = stream;
+  stream->onMessage = [this, weak](std::string_view bytes) {
+    const auto reply = unpack<HostsReplyMessage>(bytes);
+    if (const PeerStreamPtr open = weak.lock()) open->close();
+    fetchingHosts_ = false;
+    if (reply) applyHosts({reply->version, reply->hosts});
+  };
+  stream->onClosed = [this] { fetchingHosts_ = false; };
+  loop_.after(kFetchLimit, [this, stream] {
+    if (!stream->isOpen()) return;
+    stream->close();
+    fetchingHosts_ = false;
+  });
+}
+
+void Control::serveHosts(const PeerStreamPtr& stream) {
+  const std::weak_ptr<PeerStream> weak = stream;
+  stream->onMessage = [this, weak](std::string_view bytes) {
+    const PeerStreamPtr open = weak.lock();
+    const auto request = unpack<HostsRequestMessage>(bytes);
+    if (!open || !request) return;
+    open->send(pack(HostsReplyMessage{hosts_.version, hosts_.hosts}));
+    open->finish();
+  };
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Daemon/Daemon.h
@@ -0,0 +1,86 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_DAEMON_DAEMON_H
+#define HALLCHUTE_DAEMON_DAEMON_H
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+#include "Hallchute/src/Daemon/CallerServer.h"
+#include "Hallchute/src/Daemon/CallerServices.h"
+#include "Hallchute/src/Daemon/Control.h"
+#include "Hallchute/src/Daemon/JobRecords.h"
+#include "Hallchute/src/Daemon/JobStarter.h"
+#include "Hallchute/src/Daemon/JobTable.h"
+#include "Hallchute/src/Daemon/OnceKeeper.h"
+#include "Hallchute/src/Daemon/OperatorServer.h"
+#include "Hallchute/src/Daemon/OperatorServices.h"
+#include "Hallchute/src/Daemon/PeerJobs.h"
+#include "Hallchute/src/Daemon/PlatformFollower.h"
+#include "Hallchute/src/Daemon/PlatformHealth.h"
+#include "Hallchute/src/Daemon/RetryBudgets.h"
+#include "Hallchute/src/Daemon/SettingsEditor.h"
+#include "Hallchute/src/Daemon/SettingsStore.h"
+#include "Hallchute/src/Daemon/StartupFile.h"
+#include "Hallchute/src/Daemon/TrafficContext.h"
+#include "Hallchute/src/Observability/Metrics.h"
+#include "Hallchute/src/Platform/PlatformHttp.h"
+
+namespace Hallchute {
+
+/// \brief One daemon with all its parts: `hallchute serve`.
+/// \ingroup Daemon
+class Daemon {
+ public:
+  explicit Daemon(StartupFile startup);
+  ~Daemon();
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+
+  /// \brief Serves until a stop was asked for and done.
+  void run();
+  /// \brief Asks for a planned stop; asked twice, for a stop at once. Any thread.
+  void stop();
+
+ private:
+  void stopWithin(Millis limit);
+  void keepRecords();
+  void adoptOrphans();
+  Millis drainLimit() const;
+  OperatorServices operatorServices();
+
+  StartupFile startup_;
+  SettingsStore settings_;
+  Metrics metrics_;
+  JobTable jobs_;
+  PlatformHealth health_;
+  RetryBudgets budgets_;
+  PlatformHttp platform_;
+  Control control_;
+  TrafficContext context_;
+  OnceKeeper keeper_;
+  JobRecords records_;
+  JobStarter starter_;
+  PeerJobs peers_;
+  CallerServices services_;
+  CallerServer callers_;
+  SettingsEditor editor_;
+  PlatformFollower follower_;
+  OperatorServices operatorServices_;
+  OperatorServer operators_;
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  std::optional<Millis> stopLimit_;
+  std::atomic<bool> hurry_{false};
+  std::atomic<bool> membersChanged_{true};
+  std::atomic<bool> keeping_{true};
+  std::thread keeperThread_;
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_DAEMON_DAEMON_H
--- /dev/null
+++ b/Hallchute/src/Daemon/GrantSpec.cpp
@@ -0,0 +1,25 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Daemon/GrantSpec.h"
+
+namespace Hallchute {
+
+GrantHold::GrantHold(UpstreamId upstream, std::string address, std::size_t cachedTokens,
+                     Release release)
+    : upstream_(std::move(upstream)),
+      address_(std::move(address)),
+      cachedTokens_(cachedTokens),
+      release_(std::move(release)) {}
+
+GrantHold::~GrantHold() {
+  end(GrantEnd::cancelled);
+}
+
+void GrantHold::end(GrantEnd end) {
+  const Release release = std::move(release_);
+  release_ = nullptr;
+  if (release) release(end);
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Daemon/GrantSpec.h
@@ -0,0 +1,56 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_DAEMON_GRANTSPEC_H
+#define HALLCHUTE_DAEMON_GRANTSPEC_H
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "Hallchute/src/Admission/GrantWanted.h"
+#include "Hallchute/src/Core/Refusal.h"
+
+namespace Hallchute {
+
+/// \brief What a traffic thread asks a place for.
+/// \ingroup Daemon
+struct GrantSpec {
+  ServiceName service;
+  /// Its id is set by the broker.
+  GrantWanted wanted;
+};
+
+/// \brief A place at an upstream, given back when it goes out of scope. Any thread.
+/// \ingroup Daemon
+class GrantHold {
+ public:
+  using Release = std::function<void(GrantEnd)>;
+
+  GrantHold(UpstreamId upstream, std::string address, std::size_t cachedTokens, Release release);
+  ~GrantHold();
+  GrantHold(const GrantHold&) = delete;
+  GrantHold& operator=(const GrantHold&) = delete;
+
+  const UpstreamId& upstream() const { return upstream_; }
+  const std::string& address() const { return address_; }
+  std::size_t cachedTokens() const { return cachedTokens_; }
+  /// \brief Gives the place back, saying how its work ended. Later calls do nothing.
+  void end(GrantEnd end);
+
+ private:
+  UpstreamId upstream_;
+  std::string address_;
+  std::size_t cachedTokens_;
+  Release release_;
+};
+
+/// \ingroup Daemon
+using GrantOutcome = std::variant<std::unique_ptr<GrantHold>, Refusal>;
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_DAEMON_GRANTSPEC_H
--- /dev/null
+++ b/Hallchute/src/Daemon/StartupFile.cpp
@@ -0,0 +1,73 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Daemon/StartupFile.h"
+
+#include <Poco/Net/SocketAddress.h>
+
+#include <array>
+
+#include "Hallchute/src/Settings/JsonReader.h"
+
+namespace Hallchute {
+namespace {
+
+constexpr std::array<std::string_view, 4> kLogLevels{"info", "debug", "warning", "error"};
+constexpr std::int64_t kMaxCallers = 65'536;
+constexpr std::int64_t kLeastLimitMs = 10;
+constexpr std::int64_t kMostLimitMs = 60'000;
+
+std::string address(JsonReader& reader, const std::string& name, bool required) {
+  std::string text = reader.text(name, required);
+  if (text.empty()) return text;
+  try {
+    const Poco::Net::SocketAddress parsed(text);
+    if (text.find(':') == std::string::npos) reader.report(name, "must be ip:port");
+  } catch (const Poco::Exception&) {
+    reader.report(name, "must be ip:port");
+  }
+  return text;
+}
+
+}  // namespace
+
+std::string StartupFile::ownIp() const {
+  return Poco::Net::SocketAddress(peerListen).host().toString();
+}
+
+StartupFile readStartupFile(std::string_view text, Findings& findings) {
+  StartupFile file;
+  const JsonObject json = parseJsonObject(text, findings);
+  if (!json) return file;
+  JsonReader root(json, "", findings);
+  file.daemon = DaemonId(root.text("daemon", true));
+  file.domain = DomainName(root.text("failureDomain", true));
+  file.logLevel = root.oneOf("logLevel", kLogLevels);
+  for (const char* section : {"callers", "operators", "peers", "platform"}) {
+    if (!root.has(section)) root.report(section, "is missing");
+  }
+  root.object("callers", [&](JsonReader& reader) {
+    file.callerListen = address(reader, "listen", true);
+    file.maxCallers = static_cast<int>(reader.integer("maxConnections", 1, kMaxCallers, 512));
+  });
+  root.object("operators", [&](JsonReader& reader) {
+    file.operatorListen = address(reader, "listen", true);
+    file.operatorToken = reader.text("token", true);
+  });
+  root.object("peers", [&](JsonReader& reader) {
+    file.peerListen = address(reader, "listen", true);
+    file.peerAdvertise = address(reader, "advertise", false);
+    if (file.peerAdvertise.empty()) file.peerAdvertise = file.peerListen;
+    file.peerSecret = reader.text("secret", true);
+    file.seeds = reader.texts("seeds");
+  });
+  root.object("platform", [&](JsonReader& reader) {
+    file.platformAddress = address(reader, "address", true);
+    file.platformToken = reader.text("token", true);
+    file.platformLimit = Millis(reader.integer("limitMs", kLeastLimitMs, kMostLimitMs, 1'000));
+  });
+  root.finish();
+  return file;
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Daemon/StartupFile.h
@@ -0,0 +1,48 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_DAEMON_STARTUPFILE_H
+#define HALLCHUTE_DAEMON_STARTUPFILE_H
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Hallchute/src/Core/Finding.h"
+#include "Hallchute/src/Core/Id.h"
+#include "Hallchute/src/Core/Time.h"
+
+namespace Hallchute {
+
+/// \brief What a daemon must know before it can read the settings.
+/// \ingroup Daemon
+struct StartupFile {
+  DaemonId daemon;
+  DomainName domain;
+  /// Where callers connect, `ip:port`.
+  std::string callerListen;
+  int maxCallers = 512;
+  std::string operatorListen;
+  std::string operatorToken;
+  std::string peerListen;
+  /// Where peers reach it; `peerListen` unless something stands between.
+  std::string peerAdvertise;
+  std::string peerSecret;
+  std::vector<std::string> seeds;
+  std::string platformAddress;
+  std::string platformToken;
+  Millis platformLimit{1'000};
+  std::string logLevel = "info";
+
+  /// \brief The own IP: outgoing connections leave from it.
+  std::string ownIp() const;
+};
+
+/// \brief Reads and checks a start-up file; every fault is added to \p findings.
+/// \ingroup Daemon
+StartupFile readStartupFile(std::string_view text, Findings& findings);
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_DAEMON_STARTUPFILE_H
--- /dev/null
+++ b/Hallchute/src/Ledger/OnceAttempt.cpp
@@ -0,0 +1,150 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Ledger/OnceAttempt.h"
+
+#include "Hallchute/src/Core/Overloaded.h"
+
+namespace Hallchute {
+namespace {
+
+constexpr int kMaxTries = 4;
+constexpr Millis kPlatformRetryAfter{1'000};
+constexpr Millis kInProgressRetryAfter{500};
+
+RefuseOnce platformOut(bool abandonLater) {
+  return {{RefusalReason::platformOut,
+           "the record that keeps this work from repeating can't be written", RunOutcome::notRun,
+           kPlatformRetryAfter},
+          abandonLater};
+}
+
+}  // namespace
+
+Refusal unknownOutcome(std::string detail) {
+  return {RefusalReason::outcomeUnknown, std::move(detail), RunOutcome::unknown, std::nullopt};
+}
+
+OnceAttempt::OnceAttempt(OnceRecord record) : record_(std::move(record)) {}
+
+OnceStep OnceAttempt::start() const {
+  return WriteRecord{record_, 0};
+}
+
+OnceStep OnceAttempt::next(const OnceEvent& event) {
+  return std::visit(
+      Overloaded{
+          [&](const RecordWritten& e) { return onWritten(e); },
+          [&](const RecordConflict&) { return onConflict(); },
+          [&](const RecordWriteUnknown&) { return onWriteUnknown(); },
+          [&](const RecordWriteRefused&) { return onWriteRefused(); },
+          [&](const RecordFound& e) { return onFound(e); },
+          [&](const RecordAbsent&) { return onAbsent(); },
+          [&](const RecordReadFailed&) { return onReadFailed(); },
+          [&](const DispatchAnswered& e) {
+            return finish(OnceState::done, e.status, e.contentType, e.body);
+          },
+          [&](const DispatchNeverSent& e) { return onNeverSent(e); },
+          [&](const DispatchMaybeSent& e) { return finish(OnceState::unknown, 0, "", e.detail); },
+      },
+      event);
+}
+
+OnceStep OnceAttempt::onWritten(const RecordWritten& event) {
+  version_ = event.version;
+  if (stage_ == Stage::storing) return conclude(true);
+  stage_ = Stage::dispatching;
+  return DispatchOnce{};
+}
+
+OnceStep OnceAttempt::onConflict() {
+  return ReadRecord{};
+}
+
+OnceStep OnceAttempt::onWriteUnknown() {
+  if (++tries_ >= kMaxTries) {
+    return stage_ == Stage::storing ? conclude(false) : OnceStep(platformOut(true));
+  }
+  return ReadRecord{};
+}
+
+OnceStep OnceAttempt::onWriteRefused() {
+  if (stage_ == Stage::storing) return conclude(false);
+  // An earlier try of this attempt may have taken effect all the same.
+  return platformOut(tries_ > 0);
+}
+
+OnceStep OnceAttempt::onReadFailed() {
+  if (stage_ == Stage::storing) return conclude(false);
+  return platformOut(true);
+}
+
+OnceStep OnceAttempt::onAbsent() {
+  if (++tries_ >= kMaxTries) {
+    return stage_ == Stage::storing ? conclude(false) : OnceStep(platformOut(true));
+  }
+  ifVersion_ = 0;
+  return WriteRecord{record_, 0};
+}
+
+OnceStep OnceAttempt::onFound(const RecordFound& event) {
+  const bool mine = event.record.attempt == record_.attempt;
+  if (stage_ == Stage::storing) {
+    if (!mine || event.record.state == record_.state) return conclude(true);
+    return WriteRecord{record_, event.version};
+  }
+  if (!mine) return judgeOther(event);
+  version_ = event.version;
+  stage_ = Stage::dispatching;
+  return DispatchOnce{};
+}
+
+OnceStep OnceAttempt::judgeOther(const RecordFound& event) {
+  const OnceRecord& other = event.record;
+  if (other.digest != record_.digest) {
+    return RefuseOnce{{RefusalReason::keyReused, "the Idempotency-Key was used for another request",
+                       RunOutcome::notRun, std::nullopt},
+                      false};
+  }
+  switch (other.state) {
+    case OnceState::done:
+      return AnswerWithRecord{other, false};
+    case OnceState::unknown:
+      return RefuseOnce{unknownOutcome("an earlier attempt may have run: " + other.body), false};
+    case OnceState::abandoned:
+      if (++tries_ >= kMaxTries) return platformOut(false);
+      return WriteRecord{record_, event.version};
+    case OnceState::started:
+      break;
+  }
+  if (!event.holderMayLive) {
+    return RefuseOnce{unknownOutcome("an earlier attempt may have run and its daemon is gone"),
+                      false};
+  }
+  return RefuseOnce{{RefusalReason::inProgress, "an earlier attempt is in progress",
+                     RunOutcome::unknown, kInProgressRetryAfter},
+                    false};
+}
+
+OnceStep OnceAttempt::onNeverSent(const DispatchNeverSent& event) {
+  return RefuseOnce{
+      {RefusalReason::upstreamFailed, event.detail, RunOutcome::notRun, kInProgressRetryAfter},
+      true};
+}
+
+OnceStep OnceAttempt::finish(OnceState state, int status, std::string contentType,
+                             std::string body) {
+  stage_ = Stage::storing;
+  tries_ = 0;
+  record_.state = state;
+  record_.status = status;
+  record_.contentType = std::move(contentType);
+  record_.body = std::move(body);
+  return WriteRecord{record_, version_};
+}
+
+OnceStep OnceAttempt::conclude(bool stored) const {
+  return AnswerWithRecord{record_, !stored};
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Membership/HostListEntry.h
@@ -0,0 +1,40 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_MEMBERSHIP_HOSTLISTENTRY_H
+#define HALLCHUTE_MEMBERSHIP_HOSTLISTENTRY_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "Hallchute/src/Core/Id.h"
+#include "Hallchute/src/Core/Time.h"
+
+namespace Hallchute {
+
+/// \brief What a host is for.
+/// \ingroup Membership
+enum class HostRole : std::uint8_t { entry, upstream };
+
+/// \brief A line of the platform's host list.
+/// \ingroup Membership
+struct HostListEntry {
+  HostId host;
+  HostRole role = HostRole::upstream;
+  DomainName domain;
+  /// `ip:port`; for an entry host the address for its peers.
+  std::string address;
+  /// Empty for an entry host.
+  ServiceName service;
+  std::string machineClass;
+  /// Price in millionths of the currency per hour.
+  std::int64_t pricePerHour = 0;
+  bool reclaimable = true;
+  /// Set once the host is to go.
+  std::optional<Millis> leavesIn;
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_MEMBERSHIP_HOSTLISTENTRY_H
--- /dev/null
+++ b/Hallchute/src/Membership/UpstreamDirectory.cpp
@@ -0,0 +1,93 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Membership/UpstreamDirectory.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Hallchute {
+namespace {
+
+/// How long a leave of an upstream not yet listed is remembered.
+constexpr Millis kEarlyMemory{600'000};
+
+}  // namespace
+
+std::vector<LeaveNews> UpstreamDirectory::applyList(std::uint64_t version,
+                                                    std::span<const HostListEntry> hosts,
+                                                    Instant now) {
+  std::vector<LeaveNews> leaves;
+  if (version < version_) return leaves;
+  version_ = version;
+  std::set<UpstreamId> listed;
+  for (const HostListEntry& host : hosts) {
+    if (host.role != HostRole::upstream) continue;
+    const UpstreamId id(host.host.str());
+    listed.insert(id);
+    const auto [it, isNew] = upstreams_.try_emplace(id, UpstreamInfo{id, host, std::nullopt});
+    it->second.host = host;
+    if (const auto early = early_.find(id); early != early_.end()) {
+      it->second.leavesAt = early->second;
+    }
+    if (host.leavesIn && !it->second.leavesAt) {
+      it->second.leavesAt = now + *host.leavesIn;
+      leaves.push_back({id, *host.leavesIn, LeaveSource::hostList});
+    }
+  }
+  for (auto it = upstreams_.begin(); it != upstreams_.end();) {
+    if (listed.contains(it->first)) {
+      ++it;
+      continue;
+    }
+    if (!it->second.leavesAt) leaves.push_back({it->first, Millis(0), LeaveSource::hostList});
+    it = upstreams_.erase(it);
+  }
+  std::erase_if(early_, [&](const auto& entry) { return now >= entry.second + kEarlyMemory; });
+  return leaves;
+}
+
+bool UpstreamDirectory::noteLeave(const UpstreamId& upstream, Millis remaining, Instant now) {
+  const Instant end = now + remaining;
+  const bool fresh = early_.try_emplace(upstream, end).second;
+  const auto it = upstreams_.find(upstream);
+  if (it == upstreams_.end()) return fresh;
+  if (it->second.leavesAt) {
+    it->second.leavesAt = std::min(*it->second.leavesAt, end);
+    return false;
+  }
+  it->second.leavesAt = end;
+  return true;
+}
+
+std::vector<UpstreamId> UpstreamDirectory::live(const ServiceName& service,
+                                                const DomainName& domain) const {
+  std::vector<UpstreamId> found;
+  for (const auto& [id, info] : upstreams_) {
+    const bool match = info.host.service == service && info.host.domain == domain;
+    if (match && !info.leavesAt) found.push_back(id);
+  }
+  return found;
+}
+
+std::vector<DomainName> UpstreamDirectory::domainsOf(const ServiceName& service) const {
+  std::set<DomainName> found;
+  for (const auto& [id, info] : upstreams_) {
+    if (info.host.service == service && !info.leavesAt) found.insert(info.host.domain);
+  }
+  return {found.begin(), found.end()};
+}
+
+const UpstreamInfo* UpstreamDirectory::find(const UpstreamId& upstream) const {
+  const auto it = upstreams_.find(upstream);
+  return it == upstreams_.end() ? nullptr : &it->second;
+}
+
+std::vector<UpstreamInfo> UpstreamDirectory::all() const {
+  std::vector<UpstreamInfo> found;
+  found.reserve(upstreams_.size());
+  for (const auto& [id, info] : upstreams_) found.push_back(info);
+  return found;
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Net/PeerMessages.h
@@ -0,0 +1,182 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_NET_PEERMESSAGES_H
+#define HALLCHUTE_NET_PEERMESSAGES_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "Hallchute/src/Admission/GrantWanted.h"
+#include "Hallchute/src/Core/Refusal.h"
+#include "Hallchute/src/Membership/HostListEntry.h"
+#include "Hallchute/src/Membership/NewsBatch.h"
+#include "Hallchute/src/Net/WireCodec.h"
+#include "Hallchute/src/Routing/ShardKey.h"
+
+/// \file
+/// \brief The messages between daemons. Each stream starts with one request message; its path
+/// names the kind. The order of wireFields() is the wire format.
+
+namespace Hallchute {
+
+/// \brief Paths of the streams between daemons. \ingroup Net
+namespace PeerPath {
+inline constexpr std::string_view kProbe = "/probe";
+inline constexpr std::string_view kGrant = "/grant";
+inline constexpr std::string_view kHold = "/hold";
+inline constexpr std::string_view kSettings = "/settings";
+inline constexpr std::string_view kHosts = "/hosts";
+inline constexpr std::string_view kHandOver = "/handover";
+inline constexpr std::string_view kAttach = "/attach";
+}  // namespace PeerPath
+
+/// \brief Opens a grant stream. \ingroup Net
+struct GrantRequestMessage {
+  ShardKey shard;
+  GrantWanted wanted;
+  /// Time left of `wanted.deadline`, which itself stays at home.
+  Millis remaining{0};
+};
+
+/// \brief How an owner's word on a grant stream reads. \ingroup Net
+enum class GrantWord : std::uint8_t { queued, granted, refused };
+
+/// \ingroup Net
+struct GrantReplyMessage {
+  GrantWord word = GrantWord::queued;
+  UpstreamId upstream;
+  std::uint64_t cachedTokens = 0;
+  Refusal refusal;
+};
+
+/// \brief The daemon's last word on a grant stream. \ingroup Net
+struct GrantEndMessage {
+  GrantEnd end = GrantEnd::cancelled;
+};
+
+/// \brief Opens a stream that holds a grant made by an earlier owner. \ingroup Net
+struct HoldMessage {
+  ShardKey shard;
+  GrantHeld held;
+};
+
+/// \brief Asks for settings newer than a revision. \ingroup Net
+struct SettingsRequestMessage {
+  std::uint64_t revision = 0;
+};
+
+/// \brief Changes in order, or a snapshot if they reach too far back. \ingroup Net
+struct SettingsReplyMessage {
+  std::uint64_t snapshotRevision = 0;
+  std::string snapshot;
+  std::vector<std::string> changes;
+};
+
+/// \ingroup Net
+struct HostsRequestMessage {
+  std::uint64_t version = 0;
+};
+
+/// \ingroup Net
+struct HostsReplyMessage {
+  std::uint64_t version = 0;
+  std::vector<HostListEntry> hosts;
+};
+
+/// \brief Hands a request to a peer; the answer says that it took it. \ingroup Net
+struct HandOverMessage {
+  std::string record;
+};
+
+/// \ingroup Net
+struct HandOverReplyMessage {
+  bool taken = false;
+};
+
+/// \brief Asks for an answer from a token on. \ingroup Net
+struct AttachMessage {
+  RequestId request;
+  OrganisationName organisation;
+  std::uint64_t offset = 0;
+};
+
+/// \brief A piece of an attached answer. \ingroup Net
+struct AttachReplyMessage {
+  bool found = false;
+  bool chat = true;
+  ServiceName service;
+  std::vector<std::string> tokens;
+  bool finished = false;
+  std::optional<Refusal> refusal;
+};
+
+inline auto wireFields(Refusal& m) {
+  return std::tie(m.reason, m.detail, m.outcome, m.retryAfter);
+}
+inline auto wireFields(ShardKey& m) {
+  return std::tie(m.service, m.domain, m.index);
+}
+inline auto wireFields(GrantWanted& m) {
+  return std::tie(m.id, m.organisation, m.weight, m.priority, m.promptTokens, m.expectedTokens,
+                  m.affinity, m.prefixHashes, m.avoid, m.resumption);
+}
+inline auto wireFields(GrantHeld& m) {
+  return std::tie(m.id, m.upstream, m.organisation, m.tokens);
+}
+inline auto wireFields(GrantRequestMessage& m) {
+  return std::tie(m.shard, m.wanted, m.remaining);
+}
+inline auto wireFields(GrantReplyMessage& m) {
+  return std::tie(m.word, m.upstream, m.cachedTokens, m.refusal);
+}
+inline auto wireFields(GrantEndMessage& m) {
+  return std::tie(m.end);
+}
+inline auto wireFields(HoldMessage& m) {
+  return std::tie(m.shard, m.held);
+}
+inline auto wireFields(MemberNews& m) {
+  return std::tie(m.id, m.domain, m.address, m.incarnation, m.state, m.revision, m.hostsVersion);
+}
+inline auto wireFields(LeaveNews& m) {
+  return std::tie(m.upstream, m.remaining, m.source);
+}
+inline auto wireFields(NewsBatch& m) {
+  return std::tie(m.sender, m.members, m.leaves);
+}
+inline auto wireFields(SettingsRequestMessage& m) {
+  return std::tie(m.revision);
+}
+inline auto wireFields(SettingsReplyMessage& m) {
+  return std::tie(m.snapshotRevision, m.snapshot, m.changes);
+}
+inline auto wireFields(HostListEntry& m) {
+  return std::tie(m.host, m.role, m.domain, m.address, m.service, m.machineClass, m.pricePerHour,
+                  m.reclaimable, m.leavesIn);
+}
+inline auto wireFields(HostsRequestMessage& m) {
+  return std::tie(m.version);
+}
+inline auto wireFields(HostsReplyMessage& m) {
+  return std::tie(m.version, m.hosts);
+}
+inline auto wireFields(HandOverMessage& m) {
+  return std::tie(m.record);
+}
+inline auto wireFields(HandOverReplyMessage& m) {
+  return std::tie(m.taken);
+}
+inline auto wireFields(AttachMessage& m) {
+  return std::tie(m.request, m.organisation, m.offset);
+}
+inline auto wireFields(AttachReplyMessage& m) {
+  return std::tie(m.found, m.chat, m.service, m.tokens, m.finished, m.refusal);
+}
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_NET_PEERMESSAGES_H
--- /dev/null
+++ b/Hallchute/src/Net/PeerTransport.cpp
@@ -0,0 +1,126 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Net/PeerTransport.h"
+
+#include <poll.h>
+
+#include <vector>
+
+#include "Hallchute/src/Net/EventLoop.h"
+#include "Hallchute/src/Net/PeerConnection.h"
+
+namespace Hallchute {
+namespace {
+
+constexpr int kBacklog = 128;
+
+}  // namespace
+
+void PeerStream::send(std::string_view message) {
+  if (!open_) return;
+  if (PeerConnection* connection = transport_->find(connection_)) connection->send(id_, message);
+}
+
+void PeerStream::finish() {
+  if (!open_) return;
+  if (PeerConnection* connection = transport_->find(connection_)) connection->finish(id_);
+}
+
+void PeerStream::close() {
+  if (!open_) return;
+  open_ = false;
+  onMessage = nullptr;
+  onClosed = nullptr;
+  if (PeerConnection* connection = transport_->find(connection_)) connection->close(id_);
+}
+
+PeerTransport::PeerTransport(EventLoop& loop, const std::string& listen, std::string secret)
+    : loop_(loop), secret_(std::move(secret)) {
+  const Poco::Net::SocketAddress address(listen);
+  listener_.bind(address, true);
+  listener_.listen(kBacklog);
+  listener_.setBlocking(false);
+  source_ = Poco::Net::SocketAddress(address.host(), 0);
+  loop_.watch(listener_.impl()->sockfd(), POLLIN, [this](short) { accept(); });
+}
+
+PeerTransport::~PeerTransport() {
+  loop_.unwatch(listener_.impl()->sockfd());
+  connections_.clear();
+}
+
+void PeerTransport::serve(std::string_view path, Server server) {
+  servers_[std::string(path)] = std::move(server);
+}
+
+const PeerTransport::Server* PeerTransport::serverOf(const std::string& path) const {
+  const auto it = servers_.find(path);
+  return it == servers_.end() ? nullptr : &it->second;
+}
+
+PeerConnection* PeerTransport::find(std::uint64_t connection) {
+  const auto it = connections_.find(connection);
+  return it == connections_.end() ? nullptr : it->second.get();
+}
+
+void PeerTransport::accept() {
+  try {
+    Poco::Net::StreamSocket socket = listener_.acceptConnection();
+    const std::uint64_t id = nextConnection_++;
+    connections_[id] =
+        std::make_unique<PeerConnection>(*this, id, PeerSession::Role::server, socket);
+  } catch (const Poco::Exception&) {
+    // The peer went away between the poll and the accept.
+  }
+}
+
+PeerConnection* PeerTransport::connectionTo(const std::string& address) {
+  if (const auto it = outgoing_.find(address); it != outgoing_.end()) {
+    if (PeerConnection* connection = find(it->second)) return connection;
+  }
+  try {
+    Poco::Net::StreamSocket socket;
+    socket.impl()->bind(source_, true);
+    socket.connectNB(Poco::Net::SocketAddress(address));
+    const std::uint64_t id = nextConnection_++;
+    connections_[id] =
+        std::make_unique<PeerConnection>(*this, id, PeerSession::Role::client, socket);
+    outgoing_[address] = id;
+    return connections_[id].get();
+  } catch (const Poco::Exception&) {
+    return nullptr;
+  }
+}
+
+PeerStreamPtr PeerTransport::open(const std::string& address, std::string_view path,
+                                  std::string_view message) {
+  if (PeerConnection* connection = connectionTo(address)) return connection->open(path, message);
+  auto stream = std::make_shared<PeerStream>();
+  stream->transport_ = this;
+  stream->open_ = false;
+  // The owner has not set its callbacks yet.
+  loop_.post([stream] {
+    if (stream->onClosed) stream->onClosed();
+  });
+  return stream;
+}
+
+void PeerTransport::drop(const std::string& address) {
+  // The caller may be a callback of that very connection.
+  loop_.post([this, address] {
+    const auto it = outgoing_.find(address);
+    if (it != outgoing_.end()) remove(it->second);
+  });
+}
+
+void PeerTransport::remove(std::uint64_t connection) {
+  std::erase_if(outgoing_, [&](const auto& entry) { return entry.second == connection; });
+  const auto it = connections_.find(connection);
+  if (it == connections_.end()) return;
+  // Its callbacks may use the transport: it is out of the table before it goes.
+  const std::unique_ptr<PeerConnection> gone = std::move(it->second);
+  connections_.erase(it);
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Net/PeerTransport.h
@@ -0,0 +1,72 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_NET_PEERTRANSPORT_H
+#define HALLCHUTE_NET_PEERTRANSPORT_H
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "Hallchute/src/Net/PeerStream.h"
+
+namespace Hallchute {
+
+class EventLoop;
+class PeerConnection;
+
+/// \brief Streams to and from other daemons, one connection a pair and direction.
+/// \ingroup Net
+///
+/// Loop thread only. Outgoing connections leave from the daemon's own address. Bytes sent and
+/// received are counted for the control budget.
+class PeerTransport {
+ public:
+  using Server = std::function<void(const PeerStreamPtr& stream)>;
+
+  /// \param listen where peers connect; \param secret shared by all daemons of the fleet.
+  PeerTransport(EventLoop& loop, const std::string& listen, std::string secret);
+  ~PeerTransport();
+  PeerTransport(const PeerTransport&) = delete;
+  PeerTransport& operator=(const PeerTransport&) = delete;
+
+  /// \brief Sets what answers streams that peers open at \p path.
+  void serve(std::string_view path, Server server);
+  /// \brief Opens a stream and sends its first message. It may close at once.
+  PeerStreamPtr open(const std::string& address, std::string_view path, std::string_view message);
+  /// \brief Closes the connection to a peer that was declared dead.
+  void drop(const std::string& address);
+  std::uint64_t bytesSent() const { return bytesSent_; }
+  std::uint64_t bytesReceived() const { return bytesReceived_; }
+
+ private:
+  friend class PeerConnection;
+  friend class PeerStream;
+
+  PeerConnection* connectionTo(const std::string& address);
+  PeerConnection* find(std::uint64_t connection);
+  void accept();
+  void remove(std::uint64_t connection);
+  const Server* serverOf(const std::string& path) const;
+
+  EventLoop& loop_;
+  std::string secret_;
+  Poco::Net::ServerSocket listener_;
+  Poco::Net::SocketAddress source_;
+  std::map<std::string, Server, std::less<>> servers_;
+  std::map<std::uint64_t, std::unique_ptr<PeerConnection>> connections_;
+  std::map<std::string, std::uint64_t> outgoing_;
+  std::uint64_t nextConnection_ = 1;
+  std::uint64_t bytesSent_ = 0;
+  std::uint64_t bytesReceived_ = 0;
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_NET_PEERTRANSPORT_H
--- /dev/null
+++ b/Hallchute/src/Observability/Log.h
@@ -0,0 +1,26 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_OBSERVABILITY_LOG_H
+#define HALLCHUTE_OBSERVABILITY_LOG_H
+
+#include <string_view>
+
+namespace Hallchute {
+
+/// \brief How grave a log line is.
+/// \ingroup Observability
+enum class LogLevel { debug, info, warning, error };
+
+/// \brief Sends logs to standard error, a JSON object a line.
+/// \ingroup Observability
+/// \param least lines below it are left out.
+void startLogging(LogLevel least);
+
+/// \brief Writes one line. Context comes from the LogContext objects of the calling thread.
+/// \ingroup Observability
+void logLine(LogLevel level, std::string_view message);
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_OBSERVABILITY_LOG_H
--- /dev/null
+++ b/Hallchute/src/Recovery/MigrationPlan.cpp
@@ -0,0 +1,62 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Recovery/MigrationPlan.h"
+
+#include <algorithm>
+
+namespace Hallchute {
+namespace {
+
+/// A stream is left in place only if it would finish in this part of the time left.
+constexpr double kFinishMargin = 0.8;
+/// Export and import each cost a round trip besides the transfer itself.
+constexpr double kMoveSetupSeconds = 0.05;
+
+double seconds(Millis time) {
+  return static_cast<double>(time.count()) / 1000.0;
+}
+
+bool finishesInTime(const RunningStream& stream, double left) {
+  if (stream.tokensPerSecond <= 0) return false;
+  const double needed = static_cast<double>(stream.remainingTokens) / stream.tokensPerSecond;
+  return needed <= left * kFinishMargin;
+}
+
+double recomputeCost(const RunningStream& stream) {
+  return static_cast<double>(stream.contextTokens) * stream.weight;
+}
+
+}  // namespace
+
+std::vector<StreamMigration> planMigrations(std::span<const RunningStream> streams,
+                                            const LeaveWindow& window) {
+  std::vector<StreamMigration> plan;
+  std::vector<const RunningStream*> moving;
+  const double left = seconds(window.left);
+  for (const RunningStream& stream : streams) {
+    if (finishesInTime(stream, left)) {
+      plan.push_back({stream.stream, FinishInPlace{}});
+    } else {
+      moving.push_back(&stream);
+    }
+  }
+  std::stable_sort(moving.begin(), moving.end(), [](const auto* a, const auto* b) {
+    return recomputeCost(*a) > recomputeCost(*b);
+  });
+  double used = 0;
+  for (const RunningStream* stream : moving) {
+    const double rate = window.transferTokensPerSecond;
+    const double needed =
+        rate > 0 ? kMoveSetupSeconds + static_cast<double>(stream->contextTokens) / rate : 0;
+    if (rate > 0 && used + needed <= left) {
+      used += needed;
+      plan.push_back({stream->stream, MoveCache{}});
+    } else {
+      plan.push_back({stream->stream, Recompute{}});
+    }
+  }
+  return plan;
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Routing/Candidate.h
@@ -0,0 +1,38 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_ROUTING_CANDIDATE_H
+#define HALLCHUTE_ROUTING_CANDIDATE_H
+
+#include <cstddef>
+#include <cstdint>
+
+#include "Hallchute/src/Core/Id.h"
+
+namespace Hallchute {
+
+/// \brief An upstream with room, as a policy sees it for one request.
+/// \ingroup Routing
+struct Candidate {
+  /// Its place in the owner's table; what a policy returns.
+  std::size_t slot = 0;
+  std::uint64_t idHash = 0;
+  std::size_t inFlight = 0;
+  /// Prompt and output tokens granted there and not yet done.
+  std::size_t pendingTokens = 0;
+  /// Tokens of this request's prompt that its cache is taken to hold.
+  std::size_t cachedTokens = 0;
+};
+
+/// \brief What a policy knows of the request.
+/// \ingroup Routing
+struct ChoiceRequest {
+  std::uint64_t affinity = 0;
+  std::size_t promptTokens = 0;
+  /// Mean of inFlight over all usable upstreams of the shard, full ones included.
+  double meanInFlight = 0;
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_ROUTING_CANDIDATE_H
--- /dev/null
+++ b/Hallchute/src/Routing/Rendezvous.h
@@ -0,0 +1,24 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_ROUTING_RENDEZVOUS_H
+#define HALLCHUTE_ROUTING_RENDEZVOUS_H
+
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "Hallchute/src/Core/Id.h"
+
+namespace Hallchute {
+
+/// \brief Ranks \p members for \p key by highest random weight: the first one owns the key.
+/// \ingroup Routing
+///
+/// Every process computes the same order from the same members. When a member goes, only the keys
+/// it owned move. Cost: one hash a member and a sort.
+std::vector<DaemonId> rankOwners(std::string_view key, std::span<const DaemonId> members);
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_ROUTING_RENDEZVOUS_H
--- /dev/null
+++ b/Hallchute/src/Upstream/PlainServiceHttp.cpp
@@ -0,0 +1,29 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Upstream/PlainServiceHttp.h"
+
+#include "Hallchute/src/Core/Overloaded.h"
+#include "Hallchute/src/Net/HttpExchange.h"
+
+namespace Hallchute {
+
+PlainServiceHttp::PlainServiceHttp(std::string address, std::string source, Millis connectLimit)
+    : address_(std::move(address)), source_(std::move(source)), connectLimit_(connectLimit) {}
+
+PlainResult PlainServiceHttp::call(const PlainRequest& request, Millis answerLimit) {
+  HttpExchange exchange({address_, source_, connectLimit_, answerLimit});
+  const HttpResult result = exchange.run(
+      {request.method, request.target, request.contentType, request.body, request.headers});
+  return std::visit(
+      Overloaded{
+          [](const HttpAnswer& answer) -> PlainResult {
+            const bool leaving = answer.status == 503 && !answer.header("Service-Leaving").empty();
+            return PlainAnswer{answer.status, answer.contentType, answer.body, leaving};
+          },
+          [](const HttpNeverSent& never) -> PlainResult { return PlainNeverSent{never.detail}; },
+          [](const HttpMaybeSent& maybe) -> PlainResult { return PlainMaybeSent{maybe.detail}; }},
+      result);
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/test/main.cpp
@@ -0,0 +1,3 @@
+int main() {
+  return 0;
+}
--- /dev/null
+++ b/test/scenario/ChildProcess.cpp
@@ -0,0 +1,61 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "test/scenario/ChildProcess.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <stdexcept>
+
+extern char** environ;
+
+namespace Scenario {
+
+ChildProcess::ChildProcess(const std::vector<std::string>& command, const std::string& logPath) {
+  std::vector<char*> words;
+  for (const std::string& word : command) words.push_back(const_cast<char*>(word.c_str()));
+  words.push_back(nullptr);
+  posix_spawn_file_actions_t files;
+  posix_spawn_file_actions_init(&files);
+  constexpr mode_t kMode = 0644;
+  posix_spawn_file_actions_addopen(&files, 0, "/dev/null", O_RDONLY, 0);
+  posix_spawn_file_actions_addopen(&files, 1, logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND,
+                                   kMode);
+  posix_spawn_file_actions_adddup2(&files, 1, 2);
+  const int failed = posix_spawn(&pid_, words[0], &files, nullptr, words.data(), environ);
+  posix_spawn_file_actions_destroy(&files);
+  if (failed != 0) throw std::runtime_error("can't start " + command.front());
+}
+
+ChildProcess::~ChildProcess() {
+  kill();
+}
+
+void ChildProcess::signal(int number) const {
+  ::kill(pid_, number);
+}
+
+bool ChildProcess::running() {
+  return !exitCode().has_value();
+}
+
+std::optional<int> ChildProcess::exitCode() {
+  if (exitCode_) return exitCode_;
+  int status = 0;
+  if (waitpid(pid_, &status, WNOHANG) != pid_) return std::nullopt;
+  exitCode_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+  return exitCode_;
+}
+
+void ChildProcess::kill() {
+  if (exitCode_) return;
+  signal(SIGKILL);
+  int status = 0;
+  waitpid(pid_, &status, 0);
+  exitCode_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+}  // namespace Scenario
--- /dev/null
+++ b/test/scenario/ChildProcess.h
@@ -0,0 +1,38 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_TEST_SCENARIO_CHILDPROCESS_H
+#define HALLCHUTE_TEST_SCENARIO_CHILDPROCESS_H
+
+#include <sys/types.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Scenario {
+
+/// \brief A process that the scenario started; killed when it goes out of scope.
+class ChildProcess {
+ public:
+  /// \param logPath where its output goes.
+  ChildProcess(const std::vector<std::string>& command, const std::string& logPath);
+  ~ChildProcess();
+  ChildProcess(const ChildProcess&) = delete;
+  ChildProcess& operator=(const ChildProcess&) = delete;
+
+  void signal(int number) const;
+  bool running();
+  /// \brief Kills it and waits for its end.
+  void kill();
+  /// \brief The exit code once it has ended by itself; negative for a signal.
+  std::optional<int> exitCode();
+
+ private:
+  pid_t pid_ = -1;
+  std::optional<int> exitCode_;
+};
+
+}  // namespace Scenario
+
+#endif  // HALLCHUTE_TEST_SCENARIO_CHILDPROCESS_H
