Prove the promises by scripted scenarios; mend what they found

Cause, each seen to fail first in its scenario: - unannounced_death waited 60,000 ms: a frozen upstream was never timed out, since Poco applies a session's time limits only to connections it opens itself. Ruled out: the runner's stall logic. - reclaim_upstream recomputed 2 tokens: a stream that had left was ordered away once more, before its next attempt began. Ruled out: the engine's cache import. - cut_domain refused durable work after 6,141 ms: each retry waited for a platform that was out. - leaving_frozen: a daemon frozen right after an operator's word had told nobody. Change: time limits on the socket itself; a job that moves has no upstream; a breaker before the platform; the operator's call returns once a peer has acknowledged the leave.

--- a/Hallchute/src/Admission/ShardOwner.cpp
+++ b/Hallchute/src/Admission/ShardOwner.cpp
@@ -35,10 +35,10 @@
 
 }  // namespace
 
-ShardOwner::ShardOwner(ShardPolicy policy) : policy_(std::move(policy)) {}
+ShardOwner::ShardOwner(const ShardPolicy& policy) : policy_(policy) {}
 
-void ShardOwner::setPolicy(ShardPolicy policy) {
-  policy_ = std::move(policy);
+void ShardOwner::setPolicy(const ShardPolicy& policy) {
+  policy_ = policy;
   for (OwnedUpstream& upstream : upstreams_) {
     upstream.prefixes.setCapacity(policy_.prefixTokensPerUpstream);
   }
--- a/Hallchute/src/Admission/ShardOwner.h
+++ b/Hallchute/src/Admission/ShardOwner.h
@@ -29,9 +29,9 @@
 /// one pass over the wishes and one over the upstreams.
 class ShardOwner {
  public:
-  explicit ShardOwner(ShardPolicy policy);
+  explicit ShardOwner(const ShardPolicy& policy);
 
-  void setPolicy(ShardPolicy policy);
+  void setPolicy(const ShardPolicy& policy);
   /// \brief Sets the upstreams that live. Those not named are forgotten once their work ends.
   std::vector<GrantAction> setUpstreams(std::span<const UpstreamId> live, Instant now);
   /// \brief From now on nothing is granted at \p upstream. Idempotent.
--- a/Hallchute/src/Cli/ServeCommand.cpp
+++ b/Hallchute/src/Cli/ServeCommand.cpp
@@ -15,7 +15,6 @@
 
 #include "Hallchute/src/Daemon/Daemon.h"
 #include "Hallchute/src/Observability/Log.h"
-#include "Hallchute/src/Observability/LogContext.h"
 
 ABSL_FLAG(std::string, config, "", "the daemon's start-up file");
 
@@ -57,9 +56,7 @@
   const sigset_t signals = stopSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   signal(SIGPIPE, SIG_IGN);
-  startLogging(levelNamed(startup.logLevel));
-  const LogContext daemonContext("daemon", startup.daemon.str());
-  const LogContext domainContext("failureDomain", startup.domain.str());
+  startLogging(levelNamed(startup.logLevel), startup.daemon.str(), startup.domain.str());
   try {
     Daemon daemon(std::move(startup));
     std::thread waiter([&] {
--- a/Hallchute/src/Daemon/Control.cpp
+++ b/Hallchute/src/Daemon/Control.cpp
@@ -22,6 +22,7 @@
 namespace {
 
 constexpr Millis kTick{50};
+constexpr Millis kSpreadPoll{5};
 constexpr Millis kFetchLimit{1'000};
 constexpr std::size_t kChangesPerReply = 64;
 
@@ -109,6 +110,17 @@
   loop_.post([this, news] { spreadLeave(news); });
 }
 
+bool Control::noteLeaveAndSpread(const LeaveNews& news, Millis limit) {
+  noteLeave(news);
+  const Instant until = clockNow() + limit;
+  for (;;) {
+    bool spread = false;
+    loop_.call([&] { spread = gossip_.wasSpread(news.upstream); });
+    if (spread || clockNow() >= until) return spread;
+    std::this_thread::sleep_for(kSpreadPoll);
+  }
+}
+
 void Control::spreadLeave(const LeaveNews& news) {
   gossip_.perform(membership_.announceLeave(news, clockNow()));
 }
--- a/Hallchute/src/Daemon/Control.h
+++ b/Hallchute/src/Daemon/Control.h
@@ -59,6 +59,9 @@
 
   GrantOutcome acquire(const GrantSpec& spec) { return broker_.acquire(spec); }
   void noteLeave(const LeaveNews& news);
+  /// \brief As noteLeave(), and waits until a peer has it too, at most \p limit.
+  /// \returns whether one has.
+  bool noteLeaveAndSpread(const LeaveNews& news, Millis limit);
   void learnChange(const SettingsChange& change);
   void learnSnapshot(std::uint64_t revision, const JsonObject& json);
   void learnHosts(const HostList& hosts);
--- a/Hallchute/src/Daemon/Daemon.cpp
+++ b/Hallchute/src/Daemon/Daemon.cpp
@@ -29,8 +29,9 @@
 
 Daemon::Daemon(StartupFile startup)
     : startup_(std::move(startup)),
-      platform_(startup_.platformAddress, startup_.platformToken, startup_.ownIp(),
-                startup_.platformLimit),
+      platformHttp_(startup_.platformAddress, startup_.platformToken, startup_.ownIp(),
+                    startup_.platformLimit),
+      platform_(platformHttp_),
       control_(startup_, settings_, jobs_, metrics_),
       context_{startup_.daemon,
                startup_.domain,
--- a/Hallchute/src/Daemon/Daemon.h
+++ b/Hallchute/src/Daemon/Daemon.h
@@ -28,6 +28,7 @@
 #include "Hallchute/src/Daemon/StartupFile.h"
 #include "Hallchute/src/Daemon/TrafficContext.h"
 #include "Hallchute/src/Observability/Metrics.h"
+#include "Hallchute/src/Platform/PlatformBreaker.h"
 #include "Hallchute/src/Platform/PlatformHttp.h"
 
 namespace Hallchute {
@@ -59,7 +60,8 @@
   JobTable jobs_;
   PlatformHealth health_;
   RetryBudgets budgets_;
-  PlatformHttp platform_;
+  PlatformHttp platformHttp_;
+  PlatformBreaker platform_;
   Control control_;
   TrafficContext context_;
   OnceKeeper keeper_;
--- a/Hallchute/src/Daemon/Gossip.cpp
+++ b/Hallchute/src/Daemon/Gossip.cpp
@@ -14,6 +14,7 @@
 constexpr Millis kTick{50};
 /// Probe streams that were never answered are closed after this.
 constexpr Millis kProbeLimit{1'500};
+constexpr std::size_t kSpreadRemembered = 4'096;
 
 Instant clockNow() {
   return std::chrono::steady_clock::now();
@@ -41,10 +42,12 @@
 }
 
 void Gossip::sendProbe(const SendProbe& probe) {
-  const PeerStreamPtr stream =
-      transport_.open(probe.address, PeerPath::kProbe, pack(membership_.compose(clockNow())));
+  const NewsBatch sent = membership_.compose(clockNow());
+  const PeerStreamPtr stream = transport_.open(probe.address, PeerPath::kProbe, pack(sent));
   const std::weak_ptr<PeerStream> weak = stream;
-  stream->onMessage = [this, weak](std::string_view bytes) {
+  stream->onMessage = [this, weak, leaves = sent.leaves](std::string_view bytes) {
+    if (spread_.size() > kSpreadRemembered) spread_.clear();
+    for (const LeaveNews& leave : leaves) spread_.insert(leave.upstream);
     const PeerStreamPtr open = weak.lock();
     if (open) open->close();
     if (const auto batch = unpack<NewsBatch>(bytes)) {
--- a/Hallchute/src/Daemon/Gossip.h
+++ b/Hallchute/src/Daemon/Gossip.h
@@ -5,6 +5,7 @@
 #define HALLCHUTE_DAEMON_GOSSIP_H
 
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,8 @@
 
   /// \brief Starts to tick.
   void start();
+  /// \brief Whether a peer has acknowledged a batch that told of this leave.
+  bool wasSpread(const UpstreamId& upstream) const { return spread_.contains(upstream); }
   void perform(const std::vector<MembershipAction>& actions);
 
  private:
@@ -38,6 +41,7 @@
   PeerTransport& transport_;
   Membership& membership_;
   Sink sink_;
+  std::set<UpstreamId> spread_;
 };
 
 }  // namespace Hallchute
--- a/Hallchute/src/Daemon/GrantBroker.cpp
+++ b/Hallchute/src/Daemon/GrantBroker.cpp
@@ -141,7 +141,7 @@
     askNext(wish);
     return;
   }
-  const DaemonId owner = ranked[wish->ownersAsked++];
+  const DaemonId& owner = ranked[wish->ownersAsked++];
   if (owner == membership_.self().id) {
     askLocal(wish, shard);
   } else {
--- a/Hallchute/src/Daemon/Job.cpp
+++ b/Hallchute/src/Daemon/Job.cpp
@@ -111,6 +111,8 @@
 Migration Job::takeMove() {
   const std::lock_guard lock(mutex_);
   if (orderNow_ == JobOrder::move) orderNow_ = JobOrder::none;
+  // It has left: it must not be ordered away from there once more.
+  upstream_ = UpstreamId();
   return migration_;
 }
 
--- a/Hallchute/src/Daemon/OperatorHandler.cpp
+++ b/Hallchute/src/Daemon/OperatorHandler.cpp
@@ -28,6 +28,7 @@
 constexpr std::size_t kMaxBody = 1U << 20U;
 constexpr std::size_t kHistoryPage = 200;
 constexpr std::int64_t kDefaultLeaveMs = 30'000;
+constexpr Millis kSpreadLimit{1'000};
 constexpr std::string_view kUpstreamPrefix = "/upstreams/";
 constexpr std::string_view kLeaveSuffix = "/leave";
 
@@ -87,7 +88,7 @@
 
 OperatorHandler::Reply OperatorHandler::route(Poco::Net::HTTPServerRequest& request,
                                               const Poco::URI& uri) {
-  const std::string path = uri.getPath();
+  const std::string& path = uri.getPath();
   if (request.getMethod() == Poco::Net::HTTPRequest::HTTP_GET) return get(path, uri);
   if (request.getMethod() != Poco::Net::HTTPRequest::HTTP_POST) {
     return {405, "application/json", messageJson("GET and POST only")};
@@ -210,8 +211,11 @@
 OperatorHandler::Reply OperatorHandler::leave(const std::string& upstream, const Poco::URI& uri) {
   const Millis left(
       std::strtoll(query(uri, "inMs", std::to_string(kDefaultLeaveMs)).c_str(), nullptr, 10));
-  services_.control.noteLeave({UpstreamId(upstream), left, LeaveSource::operatorOrder});
-  return {202, "application/json", messageJson(upstream + " is leaving")};
+  const LeaveNews news{UpstreamId(upstream), left, LeaveSource::operatorOrder};
+  const bool spread = services_.control.noteLeaveAndSpread(news, kSpreadLimit);
+  return {202, "application/json",
+          messageJson(upstream + " is leaving" +
+                      (spread ? "" : "; no other daemon has acknowledged it yet"))};
 }
 
 OperatorHandler::Reply OperatorHandler::requests() const {
--- a/Hallchute/src/Daemon/PeerJobs.cpp
+++ b/Hallchute/src/Daemon/PeerJobs.cpp
@@ -71,6 +71,7 @@
   control_.loop().call([&] { others = control_.membership().others(); });
   std::erase_if(others, [](const Member& m) { return m.news.state != MemberState::alive; });
   std::vector<DaemonId> ids;
+  ids.reserve(others.size());
   for (const Member& member : others) ids.push_back(member.news.id);
   const std::vector<DaemonId> ranked = rankOwners(request.str(), ids);
   std::vector<Peer> peers;
--- a/Hallchute/src/Net/HttpExchange.cpp
+++ b/Hallchute/src/Net/HttpExchange.cpp
@@ -34,6 +34,9 @@
   }
   socket.connect(Poco::Net::SocketAddress(route.address), timespan(route.connectLimit));
   socket.setNoDelay(true);
+  // The session applies its own time limits only to connections that it opens itself.
+  socket.setSendTimeout(timespan(route.answerLimit));
+  socket.setReceiveTimeout(timespan(route.answerLimit));
   return socket;
 }
 
@@ -70,7 +73,6 @@
     return HttpNeverSent{route_.address + ": " + e.displayText()};
   }
   try {
-    session_->setTimeout(timespan(route_.answerLimit));
     HTTPRequest request(call.method, call.target, HTTPRequest::HTTP_1_1);
     request.setHost(route_.address);
     request.setKeepAlive(false);
@@ -87,6 +89,8 @@
     answer.contentType = response_->getContentType();
     for (const auto& [name, value] : *response_) answer.headers.emplace_back(name, value);
     return answer;
+  } catch (const Poco::TimeoutException& e) {
+    return HttpMaybeSent{route_.address + ": " + e.displayText(), true};
   } catch (const Poco::Exception& e) {
     return HttpMaybeSent{route_.address + ": " + e.displayText()};
   }
--- a/Hallchute/src/Net/HttpExchange.h
+++ b/Hallchute/src/Net/HttpExchange.h
@@ -54,6 +54,8 @@
 /// \ingroup Net
 struct HttpMaybeSent {
   std::string detail;
+  /// Whether the other side fell silent, rather than closed the connection.
+  bool silent = false;
 };
 
 /// \ingroup Net
--- a/Hallchute/src/Net/PeerConnection.cpp
+++ b/Hallchute/src/Net/PeerConnection.cpp
@@ -21,11 +21,8 @@
 }  // namespace
 
 PeerConnection::PeerConnection(PeerTransport& transport, std::uint64_t id, PeerSession::Role role,
-                               Poco::Net::StreamSocket socket)
-    : transport_(transport),
-      id_(id),
-      socket_(std::move(socket)),
-      session_(role, transport.secret_, events()) {
+                               const Poco::Net::StreamSocket& socket)
+    : transport_(transport), id_(id), socket_(socket), session_(role, transport.secret_, events()) {
   socket_.setBlocking(false);
   if (role == PeerSession::Role::server) socket_.setNoDelay(true);
   updateWatch();
--- a/Hallchute/src/Net/PeerConnection.h
+++ b/Hallchute/src/Net/PeerConnection.h
@@ -22,7 +22,7 @@
 class PeerConnection {
  public:
   PeerConnection(PeerTransport& transport, std::uint64_t id, PeerSession::Role role,
-                 Poco::Net::StreamSocket socket);
+                 const Poco::Net::StreamSocket& socket);
   ~PeerConnection();
   PeerConnection(const PeerConnection&) = delete;
   PeerConnection& operator=(const PeerConnection&) = delete;
--- a/Hallchute/src/Net/PeerSession.cpp
+++ b/Hallchute/src/Net/PeerSession.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cstring>
 
 #include "Hallchute/src/Core/SecretHash.h"
 
@@ -85,7 +84,7 @@
     if (it == session.streams_.end()) return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
     Stream& stream = it->second;
     const std::size_t count = std::min(size, stream.out.size() - stream.sent);
-    std::memcpy(buffer, stream.out.data() + stream.sent, count);
+    std::copy_n(stream.out.begin() + static_cast<std::ptrdiff_t>(stream.sent), count, buffer);
     stream.sent += count;
     if (stream.sent == stream.out.size()) {
       stream.out.clear();
--- a/Hallchute/src/Observability/DurationHistogram.cpp
+++ b/Hallchute/src/Observability/DurationHistogram.cpp
@@ -3,6 +3,8 @@
 
 #include "Hallchute/src/Observability/DurationHistogram.h"
 
+#include <absl/strings/str_cat.h>
+
 namespace Hallchute {
 namespace {
 
@@ -45,19 +47,18 @@
   const std::lock_guard lock(mutex_);
   const std::string base(name);
   const std::string own(labels);
-  const std::string separator = own.empty() ? "" : ",";
+  const std::string prefix = absl::StrCat(base, "_bucket{", own, own.empty() ? "" : ",", "le=\"");
   double seen = histogram_.at(-1);
   for (int i = 0; i < static_cast<int>(kBuckets); ++i) {
     const double here = histogram_.at(i);
     seen += here;
     if (here == 0) continue;
-    page += base + "_bucket{" + own + separator + "le=\"" +
-            std::to_string(histogram_.axis().bin(i).upper()) + "\"} " +
-            std::to_string(static_cast<std::size_t>(seen)) + "\n";
+    absl::StrAppend(&page, prefix, histogram_.axis().bin(i).upper(), "\"} ",
+                    static_cast<std::size_t>(seen), "\n");
   }
-  page += base + "_bucket{" + own + separator + "le=\"+Inf\"} " + std::to_string(count_) + "\n";
-  page += base + "_sum{" + own + "} " + std::to_string(sum_) + "\n";
-  page += base + "_count{" + own + "} " + std::to_string(count_) + "\n";
+  absl::StrAppend(&page, prefix, "+Inf\"} ", count_, "\n");
+  absl::StrAppend(&page, base, "_sum{", own, "} ", sum_, "\n");
+  absl::StrAppend(&page, base, "_count{", own, "} ", count_, "\n");
 }
 
 }  // namespace Hallchute
--- a/Hallchute/src/Observability/Log.h
+++ b/Hallchute/src/Observability/Log.h
@@ -15,7 +15,8 @@
 /// \brief Sends logs to standard error, a JSON object a line.
 /// \ingroup Observability
 /// \param least lines below it are left out.
-void startLogging(LogLevel least);
+/// \param daemon, domain members of every line.
+void startLogging(LogLevel least, std::string_view daemon, std::string_view domain);
 
 /// \brief Writes one line. Context comes from the LogContext objects of the calling thread.
 /// \ingroup Observability
--- a/Hallchute/src/Platform/PlatformHttp.cpp
+++ b/Hallchute/src/Platform/PlatformHttp.cpp
@@ -61,7 +61,8 @@
                                  return Refused{PlatformRefusal::unavailable, never.detail};
                                },
                                [&](const HttpMaybeSent& maybe) -> PlatformReply<T> {
-                                 if (effect == Effect::possible) return NotKnown{maybe.detail};
+                                 if (effect == Effect::possible)
+                                   return NotKnown{maybe.detail, maybe.silent};
                                  return Refused{PlatformRefusal::unavailable, maybe.detail};
                                }},
                     result);
--- a/Hallchute/src/Ports/PlatformReply.h
+++ b/Hallchute/src/Ports/PlatformReply.h
@@ -33,13 +33,15 @@
 /// \ingroup Ports
 struct Refused {
   PlatformRefusal reason = PlatformRefusal::unavailable;
-  std::string detail;
+  std::string detail = {};
 };
 
 /// \brief The call may have had its effect: its reply was lost.
 /// \ingroup Ports
 struct NotKnown {
   std::string detail;
+  /// Whether the platform fell silent, rather than closed the connection.
+  bool silent = false;
 };
 
 /// \brief The three ways in which a call to the platform ends.
--- a/Hallchute/src/Settings/JsonReader.cpp
+++ b/Hallchute/src/Settings/JsonReader.cpp
@@ -60,7 +60,7 @@
 }
 
 std::string JsonReader::oneOf(const std::string& name, std::span<const std::string_view> words) {
-  const std::string value = text(name, false);
+  std::string value = text(name, false);
   if (!has(name)) return std::string(words.front());
   if (std::find(words.begin(), words.end(), value) != words.end()) return value;
   std::string choices;
@@ -90,7 +90,7 @@
 }
 
 JsonObject JsonReader::childObject(const std::string& name) {
-  const Poco::Dynamic::Var value = take(name);
+  Poco::Dynamic::Var value = take(name);
   if (value.isEmpty()) return {};
   if (value.type() == typeid(JsonObject)) return value.extract<JsonObject>();
   report(name, "must be an object");
@@ -110,8 +110,8 @@
   const JsonObject child = childObject(name);
   if (!child) return;
   JsonReader members(child, path_ + "/" + name, findings_);
-  for (const auto& [key, unused] : *child) {
-    members.object(key, [&](JsonReader& reader) { read(key, reader); });
+  for (const auto& member : *child) {
+    members.object(member.first, [&](JsonReader& reader) { read(member.first, reader); });
   }
 }
 
--- a/Hallchute/src/Settings/JsonTree.cpp
+++ b/Hallchute/src/Settings/JsonTree.cpp
@@ -24,7 +24,7 @@
 
 void writeSorted(const Var& value, std::ostream& out) {
   if (isObject(value)) {
-    const JsonObject object = value.extract<JsonObject>();
+    const JsonObject& object = value.extract<JsonObject>();
     std::set<std::string> names;
     for (const auto& [name, unused] : *object) names.insert(name);
     out << '{';
@@ -36,7 +36,7 @@
     }
     out << '}';
   } else if (isArray(value)) {
-    const auto array = value.extract<Poco::JSON::Array::Ptr>();
+    const auto& array = value.extract<Poco::JSON::Array::Ptr>();
     out << '[';
     for (std::size_t i = 0; i < array->size(); ++i) {
       if (i > 0) out << ',';
@@ -67,7 +67,9 @@
   for (const std::string& name : names) {
     const Var was = isObject(before) ? before.extract<JsonObject>()->get(name) : Var();
     const Var is = isObject(after) ? after.extract<JsonObject>()->get(name) : Var();
-    compare(path + "/" + name, was, is, found);
+    std::string place = path;
+    place.append("/").append(name);
+    compare(place, was, is, found);
   }
 }
 
--- a/standin/EngineStandin.cpp
+++ b/standin/EngineStandin.cpp
@@ -62,6 +62,8 @@
   std::int64_t priority = 0;
   std::string handle;
   std::atomic<bool> cancelled{false};
+  /// What it has generated, for export; guarded by the engine's mutex.
+  std::string produced;
 };
 
 EngineStandin::EngineStandin(EngineModel model) : model_(model), cache_(model.cacheTokens) {}
@@ -139,7 +141,7 @@
   const auto mayRun = [&] {
     const auto most = *std::max_element(waiting_.begin(), waiting_.end());
     return generation.cancelled ||
-           (waiting_.size() > 0 && model_.slots > 0 && generation.priority >= most);
+           (!waiting_.empty() && model_.slots > 0 && generation.priority >= most);
   };
   while (!mayRun()) changed_.wait(lock);
   waiting_.erase(std::find(waiting_.begin(), waiting_.end(), generation.priority));
@@ -199,6 +201,7 @@
       faults = faults_;
       tell = leaving_ && !toldLeaving;
     }
+    const std::string token = tokenOf(generation.prompt, i);
     if (generation.cancelled || !out.good() || faults.cutAfter == 0) break;
     if (tell) {
       Object::Ptr word = new Object;
@@ -209,9 +212,11 @@
     if (faults.lateEpoch) {
       writeEvent(out, chunkJson(generation.epoch - 1, i, "stale "));
     }
-    writeEvent(out, chunkJson(generation.epoch, i, tokenOf(generation.prompt, i)));
-    if (faults.duplicate) {
-      writeEvent(out, chunkJson(generation.epoch, i, tokenOf(generation.prompt, i)));
+    writeEvent(out, chunkJson(generation.epoch, i, token));
+    if (faults.duplicate) writeEvent(out, chunkJson(generation.epoch, i, token));
+    {
+      const std::lock_guard lock(mutex_);
+      generation.produced += " " + token;
     }
     if (i + 1 == generation.maxTokens) {
       Object::Ptr end = chunkJson(generation.epoch, generation.maxTokens, "");
@@ -239,7 +244,7 @@
   }
   it->second->cancelled = true;
   Object::Ptr cache = new Object;
-  cache->set("context", it->second->context);
+  cache->set("context", it->second->context + it->second->produced);
   lock.unlock();
   sendJson(response, 200, cache);
 }
--- a/test/scenario/Caller.cpp
+++ b/test/scenario/Caller.cpp
@@ -112,6 +112,7 @@
     }
     if (answer->status >= 400) {
       result_.problem = answer->body;
+      if (streams) std::getline(exchange.stream(), result_.problem);
       return;
     }
   }
@@ -169,6 +170,14 @@
 }
 
 void Caller::order() {
+  for (std::size_t i = 0; i < kMaxResumptions; ++i) {
+    orderOnce();
+    if (!plan_.retry || result_.outcome != "not-run" || result_.retryAfterMs < 0) return;
+    std::this_thread::sleep_for(Millis(static_cast<std::int64_t>(result_.retryAfterMs)));
+  }
+}
+
+void Caller::orderOnce() {
   HttpCall call{
       "POST", "/v1/services/" + plan_.service + "/orders", "application/json", plan_.body, {}};
   call.headers.emplace_back("Authorization", "Bearer " + plan_.token);
--- a/test/scenario/Caller.h
+++ b/test/scenario/Caller.h
@@ -30,6 +30,8 @@
   bool async = false;
   /// Comes back elsewhere when it is told to or its connection breaks.
   bool follow = false;
+  /// An order that was refused as not run is sent again after its Retry-After.
+  bool retry = false;
   std::string key;
   std::string body;
 };
@@ -71,6 +73,7 @@
   void run();
   void chat();
   void order();
+  void orderOnce();
   bool resume(std::size_t attempt);
   void readStream(std::istream& in);
   void readLine(const std::string& line);
--- a/test/scenario/ChildProcess.cpp
+++ b/test/scenario/ChildProcess.cpp
@@ -10,12 +10,11 @@
 
 #include <stdexcept>
 
-extern char** environ;
-
 namespace Scenario {
 
 ChildProcess::ChildProcess(const std::vector<std::string>& command, const std::string& logPath) {
   std::vector<char*> words;
+  words.reserve(command.size() + 1);
   for (const std::string& word : command) words.push_back(const_cast<char*>(word.c_str()));
   words.push_back(nullptr);
   posix_spawn_file_actions_t files;
--- a/test/scenario/Fleet.cpp
+++ b/test/scenario/Fleet.cpp
@@ -168,7 +168,7 @@
     HttpCall call;
     call.target = "/healthz";
     HttpExchange exchange({node.address, "", kCallLimit, kCallLimit});
-    if (node.kind == Kind::link) {
+    if (node.kind != Kind::daemon) {
       call.method = "POST";
       call.target = "/control/none";
       call.body = "{}";
--- a/test/scenario/Runner.cpp
+++ b/test/scenario/Runner.cpp
@@ -3,6 +3,7 @@
 
 #include "test/scenario/Runner.h"
 
+#include <absl/strings/str_cat.h>
 #include <signal.h>
 
 #include <algorithm>
@@ -146,7 +147,8 @@
 
 void Runner::engines(const Step& step) {
   ServicePlan plan{word(step, 1), true, std::stoi(word(step, 2)), {}};
-  for (const auto& [name, value] : step.options) plan.flags.push_back(name + "=" + value);
+  for (const auto& [name, value] : step.options)
+    plan.flags.push_back(absl::StrCat(name, "=", value));
   fleet_.services.push_back(std::move(plan));
 }
 
@@ -282,6 +284,7 @@
   plan.stream = step.option("stream", "true") == "true";
   plan.async = step.option("async", "false") == "true";
   plan.follow = step.option("follow", "false") == "true";
+  plan.retry = step.option("retry", "false") == "true";
   plan.key = step.option("key", "");
   plan.body = step.option("body", "{\"pages\":40}");
   return plan;
@@ -299,8 +302,14 @@
                            "\",\"reason\":\"scenario\",\"patch\":" + step.option("patch", "{}") +
                            ",\"baseRevision\":" + step.option("base", "0") + "}";
   const std::string via = step.option("via", "");
-  const auto ask = [this, id, via, body] {
-    const auto answer = fleet_.operatorPost(via, "/settings", body);
+  const bool retry = step.option("retry", "false") == "true";
+  const auto ask = [this, id, via, body, retry] {
+    constexpr int kUnavailable = 503;
+    auto answer = fleet_.operatorPost(via, "/settings", body);
+    while (retry && answer.first == kUnavailable) {
+      std::this_thread::sleep_for(Millis(50));
+      answer = fleet_.operatorPost(via, "/settings", body);
+    }
     const std::lock_guard lock(mutex_);
     applied_[id] = answer;
   };
@@ -314,7 +323,8 @@
 void Runner::cli(const Step& step) {
   std::string command = fleet_.binaries() + "/hallchute";
   for (std::size_t i = 2; i < step.words.size(); ++i) command += " '" + step.words[i] + "'";
-  for (const auto& [name, value] : step.options) command += " '--" + name + "=" + value + "'";
+  for (const auto& [name, value] : step.options)
+    absl::StrAppend(&command, " '--", name, "=", value, "'");
   command += " --operator=" + fleet_.node(word(step, 1)).operatorAddress +
              " --token=" + kOperatorToken + " 2>&1";
   std::cout << std::flush;
@@ -414,8 +424,9 @@
 }
 
 /// Values: `count NODE MEMBER`, `most KIND MEMBER`, `sum KIND MEMBER`, `metric DAEMON NAME`,
-/// `metrics NAME` (over all daemons), `revision DAEMON`, `least-revision`, `members DAEMON`,
-/// `running NODE`, `received ID`, `exit NODE`, `since MARK` (ms), `now`.
+/// `metrics NAME` (over all daemons), `revision DAEMON`, `least-revision`, `least-leaves`, `members
+/// DAEMON` (alive), `listed DAEMON` (not dead), `running NODE`, `received ID`, `exit NODE`, `since
+/// MARK` (ms), `now`.
 double Runner::value(const Step& step, std::size_t from) {
   const std::string& kind = word(step, from);
   const auto argument = [&](std::size_t index) { return word(step, from + index); };
@@ -434,6 +445,13 @@
     }
     return sum;
   }
+  if (kind == "least-leaves") {
+    double least = 1e9;
+    for (Node* node : fleet_.all(Kind::daemon)) {
+      least = std::min(least, metric(node->name, "hallchute_leaves_total"));
+    }
+    return least;
+  }
   if (kind == "least-revision") {
     double least = 1e9;
     for (Node* node : fleet_.all(Kind::daemon)) {
@@ -443,11 +461,12 @@
     }
     return least;
   }
-  if (kind == "revision" || kind == "members") {
+  if (kind == "revision" || kind == "members" || kind == "listed") {
     const JsonObject status = parse(fleet_.operatorGet(argument(1), "/status"));
     require(!status.isNull(), argument(1) + " gives no status");
     if (kind == "revision") return status->optValue("settingsRevision", 0.0);
     const auto members = status->getArray("members");
+    if (kind == "listed") return members ? static_cast<double>(members->size()) + 1 : 0;
     double alive = 1;
     for (unsigned i = 0; members && i < members->size(); ++i) {
       if (members->getObject(i)->getValue<std::string>("state") == "alive") ++alive;
@@ -532,16 +551,14 @@
   std::map<std::string, double> highest;
   while (watching_) {
     for (Node* node : fleet_.all(Kind::daemon)) {
-      // A daemon that starts anew begins at nothing: it is another life.
-      if (!node->process || !node->process->running()) {
-        highest.erase(node->name);
-        continue;
-      }
       const JsonObject status = parse(fleet_.operatorGet(node->name, "/status"));
       if (!status || !status->has("settingsRevision")) continue;
+      // A daemon that starts anew begins at nothing: it is another life.
+      const std::string life =
+          node->name + "#" + status->getObject("daemon")->get("incarnation").toString();
       const auto seen = status->getValue<double>("settingsRevision");
-      if (seen < highest[node->name]) revisionFell_ = node->name + " fell to " + number(seen);
-      highest[node->name] = std::max(highest[node->name], seen);
+      if (seen < highest[life]) revisionFell_ = life + " fell to " + number(seen);
+      highest[life] = std::max(highest[life], seen);
     }
     std::this_thread::sleep_for(Millis(20));
   }
