--- a/Hallchute/src/Daemon/Gossip.cpp
+++ b/Hallchute/src/Daemon/Gossip.cpp
@@ -71,7 +71,7 @@
       return;
     }
     perform(membership_.receive(*batch, clockNow()));
-    open->send(pack(membership_.compose(clockNow())));
+    open->send(pack(membership_.compose(clockNow(), batch->known)));
     open->finish();
   };
 }
--- a/Hallchute/src/Membership/Membership.cpp
+++ b/Hallchute/src/Membership/Membership.cpp
@@ -124,9 +124,32 @@
   actions.emplace_back(SendProbe{member.news.id, member.news.address});
 }
 
-NewsBatch Membership::compose(Instant now) {
+std::uint64_t Membership::knownAlive() const {
+  const auto alive = std::count_if(members_.begin(), members_.end(), [](const auto& entry) {
+    return entry.second.news.state != MemberState::dead;
+  });
+  return static_cast<std::uint64_t>(alive) + 1;
+}
+
+/// A peer that lags far behind is told a random part of all members, rumour or not.
+void Membership::addForJoiner(NewsBatch& batch) {
+  std::vector<const Member*> all;
+  for (const auto& [id, member] : members_) {
+    if (member.news.state != MemberState::dead) all.push_back(&member);
+  }
+  std::shuffle(all.begin(), all.end(), random_);
+  if (all.size() > policy_.membersForJoiner) all.resize(policy_.membersForJoiner);
+  for (const Member* member : all) batch.members.push_back(member->news);
+}
+
+NewsBatch Membership::compose(Instant now, std::uint64_t peerKnows) {
   NewsBatch batch;
   batch.sender = self_;
+  batch.known = knownAlive();
+  if (peerKnows != UINT64_MAX && peerKnows + policy_.membersPerBatch <= batch.known) {
+    addForJoiner(batch);
+    return batch;
+  }
   const std::size_t limit = sayLimit();
   std::vector<std::pair<std::size_t, DaemonId>> fresh;
   for (const auto& [id, rumour] : rumours_) fresh.emplace_back(rumour.said, id);
--- a/Hallchute/src/Membership/Membership.h
+++ b/Hallchute/src/Membership/Membership.h
@@ -4,6 +4,7 @@
 #ifndef HALLCHUTE_MEMBERSHIP_MEMBERSHIP_H
 #define HALLCHUTE_MEMBERSHIP_MEMBERSHIP_H
 
+#include <cstdint>
 #include <map>
 #include <random>
 #include <set>
@@ -33,7 +34,8 @@
   void addSeed(const std::string& address);
   std::vector<MembershipAction> tick(Instant now);
   /// \brief What to say now; counts what is said, as each item is said a bounded number of times.
-  NewsBatch compose(Instant now);
+  /// \param peerKnows how many daemons its receiver knows; one that lags gets a larger batch.
+  NewsBatch compose(Instant now, std::uint64_t peerKnows = UINT64_MAX);
   /// \brief Takes a batch that a peer sent or answered.
   std::vector<MembershipAction> receive(const NewsBatch& batch, Instant now);
   /// \brief The probe of \p target failed at once (refused, reset).
@@ -73,6 +75,8 @@
   void expire(Instant now, std::vector<MembershipAction>& actions);
   void probe(const Member& member, Instant now, std::vector<MembershipAction>& actions);
   const Member* nextTarget(bool foreign);
+  void addForJoiner(NewsBatch& batch);
+  std::uint64_t knownAlive() const;
   std::size_t sayLimit() const;
   void eager(Instant now, std::vector<MembershipAction>& actions);
 
--- a/Hallchute/src/Membership/NewsBatch.h
+++ b/Hallchute/src/Membership/NewsBatch.h
@@ -32,6 +32,8 @@
 struct NewsBatch {
   /// The sender itself, always up to date.
   MemberNews sender;
+  /// How many daemons the sender knows to live, itself included.
+  std::uint64_t known = 0;
   std::vector<MemberNews> members;
   std::vector<LeaveNews> leaves;
 };
--- a/Hallchute/src/Net/PeerMessages.h
+++ b/Hallchute/src/Net/PeerMessages.h
@@ -146,7 +146,7 @@
   return std::tie(m.upstream, m.remaining, m.source);
 }
 inline auto wireFields(NewsBatch& m) {
-  return std::tie(m.sender, m.members, m.leaves);
+  return std::tie(m.sender, m.known, m.members, m.leaves);
 }
 inline auto wireFields(SettingsRequestMessage& m) {
   return std::tie(m.revision);
--- a/standin/StandinServer.cpp
+++ b/standin/StandinServer.cpp
@@ -57,6 +57,27 @@
 
 }  // namespace
 
+StandinServer::StandinServer(const std::string& listen, Handler handler)
+    : handler_(std::move(handler)), threads_(4, kMaxThreads) {
+  socket_.bind(Poco::Net::SocketAddress(listen), true);
+  socket_.listen();
+  Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
+  params->setMaxThreads(kMaxThreads);
+  params->setMaxQueued(kMaxThreads);
+  params->setKeepAlive(false);
+  server_ =
+      std::make_unique<Poco::Net::HTTPServer>(new Factory(handler_), threads_, socket_, params);
+  server_->start();
+}
+
+StandinServer::~StandinServer() {
+  server_->stopAll(true);
+}
+
+std::string StandinServer::address() const {
+  return socket_.address().toString();
+}
+
 void serveHttp(const std::string& listen, const Handler& handler) {
   sigset_t signals;
   sigemptyset(&signals);
@@ -64,16 +85,7 @@
   sigaddset(&signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   signal(SIGPIPE, SIG_IGN);
-  Poco::Net::ServerSocket socket;
-  socket.bind(Poco::Net::SocketAddress(listen), true);
-  socket.listen();
-  Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
-  params->setMaxThreads(kMaxThreads);
-  params->setMaxQueued(kMaxThreads);
-  params->setKeepAlive(false);
-  Poco::ThreadPool threads(4, kMaxThreads);
-  Poco::Net::HTTPServer server(new Factory(handler), threads, socket, params);
-  server.start();
+  const StandinServer server(listen, handler);
   int number = 0;
   sigwait(&signals, &number);
   _exit(0);
--- a/standin/StandinServer.h
+++ b/standin/StandinServer.h
@@ -7,10 +7,17 @@
 #include <Poco/JSON/Object.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/ThreadPool.h>
 
 #include <functional>
+#include <memory>
 #include <string>
 
+namespace Poco::Net {
+class HTTPServer;
+}  // namespace Poco::Net
+
 namespace Standin {
 
 /// \brief A request with its body read.
@@ -27,6 +34,23 @@
 using Handler =
     std::function<void(const Request& request, Poco::Net::HTTPServerResponse& response)>;
 
+/// \brief Serves HTTP while it lives.
+class StandinServer {
+ public:
+  /// \param listen `ip:port`; port 0 takes one from the operating system.
+  StandinServer(const std::string& listen, Handler handler);
+  ~StandinServer();
+  StandinServer(const StandinServer&) = delete;
+  StandinServer& operator=(const StandinServer&) = delete;
+  std::string address() const;
+
+ private:
+  Handler handler_;
+  Poco::ThreadPool threads_;
+  Poco::Net::ServerSocket socket_;
+  std::unique_ptr<Poco::Net::HTTPServer> server_;
+};
+
 /// \brief Serves HTTP at \p listen until SIGTERM.
 void serveHttp(const std::string& listen, const Handler& handler);
 
