--- a/Hallchute/src/Admission/ShardOwner.cpp
+++ b/Hallchute/src/Admission/ShardOwner.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "Hallchute/src/Core/StableHash.h"
+#include "Hallchute/src/Routing/PrefixBlocks.h"
 #include "Hallchute/src/Routing/UpstreamChooser.h"
 
 namespace Hallchute {
@@ -172,6 +173,7 @@
       std::any_of(upstreams_.begin(), upstreams_.end(), [&](const OwnedUpstream& upstream) {
         return usable(upstream, now) && !avoids(wanted, upstream.id);
       });
+  const std::vector<double> costs = computeCosts(wanted);
   for (std::size_t slot = 0; slot < upstreams_.size(); ++slot) {
     const OwnedUpstream& upstream = upstreams_[slot];
     if (!usable(upstream, now)) continue;
@@ -181,6 +183,11 @@
     if (avoidable && avoids(wanted, upstream.id)) continue;
     candidates.push_back({slot, upstream.idHash, upstream.inFlight, upstream.pendingTokens,
                           upstream.prefixes.cachedTokens(wanted.prefixHashes)});
+    candidates.back().computeCost =
+        costs[candidates.back().cachedTokens / PrefixBlocks::kTokensPerBlock];
+    if (const auto oldest = upstream.prefixes.oldestStamp()) {
+      candidates.back().evictionAge = stamp_ - *oldest;
+    }
   }
   ChoiceRequest request{wanted.affinity, wanted.promptTokens, 0};
   if (usableCount > 0) {
@@ -193,13 +200,31 @@
   return place(wanted, *slot, chosen->cachedTokens, now);
 }
 
+/// \returns for each number of leading blocks held, what the rest of the prompt costs to compute.
+std::vector<double> ShardOwner::computeCosts(const GrantWanted& wanted) const {
+  constexpr std::size_t kBlock = PrefixBlocks::kTokensPerBlock;
+  const std::size_t blocks = wanted.prefixHashes.size();
+  const std::size_t inBlocks = std::min(wanted.promptTokens, blocks * kBlock);
+  std::vector<double> costs(blocks + 1, static_cast<double>(wanted.promptTokens - inBlocks));
+  const auto count = static_cast<double>(std::max<std::size_t>(upstreams_.size(), 1));
+  for (std::size_t i = blocks; i-- > 0;) {
+    std::uint64_t uses = 0;
+    for (const OwnedUpstream& upstream : upstreams_) {
+      uses += upstream.prefixes.usesOf(wanted.prefixHashes[i]);
+    }
+    const double weight = 1 / (1 + static_cast<double>(uses) / count);
+    costs[i] = costs[i + 1] + weight * static_cast<double>(kBlock);
+  }
+  return costs;
+}
+
 Granted ShardOwner::place(const GrantWanted& wanted, std::size_t slot, std::size_t cached,
                           Instant now) {
   OwnedUpstream& upstream = upstreams_[slot];
   const std::size_t cost = costOf(wanted);
   ++upstream.inFlight;
   upstream.pendingTokens += cost;
-  upstream.prefixes.use(wanted.prefixHashes);
+  upstream.prefixes.use(wanted.prefixHashes, ++stamp_);
   ++inFlightOf_[wanted.organisation];
   shares_.charge(wanted.organisation, static_cast<double>(cost + 1), wanted.weight);
   grants_[wanted.id] = {slot, wanted.organisation, cost, now};
--- a/Hallchute/src/Admission/ShardOwner.h
+++ b/Hallchute/src/Admission/ShardOwner.h
@@ -66,6 +66,7 @@
   std::optional<Refusal> limitRefusal(const GrantWanted& wanted, Instant now);
   std::optional<GrantRefused> makeRoom(const GrantWanted& wanted, Instant now);
   std::optional<Granted> tryGrant(const GrantWanted& wanted, Instant now);
+  std::vector<double> computeCosts(const GrantWanted& wanted) const;
   Granted place(const GrantWanted& wanted, std::size_t slot, std::size_t cached, Instant now);
   void grantWaiting(Instant now, std::vector<GrantAction>& actions);
   std::vector<std::size_t> queueOrder(Instant now) const;
@@ -84,6 +85,8 @@
   std::map<OrganisationName, std::size_t> inFlightOf_;
   std::map<OrganisationName, TokenBucket> buckets_;
   FairShare shares_;
+  /// Counts prompts sent; the clock of the prefix indices.
+  std::uint64_t stamp_ = 0;
   /// Smoothed time between releases, for an honest Retry-After.
   double releaseGapMs_ = 0;
   Instant lastRelease_{};
--- a/Hallchute/src/Routing/Candidate.h
+++ b/Hallchute/src/Routing/Candidate.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 #include "Hallchute/src/Core/Id.h"
 
@@ -22,6 +23,12 @@
   std::size_t pendingTokens = 0;
   /// Tokens of this request's prompt that its cache is taken to hold.
   std::size_t cachedTokens = 0;
+  /// What the tokens not held cost to compute, those of blocks in common use counting less: the
+  /// copy made here will serve others.
+  double computeCost = 0;
+  /// How long ago the block that its cache would drop next was used, in prompts sent by the owner;
+  /// nothing while its cache has room.
+  std::optional<std::uint64_t> evictionAge = {};
 };
 
 /// \brief What a policy knows of the request.
--- a/Hallchute/src/Routing/ChoicePolicy.h
+++ b/Hallchute/src/Routing/ChoicePolicy.h
@@ -23,11 +23,18 @@
 /// \ingroup Routing
 struct SessionHash {};
 
-/// \brief The most cached prefix among the upstreams under a load bound; least load breaks ties.
+/// \brief The least cost in tokens among the upstreams under a load bound.
 /// \ingroup Routing
+///
+/// The cost counts the tokens to compute, again those that they push out of the cache (the more the
+/// younger these are), and the load. docs/DESIGN.md has the figures that led to each part.
 struct PrefixAffinity {
   /// Work on one upstream relative to the mean up to which its cache may draw more.
-  double loadBound = 1.5;
+  double loadBound = 4;
+  /// What a request in flight on an upstream counts, in tokens.
+  double tokensPerRequest = 100;
+  /// What an evicted token of mean age counts.
+  double evictionWeight = 1;
 };
 
 /// \brief The ways of choosing an upstream; see docs/DESIGN.md for what was measured.
--- a/Hallchute/src/Routing/PrefixIndex.cpp
+++ b/Hallchute/src/Routing/PrefixIndex.cpp
@@ -16,19 +16,31 @@
   return held * PrefixBlocks::kTokensPerBlock;
 }
 
-void PrefixIndex::use(std::span<const std::uint64_t> hashes) {
+void PrefixIndex::use(std::span<const std::uint64_t> hashes, std::uint64_t stamp) {
   for (auto hash = hashes.rbegin(); hash != hashes.rend(); ++hash) {
     const auto place = places_.find(*hash);
     if (place != places_.end()) {
+      place->second->stamp = stamp;
+      ++place->second->uses;
       recent_.splice(recent_.begin(), recent_, place->second);
     } else {
-      recent_.push_front(*hash);
+      recent_.push_front({*hash, stamp, 1});
       places_[*hash] = recent_.begin();
     }
   }
   shrink();
 }
 
+std::optional<std::uint64_t> PrefixIndex::oldestStamp() const {
+  if (places_.size() < maxBlocks_ || recent_.empty()) return std::nullopt;
+  return recent_.back().stamp;
+}
+
+std::uint64_t PrefixIndex::usesOf(std::uint64_t hash) const {
+  const auto place = places_.find(hash);
+  return place == places_.end() ? 0 : place->second->uses;
+}
+
 void PrefixIndex::drop(std::uint64_t hash) {
   const auto place = places_.find(hash);
   if (place == places_.end()) return;
@@ -43,7 +55,7 @@
 
 void PrefixIndex::shrink() {
   while (places_.size() > maxBlocks_) {
-    places_.erase(recent_.back());
+    places_.erase(recent_.back().hash);
     recent_.pop_back();
   }
 }
--- a/Hallchute/src/Routing/PrefixIndex.h
+++ b/Hallchute/src/Routing/PrefixIndex.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <list>
+#include <optional>
 #include <span>
 #include <unordered_map>
 
@@ -25,7 +26,12 @@
   /// \brief Tokens of the prompt's leading blocks that are held.
   std::size_t cachedTokens(std::span<const std::uint64_t> hashes) const;
   /// \brief Notes that a prompt was sent; its tail goes out before its head.
-  void use(std::span<const std::uint64_t> hashes);
+  /// \param stamp a clock of the owner's that rises with each prompt it sends anywhere.
+  void use(std::span<const std::uint64_t> hashes, std::uint64_t stamp = 0);
+  /// \brief Stamp of the block that would go out next; nothing while there is room.
+  std::optional<std::uint64_t> oldestStamp() const;
+  /// \brief How many prompts have used the block since it came here; 0 if it is not held.
+  std::uint64_t usesOf(std::uint64_t hash) const;
   /// \brief Takes a cache event into account: the upstream dropped this block.
   void drop(std::uint64_t hash);
   void setCapacity(std::size_t capacityTokens);
@@ -35,8 +41,14 @@
   void shrink();
 
   std::size_t maxBlocks_;
-  std::list<std::uint64_t> recent_;
-  std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> places_;
+  struct Block {
+    std::uint64_t hash;
+    std::uint64_t stamp;
+    std::uint64_t uses;
+  };
+
+  std::list<Block> recent_;
+  std::unordered_map<std::uint64_t, std::list<Block>::iterator> places_;
 };
 
 }  // namespace Hallchute
--- a/Hallchute/src/Routing/UpstreamChooser.cpp
+++ b/Hallchute/src/Routing/UpstreamChooser.cpp
@@ -10,6 +10,8 @@
 
 /// An idle shard may still give an upstream this many requests for the sake of its cache.
 constexpr double kLeastBound = 2.0;
+/// However young an evicted token is, it counts no more than so many of mean age.
+constexpr double kMostYouth = 4;
 
 bool lessLoaded(const Candidate& a, const Candidate& b) {
   if (a.inFlight != b.inFlight) return a.inFlight < b.inFlight;
@@ -41,16 +43,43 @@
         ->slot;
   }
 
-  std::size_t operator()(PrefixAffinity& policy) const {
+  std::size_t operator()(const PrefixAffinity& policy) const {
     const double bound = std::max(kLeastBound, policy.loadBound * (request.meanInFlight + 1));
-    const auto better = [&](const Candidate& a, const Candidate& b) {
-      const bool aFits = static_cast<double>(a.inFlight) < bound;
-      const bool bFits = static_cast<double>(b.inFlight) < bound;
-      if (aFits != bFits) return aFits;
-      if (aFits && a.cachedTokens != b.cachedTokens) return a.cachedTokens > b.cachedTokens;
-      return lessLoaded(a, b);
-    };
-    return std::min_element(candidates.begin(), candidates.end(), better)->slot;
+    const double meanAge = meanEvictionAge();
+    const Candidate* best = nullptr;
+    double bestCost = 0;
+    bool bestFits = false;
+    for (const Candidate& candidate : candidates) {
+      const bool fits = static_cast<double>(candidate.inFlight) < bound;
+      const double cost = costOf(policy, candidate, meanAge);
+      const bool better = best == nullptr || (fits != bestFits ? fits : cost < bestCost);
+      if (!better) continue;
+      best = &candidate;
+      bestCost = cost;
+      bestFits = fits;
+    }
+    return best->slot;
+  }
+
+  double costOf(const PrefixAffinity& policy, const Candidate& candidate, double meanAge) const {
+    const double uncached = candidate.computeCost;
+    double evicted = 0;
+    if (candidate.evictionAge) {
+      const double youth = meanAge / static_cast<double>(*candidate.evictionAge + 1);
+      evicted = uncached * policy.evictionWeight * std::min(youth, kMostYouth);
+    }
+    return uncached + evicted + policy.tokensPerRequest * static_cast<double>(candidate.inFlight);
+  }
+
+  double meanEvictionAge() const {
+    double sum = 0;
+    double count = 0;
+    for (const Candidate& candidate : candidates) {
+      if (!candidate.evictionAge) continue;
+      sum += static_cast<double>(*candidate.evictionAge) + 1;
+      ++count;
+    }
+    return count == 0 ? 1 : sum / count;
   }
 
   static constexpr std::uint64_t kMix = 0x9E3779B97F4A7C15ULL;
--- a/Hallchute/src/Settings/PolicyKey.cpp
+++ b/Hallchute/src/Settings/PolicyKey.cpp
@@ -43,7 +43,7 @@
      "largest request body taken from a caller"},
     {PolicyKey::maxOutputTokens, "maxOutputTokens", 1, 1'000'000, 4'096, "tokens",
      "largest max_tokens a caller may ask for"},
-    {PolicyKey::loadBoundPercent, "loadBoundPercent", 100, 1'000, 150, "percent",
+    {PolicyKey::loadBoundPercent, "loadBoundPercent", 100, 1'000, 400, "percent",
      "work on one upstream relative to the mean up to which a cached prefix draws more there"},
     {PolicyKey::agingMs, "agingMs", 10, 600'000, 1'000, "ms",
      "waiting time that counts as one step of class priority"},
