Keep one organisation's flood from the others: bounded prompts, aging by starvation

Change: an upstream with maxPrefillTokensPerUpstream prompt tokens to compute gets nothing more until a first token is reported; aging counts the time since the organisation was last granted work of that class; a full queue lets go whom it would serve last. What is left is one long prompt already begun in the engine.

--- a/Hallchute/src/Admission/OwnedUpstream.h
+++ b/Hallchute/src/Admission/OwnedUpstream.h
@@ -24,6 +24,8 @@
   PrefixIndex prefixes;
   std::size_t inFlight = 0;
   std::size_t pendingTokens = 0;
+  /// Prompt tokens granted there whose first answer token has not come yet.
+  std::size_t prefillTokens = 0;
   /// Leaves or has left: nothing new is granted there.
   bool leaving = false;
   /// After failures nothing is granted before this time, then one request probes.
--- a/Hallchute/src/Admission/ShardOwner.cpp
+++ b/Hallchute/src/Admission/ShardOwner.cpp
@@ -84,6 +84,11 @@
   return upstream.failures > 0 ? 1 : policy_.maxInFlightPerUpstream;
 }
 
+bool ShardOwner::hasRoom(const OwnedUpstream& upstream) const {
+  return upstream.inFlight < limitOf(upstream) &&
+         upstream.prefillTokens < policy_.maxPrefillTokensPerUpstream;
+}
+
 std::size_t ShardOwner::usableUpstreams(Instant now) const {
   return static_cast<std::size_t>(
       std::count_if(upstreams_.begin(), upstreams_.end(),
@@ -93,8 +98,7 @@
 std::size_t ShardOwner::freePlaces(Instant now) const {
   std::size_t places = 0;
   for (const OwnedUpstream& upstream : upstreams_) {
-    const std::size_t limit = limitOf(upstream);
-    if (usable(upstream, now) && upstream.inFlight < limit) places += limit - upstream.inFlight;
+    if (usable(upstream, now) && hasRoom(upstream)) places += limitOf(upstream) - upstream.inFlight;
   }
   return places;
 }
@@ -112,9 +116,9 @@
   std::vector<GrantAction> actions;
   if (queue_.size() >= policy_.maxQueue) {
     const GrantId id = wanted.id;
-    const auto refused = makeRoom(wanted, now);
-    actions.emplace_back(*refused);
-    if (refused->id == id) return actions;
+    const GrantRefused refused = makeRoom(wanted, now);
+    actions.emplace_back(refused);
+    if (refused.id == id) return actions;
   }
   actions.emplace_back(Queued{wanted.id});
   queue_.push_back({std::move(wanted), now});
@@ -142,26 +146,32 @@
   return refusal(RefusalReason::organisationLimit, "organisationTokensPerSecond is reached", wait);
 }
 
-/// The queue is full: the least urgent wish goes, be it the new one.
-std::optional<GrantRefused> ShardOwner::makeRoom(const GrantWanted& wanted, Instant now) {
+/// The queue is full: the wish that would be served last goes, be it the new one.
+GrantRefused ShardOwner::makeRoom(const GrantWanted& wanted, Instant now) {
   const Refusal full = refusal(RefusalReason::overloaded, "the queue is full", expectedWait(now));
-  if (queue_.empty()) return GrantRefused{wanted.id, full};
-  const auto least = std::min_element(
-      queue_.begin(), queue_.end(),
-      [&](const Waiting& a, const Waiting& b) { return urgency(a, now) < urgency(b, now); });
-  if (urgency(*least, now) >= urgency(Waiting{wanted, now}, now)) {
-    return GrantRefused{wanted.id, full};
+  Rank last = rankOf(Waiting{wanted, now}, queue_.size(), now);
+  for (std::size_t i = 0; i < queue_.size(); ++i) {
+    const Rank rank = rankOf(queue_[i], i, now);
+    if (last < rank) last = rank;
   }
-  const GrantRefused evicted{least->wanted.id, full};
-  queue_.erase(least);
+  if (last.index == queue_.size()) return GrantRefused{wanted.id, full};
+  const GrantRefused evicted{queue_[last.index].wanted.id, full};
+  queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(last.index));
   return evicted;
 }
 
-double ShardOwner::urgency(const Waiting& waiting, Instant now) const {
-  const std::chrono::duration<double, std::milli> waited = now - waiting.since;
-  const double raised = waited.count() / static_cast<double>(policy_.aging.count());
+ShardOwner::Rank ShardOwner::rankOf(const Waiting& waiting, std::size_t index, Instant now) const {
+  // Aging keeps patient work from starving. What its organisation was granted in the same class
+  // ends its starving: a flood does not age past the others.
+  const auto served = lastGrant_.find({waiting.wanted.organisation, waiting.wanted.priority});
+  const Instant starving =
+      served == lastGrant_.end() ? waiting.since : std::max(waiting.since, served->second);
+  const std::chrono::duration<double, std::milli> starved = now - starving;
+  const double share = shares_.startOf(waiting.wanted.organisation);
+  const double raised = starved.count() / static_cast<double>(policy_.aging.count());
   const double base = waiting.wanted.resumption ? kResumptionUrgency : 0;
-  return base + static_cast<double>(waiting.wanted.priority) + raised;
+  const double urgency = base + static_cast<double>(waiting.wanted.priority) + raised;
+  return {-static_cast<std::int64_t>(urgency), share, waiting.since, index};
 }
 
 std::optional<Granted> ShardOwner::tryGrant(const GrantWanted& wanted, Instant now) {
@@ -179,7 +189,7 @@
     if (!usable(upstream, now)) continue;
     ++usableCount;
     usableInFlight += upstream.inFlight;
-    if (upstream.inFlight >= limitOf(upstream)) continue;
+    if (!hasRoom(upstream)) continue;
     if (avoidable && avoids(wanted, upstream.id)) continue;
     candidates.push_back({slot, upstream.idHash, upstream.inFlight, upstream.pendingTokens,
                           upstream.prefixes.cachedTokens(wanted.prefixHashes)});
@@ -224,35 +234,26 @@
   const std::size_t cost = costOf(wanted);
   ++upstream.inFlight;
   upstream.pendingTokens += cost;
+  const std::size_t prefill = wanted.promptTokens - std::min(wanted.promptTokens, cached);
+  upstream.prefillTokens += prefill;
   upstream.prefixes.use(wanted.prefixHashes, ++stamp_);
   ++inFlightOf_[wanted.organisation];
   shares_.charge(wanted.organisation, static_cast<double>(cost + 1), wanted.weight);
-  grants_[wanted.id] = {slot, wanted.organisation, cost, now};
+  lastGrant_[{wanted.organisation, wanted.priority}] = now;
+  grants_[wanted.id] = {slot, wanted.organisation, cost, prefill, now};
   return {wanted.id, upstream.id, cached};
 }
 
 std::vector<std::size_t> ShardOwner::queueOrder(Instant now) const {
-  struct Ranked {
-    std::size_t index;
-    std::int64_t step;
-    double share;
-    Instant since;
-  };
-  std::vector<Ranked> ranked;
+  std::vector<Rank> ranked;
   ranked.reserve(queue_.size());
   for (std::size_t i = 0; i < queue_.size(); ++i) {
-    const Waiting& waiting = queue_[i];
-    ranked.push_back({i, static_cast<std::int64_t>(urgency(waiting, now)),
-                      shares_.startOf(waiting.wanted.organisation), waiting.since});
+    ranked.push_back(rankOf(queue_[i], i, now));
   }
-  std::sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) {
-    if (a.step != b.step) return a.step > b.step;
-    if (a.share != b.share) return a.share < b.share;
-    return a.since != b.since ? a.since < b.since : a.index < b.index;
-  });
+  std::sort(ranked.begin(), ranked.end());
   std::vector<std::size_t> order;
   order.reserve(ranked.size());
-  for (const Ranked& entry : ranked) order.push_back(entry.index);
+  for (const Rank& rank : ranked) order.push_back(rank.index);
   return order;
 }
 
@@ -282,7 +283,17 @@
   ++upstreams_[*slot].inFlight;
   upstreams_[*slot].pendingTokens += held.tokens;
   ++inFlightOf_[held.organisation];
-  grants_[held.id] = {*slot, held.organisation, held.tokens, Instant{}};
+  grants_[held.id] = {*slot, held.organisation, held.tokens, 0, Instant{}};
+}
+
+std::vector<GrantAction> ShardOwner::noteFirstToken(GrantId id, Instant now) {
+  std::vector<GrantAction> actions;
+  const auto it = grants_.find(id);
+  if (it == grants_.end()) return actions;
+  upstreams_[it->second.slot].prefillTokens -= it->second.prefillTokens;
+  it->second.prefillTokens = 0;
+  grantWaiting(now, actions);
+  return actions;
 }
 
 std::vector<GrantAction> ShardOwner::release(GrantId id, GrantEnd end, Instant now) {
@@ -293,6 +304,7 @@
   OwnedUpstream& upstream = upstreams_[it->second.slot];
   --upstream.inFlight;
   upstream.pendingTokens -= std::min(upstream.pendingTokens, it->second.tokens);
+  upstream.prefillTokens -= it->second.prefillTokens;
   const auto organisation = inFlightOf_.find(it->second.organisation);
   if (--organisation->second == 0) inFlightOf_.erase(organisation);
   grants_.erase(it);
--- a/Hallchute/src/Admission/ShardOwner.h
+++ b/Hallchute/src/Admission/ShardOwner.h
@@ -24,8 +24,9 @@
 /// Events and the time go in, actions come out; no I/O, no clock, one thread. Every wish gets
 /// exactly one final action (Granted or GrantRefused), unless it is released before.
 ///
-/// Order of the queue: resumptions first, then class priority raised by waiting time, then the
-/// organisation that had least of its weighted share, then age. Cost: a grant from the queue is
+/// Order of the queue: resumptions first, then class priority raised by the time for which the
+/// organisation got nothing in that class, then the organisation that had least of its weighted
+/// share, then age. Cost: a grant from the queue is
 /// one pass over the wishes and one over the upstreams.
 class ShardOwner {
  public:
@@ -39,6 +40,8 @@
   std::vector<GrantAction> want(GrantWanted wanted, Instant now);
   /// \brief Counts work that an earlier owner granted.
   void hold(const GrantHeld& held);
+  /// \brief The work's prompt is computed: its upstream can take the next one.
+  std::vector<GrantAction> noteFirstToken(GrantId id, Instant now);
   /// \brief Frees the place or leaves the queue. Unknown ids are ignored.
   std::vector<GrantAction> release(GrantId id, GrantEnd end, Instant now);
   /// \brief Refuses wishes whose deadline passed; call it every few tens of ms.
@@ -60,19 +63,30 @@
     std::size_t slot;
     OrganisationName organisation;
     std::size_t tokens;
+    std::size_t prefillTokens;
     Instant since;
   };
 
+  /// A wish's place in the queue: lower goes first.
+  struct Rank {
+    std::int64_t step;
+    double share;
+    Instant since;
+    std::size_t index;
+    auto operator<=>(const Rank&) const = default;
+  };
+
   std::optional<Refusal> limitRefusal(const GrantWanted& wanted, Instant now);
-  std::optional<GrantRefused> makeRoom(const GrantWanted& wanted, Instant now);
+  GrantRefused makeRoom(const GrantWanted& wanted, Instant now);
   std::optional<Granted> tryGrant(const GrantWanted& wanted, Instant now);
   std::vector<double> computeCosts(const GrantWanted& wanted) const;
   Granted place(const GrantWanted& wanted, std::size_t slot, std::size_t cached, Instant now);
   void grantWaiting(Instant now, std::vector<GrantAction>& actions);
   std::vector<std::size_t> queueOrder(Instant now) const;
-  double urgency(const Waiting& waiting, Instant now) const;
+  Rank rankOf(const Waiting& waiting, std::size_t index, Instant now) const;
   bool usable(const OwnedUpstream& upstream, Instant now) const;
   std::size_t limitOf(const OwnedUpstream& upstream) const;
+  bool hasRoom(const OwnedUpstream& upstream) const;
   void noteEnd(OwnedUpstream& upstream, GrantEnd end, Instant now);
   std::optional<std::size_t> slotOf(const UpstreamId& upstream) const;
   Millis expectedWait(Instant now) const;
@@ -85,6 +99,8 @@
   std::map<OrganisationName, std::size_t> inFlightOf_;
   std::map<OrganisationName, TokenBucket> buckets_;
   FairShare shares_;
+  /// When an organisation was last granted something, by class priority.
+  std::map<std::pair<OrganisationName, std::int64_t>, Instant> lastGrant_;
   /// Counts prompts sent; the clock of the prefix indices.
   std::uint64_t stamp_ = 0;
   /// Smoothed time between releases, for an honest Retry-After.
--- a/Hallchute/src/Admission/ShardPolicy.h
+++ b/Hallchute/src/Admission/ShardPolicy.h
@@ -16,6 +16,8 @@
 struct ShardPolicy {
   std::size_t maxQueue = 200;
   std::size_t maxInFlightPerUpstream = 16;
+  /// An upstream with so many prompt tokens left to compute is granted nothing more.
+  std::size_t maxPrefillTokensPerUpstream = 8'000;
   std::size_t organisationInFlight = 1'000;
   double organisationTokensPerSecond = 0;
   std::size_t prefixTokensPerUpstream = 200'000;
--- a/Hallchute/src/Daemon/AnswerRunner.cpp
+++ b/Hallchute/src/Daemon/AnswerRunner.cpp
@@ -137,11 +137,11 @@
   lastToken_ = Instant{};
   const Millis stall(policyNumber(context_, job_->spec(), PolicyKey::stallLimitMs));
   const StreamResult result = engine.generate(
-      request, stall, [&](const EngineEvent& event) { return onEvent(event, hold.upstream()); });
+      request, stall, [&](const EngineEvent& event) { return onEvent(event, hold); });
   return afterStream(hold, engine, epoch, result);
 }
 
-bool AnswerRunner::onEvent(const EngineEvent& event, const UpstreamId& upstream) {
+bool AnswerRunner::onEvent(const EngineEvent& event, const GrantHold& hold) {
   dispatched_ = true;
   std::visit(
       Overloaded{[&](const ComputedWord& word) {
@@ -152,13 +152,16 @@
                    }
                  },
                  [&](const LeavingWord& word) {
-                   context_.noteLeave({upstream, word.leavesIn, LeaveSource::upstream});
+                   context_.noteLeave({hold.upstream(), word.leavesIn, LeaveSource::upstream});
                  },
                  [&](const AnswerChunk& chunk) {
                    const ChunkVerdict verdict = job_->take(chunk);
                    finished_ = verdict == ChunkVerdict::finished;
                    gap_ = verdict == ChunkVerdict::gap;
-                   if (verdict == ChunkVerdict::taken) noteToken();
+                   if (verdict == ChunkVerdict::taken) {
+                     if (lastToken_ == Instant{}) hold.noteFirstToken();
+                     noteToken();
+                   }
                    if (verdict == ChunkVerdict::otherEpoch || verdict == ChunkVerdict::duplicate) {
                      context_.metrics.add("hallchute_chunks_dropped_total", labels());
                    }
--- a/Hallchute/src/Daemon/AnswerRunner.h
+++ b/Hallchute/src/Daemon/AnswerRunner.h
@@ -39,7 +39,7 @@
                    const StreamResult& result);
   Next onOrder(GrantHold& hold, EnginePort& engine, std::uint64_t epoch);
   Next onFailure(GrantHold& hold, const StreamResult& result);
-  bool onEvent(const EngineEvent& event, const UpstreamId& upstream);
+  bool onEvent(const EngineEvent& event, const GrantHold& hold);
   void noteToken();
   GenerateRequest makeRequest(EnginePort& engine, std::uint64_t epoch);
   GrantSpec makeSpec() const;
--- a/Hallchute/src/Daemon/GrantBroker.cpp
+++ b/Hallchute/src/Daemon/GrantBroker.cpp
@@ -156,8 +156,7 @@
   GrantWanted wanted = wish->spec.wanted;
   wanted.id = wish->localId;
   const auto sink = [this, wish](const GrantAction& action) {
-    std::visit(Overloaded{[&](const Granted& g) { grant(wish, g.upstream, g.cachedTokens); },
-                          [](const Queued&) {},
+    std::visit(Overloaded{[&](const Granted& g) { grant(wish, g.upstream); }, [](const Queued&) {},
                           [&](const GrantRefused& r) {
                             owners_.release(wish->current, r.id, GrantEnd::cancelled, clockNow());
                             onRefused(wish, r.refusal);
@@ -203,7 +202,7 @@
     case GrantWord::queued:
       return;
     case GrantWord::granted:
-      grant(wish, reply.upstream, reply.cachedTokens);
+      grant(wish, reply.upstream);
       return;
     case GrantWord::refused:
       wish->stream->close();
@@ -234,7 +233,7 @@
   if (done) done(std::move(outcome));
 }
 
-void GrantBroker::grant(const WishPtr& wish, const UpstreamId& upstream, std::size_t cached) {
+void GrantBroker::grant(const WishPtr& wish, const UpstreamId& upstream) {
   const UpstreamInfo* info = directory_.find(upstream);
   auto active = std::make_shared<Active>();
   active->key = nextKey_++;
@@ -263,13 +262,23 @@
                          RunOutcome::notRun, kNoUpstreamRetryAfter});
     return;
   }
-  auto hold = std::make_unique<GrantHold>(upstream, info->host.address, cached,
-                                          [this, key = active->key](GrantEnd end) {
-                                            loop_.post([this, key, end] { release(key, end); });
-                                          });
+  auto hold = std::make_unique<GrantHold>(
+      upstream, info->host.address,
+      [this, key = active->key] { loop_.post([this, key] { noteFirstToken(key); }); },
+      [this, key = active->key](GrantEnd end) {
+        loop_.post([this, key, end] { release(key, end); });
+      });
   finish(wish, std::move(hold));
 }
 
+void GrantBroker::noteFirstToken(std::uint64_t key) {
+  const auto it = active_.find(key);
+  if (it == active_.end()) return;
+  const Active& active = *it->second;
+  if (active.localId != 0) owners_.noteFirstToken(active.shard, active.localId, clockNow());
+  if (active.stream) active.stream->send(pack(GrantNoteMessage{false, GrantEnd::cancelled}));
+}
+
 void GrantBroker::release(std::uint64_t key, GrantEnd end) {
   const auto it = active_.find(key);
   if (it == active_.end()) return;
@@ -278,7 +287,7 @@
   if (active->localId != 0) owners_.release(active->shard, active->localId, end, clockNow());
   if (active->stream) {
     active->stream->onClosed = nullptr;
-    active->stream->send(pack(GrantEndMessage{end}));
+    active->stream->send(pack(GrantNoteMessage{true, end}));
     active->stream->finish();
   }
 }
@@ -336,7 +345,9 @@
     const PeerStreamPtr open = weak.lock();
     if (!open) return;
     if (served->id != 0) {
-      if (const auto last = unpack<GrantEndMessage>(bytes)) served->end = last->end;
+      const auto note = unpack<GrantNoteMessage>(bytes);
+      if (note && note->ended) served->end = note->end;
+      if (note && !note->ended) owners_.noteFirstToken(served->shard, served->id, clockNow());
       return;
     }
     const auto request = unpack<GrantRequestMessage>(bytes);
@@ -356,7 +367,6 @@
       std::visit(Overloaded{[&](const Granted& g) {
                               reply.word = GrantWord::granted;
                               reply.upstream = g.upstream;
-                              reply.cachedTokens = g.cachedTokens;
                             },
                             [](const Queued&) {},
                             [&](const GrantRefused& r) {
@@ -378,7 +388,8 @@
   };
   stream->onMessage = [this, held, end](std::string_view bytes) {
     if (*held) {
-      if (const auto last = unpack<GrantEndMessage>(bytes)) *end = last->end;
+      const auto note = unpack<GrantNoteMessage>(bytes);
+      if (note && note->ended) *end = note->end;
       return;
     }
     *held = unpack<HoldMessage>(bytes);
--- a/Hallchute/src/Daemon/GrantBroker.h
+++ b/Hallchute/src/Daemon/GrantBroker.h
@@ -61,7 +61,8 @@
   void onReply(const WishPtr& wish, const GrantReplyMessage& reply);
   void onRefused(const WishPtr& wish, const Refusal& refusal);
   void finish(const WishPtr& wish, GrantOutcome outcome);
-  void grant(const WishPtr& wish, const UpstreamId& upstream, std::size_t cached);
+  void grant(const WishPtr& wish, const UpstreamId& upstream);
+  void noteFirstToken(std::uint64_t key);
   void release(std::uint64_t key, GrantEnd end);
   void holdAt(const ActivePtr& active);
   std::optional<DaemonId> ownerOf(const ShardKey& shard) const;
--- a/Hallchute/src/Daemon/GrantSpec.cpp
+++ b/Hallchute/src/Daemon/GrantSpec.cpp
@@ -5,11 +5,10 @@
 
 namespace Hallchute {
 
-GrantHold::GrantHold(UpstreamId upstream, std::string address, std::size_t cachedTokens,
-                     Release release)
+GrantHold::GrantHold(UpstreamId upstream, std::string address, Started started, Release release)
     : upstream_(std::move(upstream)),
       address_(std::move(address)),
-      cachedTokens_(cachedTokens),
+      started_(std::move(started)),
       release_(std::move(release)) {}
 
 GrantHold::~GrantHold() {
--- a/Hallchute/src/Daemon/GrantSpec.h
+++ b/Hallchute/src/Daemon/GrantSpec.h
@@ -29,22 +29,24 @@
 class GrantHold {
  public:
   using Release = std::function<void(GrantEnd)>;
+  using Started = std::function<void()>;
 
-  GrantHold(UpstreamId upstream, std::string address, std::size_t cachedTokens, Release release);
+  GrantHold(UpstreamId upstream, std::string address, Started started, Release release);
   ~GrantHold();
   GrantHold(const GrantHold&) = delete;
   GrantHold& operator=(const GrantHold&) = delete;
 
   const UpstreamId& upstream() const { return upstream_; }
   const std::string& address() const { return address_; }
-  std::size_t cachedTokens() const { return cachedTokens_; }
+  /// \brief Says that the first token came: the upstream can take the next prompt.
+  void noteFirstToken() const { started_(); }
   /// \brief Gives the place back, saying how its work ended. Later calls do nothing.
   void end(GrantEnd end);
 
  private:
   UpstreamId upstream_;
   std::string address_;
-  std::size_t cachedTokens_;
+  Started started_;
   Release release_;
 };
 
--- a/Hallchute/src/Daemon/ShardOwners.cpp
+++ b/Hallchute/src/Daemon/ShardOwners.cpp
@@ -33,6 +33,7 @@
   ShardPolicy policy;
   policy.maxQueue = number(PolicyKey::maxQueue);
   policy.maxInFlightPerUpstream = number(PolicyKey::maxInFlightPerUpstream);
+  policy.maxPrefillTokensPerUpstream = number(PolicyKey::maxPrefillTokensPerUpstream);
   policy.organisationInFlight = number(PolicyKey::organisationInFlight);
   policy.organisationTokensPerSecond =
       static_cast<double>(number(PolicyKey::organisationTokensPerSecond));
@@ -79,6 +80,11 @@
   if (it != owners_.end()) dispatch(it->second->release(id, end, now));
 }
 
+void ShardOwners::noteFirstToken(const ShardKey& shard, GrantId id, Instant now) {
+  const auto it = owners_.find(shard);
+  if (it != owners_.end()) dispatch(it->second->noteFirstToken(id, now));
+}
+
 void ShardOwners::refresh(Instant now) {
   for (auto& [shard, owner] : owners_) {
     owner->setPolicy(policyOf(shard));
--- a/Hallchute/src/Daemon/ShardOwners.h
+++ b/Hallchute/src/Daemon/ShardOwners.h
@@ -40,6 +40,7 @@
   void want(const ShardKey& shard, GrantWanted wanted, Sink sink, Instant now);
   void hold(const ShardKey& shard, const GrantHeld& held, Instant now);
   void release(const ShardKey& shard, GrantId id, GrantEnd end, Instant now);
+  void noteFirstToken(const ShardKey& shard, GrantId id, Instant now);
   /// \brief The upstreams or the settings have changed.
   void refresh(Instant now);
   void tick(Instant now);
--- a/Hallchute/src/Net/PeerMessages.h
+++ b/Hallchute/src/Net/PeerMessages.h
@@ -49,12 +49,13 @@
 struct GrantReplyMessage {
   GrantWord word = GrantWord::queued;
   UpstreamId upstream;
-  std::uint64_t cachedTokens = 0;
   Refusal refusal;
 };
 
-/// \brief The daemon's last word on a grant stream. \ingroup Net
-struct GrantEndMessage {
+/// \brief The daemon's word on work it was granted: its first token came, or it ended.
+/// \ingroup Net
+struct GrantNoteMessage {
+  bool ended = false;
   GrantEnd end = GrantEnd::cancelled;
 };
 
@@ -131,10 +132,10 @@
   return std::tie(m.shard, m.wanted, m.remaining);
 }
 inline auto wireFields(GrantReplyMessage& m) {
-  return std::tie(m.word, m.upstream, m.cachedTokens, m.refusal);
+  return std::tie(m.word, m.upstream, m.refusal);
 }
-inline auto wireFields(GrantEndMessage& m) {
-  return std::tie(m.end);
+inline auto wireFields(GrantNoteMessage& m) {
+  return std::tie(m.ended, m.end);
 }
 inline auto wireFields(HoldMessage& m) {
   return std::tie(m.shard, m.held);
--- a/Hallchute/src/Settings/PolicyKey.cpp
+++ b/Hallchute/src/Settings/PolicyKey.cpp
@@ -17,6 +17,8 @@
      "requests that may wait at one shard owner; more are refused at once"},
     {PolicyKey::maxInFlightPerUpstream, "maxInFlightPerUpstream", 1, 4'096, 16, "requests",
      "work granted to one upstream at a time"},
+    {PolicyKey::maxPrefillTokensPerUpstream, "maxPrefillTokensPerUpstream", 1, 100'000'000, 8'000,
+     "tokens", "prompt tokens an upstream may have to compute before it is granted more work"},
     {PolicyKey::organisationInFlight, "organisationInFlight", 1, 100'000, 1'000, "requests",
      "work of one organisation granted by one shard owner at a time"},
     {PolicyKey::organisationTokensPerSecond, "organisationTokensPerSecond", 0, 10'000'000, 0,
--- a/Hallchute/src/Settings/PolicyKey.h
+++ b/Hallchute/src/Settings/PolicyKey.h
@@ -19,6 +19,7 @@
   queueLimitMs,
   maxQueue,
   maxInFlightPerUpstream,
+  maxPrefillTokensPerUpstream,
   organisationInFlight,
   organisationTokensPerSecond,
   stallLimitMs,
--- a/bench/policy/Trial.cpp
+++ b/bench/policy/Trial.cpp
@@ -188,6 +188,7 @@
     return;
   }
   request.engine = engine;
+  request.prefilled = false;
   Sequence sequence;
   sequence.id = grant.id;
   sequence.hashes = request.session.hashes();
@@ -219,7 +220,7 @@
   }
   const StepResult result = engines_[engine].step(now_);
   for (const auto& [id, tokens] : result.computed) noteComputed(requests_.at(id), tokens);
-  for (const std::uint64_t id : result.tokens) token(requests_.at(id), result.endMs);
+  for (const std::uint64_t id : result.tokens) token(id, result.endMs);
   // The engine is busy until the step's end; what it finished counts from then on.
   const double started = now_;
   now_ = result.endMs;
@@ -244,7 +245,8 @@
   for (const std::uint64_t hash : hashes) everComputed_.insert(hash);
 }
 
-void Trial::token(Request& request, double at) {
+void Trial::token(std::uint64_t id, double at) {
+  Request& request = requests_.at(id);
   ++request.produced;
   if (at >= spec_.warmUpMs) ++result_.tokensServed;
   if (request.counts) {
@@ -262,6 +264,10 @@
   }
   request.started = true;
   request.lastTokenMs = at;
+  if (!request.prefilled) {
+    request.prefilled = true;
+    perform(owner_.noteFirstToken(id, instant()));
+  }
 }
 
 void Trial::finish(std::uint64_t id) {
--- a/bench/policy/Trial.h
+++ b/bench/policy/Trial.h
@@ -103,6 +103,7 @@
     std::size_t imported = 0;
     std::optional<std::size_t> engine;
     bool started = false;
+    bool prefilled = false;
     bool counts = false;
     int attempts = 0;
     std::vector<Hallchute::UpstreamId> avoid;
@@ -115,7 +116,7 @@
   void granted(const Hallchute::Granted& grant);
   void refused(std::uint64_t id);
   void step(std::size_t engine);
-  void token(Request& request, double at);
+  void token(std::uint64_t id, double at);
   void finish(std::uint64_t id);
   void notice(std::size_t engine);
   void death(std::size_t engine);
--- a/test/AdmissionTest.cpp
+++ b/test/AdmissionTest.cpp
@@ -57,6 +57,8 @@
   CPPUNIT_TEST(urgentWorkGoesFirstAndWaitingRaises);
   CPPUNIT_TEST(aFullQueueLetsTheLeastUrgentGo);
   CPPUNIT_TEST(sharesFollowWeights);
+  CPPUNIT_TEST(aFloodDoesNotAgePastTheOthers);
+  CPPUNIT_TEST(promptsLeftToComputeBoundGrants);
   CPPUNIT_TEST(limitsOfAnOrganisationHold);
   CPPUNIT_TEST(leavingUpstreamsGetNothingNew);
   CPPUNIT_TEST(failuresShunAnUpstreamForAWhile);
@@ -173,6 +175,44 @@
     CPPUNIT_ASSERT_EQUAL(18, served["B"]);
   }
 
+  void aFloodDoesNotAgePastTheOthers() {
+    ShardPolicy policy;
+    policy.maxInFlightPerUpstream = 1;
+    policy.maxQueue = 50;
+    ShardOwner shard = owner(1, policy);
+    const auto big = [](GrantId id, const char* organisation) {
+      GrantWanted wanted = wish(id, organisation);
+      wanted.promptTokens = 30'000;
+      wanted.deadline = kStart + Millis(600'000);
+      return wanted;
+    };
+    shard.want(big(1, "flood"), kStart);
+    for (GrantId id = 2; id <= 51; ++id) shard.want(big(id, "flood"), kStart);
+    // Half a minute later the flood's wishes are old, and the queue is full of them.
+    const Instant later = kStart + Millis(30'000);
+    shard.release(1, GrantEnd::finished, later);
+    shard.want(big(98, "flood"), later);
+    const auto other = shard.want(big(99, "other"), later);
+    CPPUNIT_ASSERT(idsOf<Queued>(other) == std::vector<GrantId>{99});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), idsOf<GrantRefused>(other).size());
+    const auto freed = shard.release(2, GrantEnd::finished, later);
+    CPPUNIT_ASSERT(idsOf<Granted>(freed) == std::vector<GrantId>{99});
+  }
+
+  void promptsLeftToComputeBoundGrants() {
+    ShardPolicy policy;
+    policy.maxPrefillTokensPerUpstream = 100;
+    ShardOwner shard = owner(1, policy);
+    GrantWanted wanted = wish(1);
+    wanted.promptTokens = 400;
+    // One prompt over the limit is still granted, the next one waits for its first token.
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), idsOf<Granted>(shard.want(wanted, kStart)).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), idsOf<Queued>(shard.want(wish(2), kStart)).size());
+    CPPUNIT_ASSERT(idsOf<Granted>(shard.noteFirstToken(1, kStart)) == std::vector<GrantId>{2});
+    shard.noteFirstToken(1, kStart);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), idsOf<Granted>(shard.want(wish(3), kStart)).size());
+  }
+
   void limitsOfAnOrganisationHold() {
     ShardPolicy policy;
     policy.organisationInFlight = 2;
