--- a/bench/slopes/main.cpp
+++ b/bench/slopes/main.cpp
@@ -155,6 +155,19 @@
   line("shard owner", at, "state, KB", (heapBytes() - heapBefore) / 1024);
 }
 
+void grantMessages(std::size_t blocks) {
+  GrantRequestMessage request;
+  request.shard = {ServiceName("scribe-pool"), DomainName("domain3"), 7};
+  request.wanted.organisation = OrganisationName("organisation-17");
+  for (std::size_t i = 0; i < blocks; ++i) {
+    request.wanted.prefixHashes.push_back(stableHash(std::to_string(i)));
+  }
+  const GrantReplyMessage reply{GrantWord::granted, UpstreamId("host-1234-incarnation-1"), {}};
+  const std::size_t bytes = pack(request).size() + pack(reply).size() +
+                            2 * pack(GrantNoteMessage{}).size();
+  line("grant", std::to_string(blocks) + " blocks", "bytes per grant", static_cast<double>(bytes));
+}
+
 void settings(int organisations) {
   const double heapBefore = heapBytes();
   std::string patch =
@@ -274,6 +287,9 @@
 }  // namespace
 
 int main() {
+  for (const std::size_t blocks : {std::size_t(0), std::size_t(64), std::size_t(256)}) {
+    grantMessages(blocks);
+  }
   for (const int size : {2, 8, 20, 58}) membership(1, size, false);
   membership(6, 58, false);
   membership(6, 58, true);
