--- a/Hallchute/src/Daemon/AnswerRunner.cpp
+++ b/Hallchute/src/Daemon/AnswerRunner.cpp
@@ -10,6 +10,7 @@
 #include "Hallchute/src/Daemon/RetryBudgets.h"
 #include "Hallchute/src/Daemon/SettingsStore.h"
 #include "Hallchute/src/Daemon/TrafficContext.h"
+#include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Observability/Log.h"
 #include "Hallchute/src/Observability/LogContext.h"
 #include "Hallchute/src/Observability/Metrics.h"
@@ -23,10 +24,6 @@
 constexpr double kPercent = 100;
 constexpr std::size_t kMostAvoided = 8;
 
-Instant clockNow() {
-  return std::chrono::steady_clock::now();
-}
-
 std::int64_t policyNumber(const TrafficContext& context, const JobSpec& spec, PolicyKey key) {
   const PolicyScope scope{context.domain, spec.service, spec.organisation};
   return context.settings.get()->tree.policy(key, scope);
--- a/Hallchute/src/Daemon/CompletionHandler.cpp
+++ b/Hallchute/src/Daemon/CompletionHandler.cpp
@@ -15,6 +15,7 @@
 #include "Hallchute/src/Daemon/Problem.h"
 #include "Hallchute/src/Daemon/RandomName.h"
 #include "Hallchute/src/Daemon/TrafficContext.h"
+#include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Observability/Metrics.h"
 
 namespace Hallchute {
@@ -34,7 +35,7 @@
 class Reading {
  public:
   explicit Reading(Job& job) : job_(job) { job_.attach(); }
-  ~Reading() { job_.detach(std::chrono::steady_clock::now()); }
+  ~Reading() { job_.detach(clockNow()); }
   Reading(const Reading&) = delete;
   Reading& operator=(const Reading&) = delete;
 
--- a/Hallchute/src/Daemon/Control.cpp
+++ b/Hallchute/src/Daemon/Control.cpp
@@ -12,6 +12,7 @@
 #include "Hallchute/src/Daemon/JobTable.h"
 #include "Hallchute/src/Daemon/SettingsStore.h"
 #include "Hallchute/src/Daemon/StartupFile.h"
+#include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Net/PeerMessages.h"
 #include "Hallchute/src/Observability/Log.h"
 #include "Hallchute/src/Observability/Metrics.h"
@@ -26,26 +27,17 @@
 constexpr Millis kFetchLimit{1'000};
 constexpr std::size_t kChangesPerReply = 64;
 
-Instant clockNow() {
-  return std::chrono::steady_clock::now();
-}
-
-std::uint64_t wallClockMs() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<std::uint64_t>(std::chrono::duration_cast<Millis>(now).count());
-}
-
 MemberNews selfNews(const StartupFile& startup) {
   MemberNews self;
   self.id = startup.daemon;
   self.domain = startup.domain;
   self.address = startup.peerAdvertise;
-  self.incarnation = wallClockMs();
+  self.incarnation = static_cast<std::uint64_t>(wallClockMs());
   return self;
 }
 
 std::uint64_t seedOf(const StartupFile& startup) {
-  return stableHash(startup.daemon.str(), wallClockMs());
+  return stableHash(startup.daemon.str(), static_cast<std::uint64_t>(wallClockMs()));
 }
 
 }  // namespace
--- a/Hallchute/src/Daemon/Daemon.cpp
+++ b/Hallchute/src/Daemon/Daemon.cpp
@@ -6,6 +6,7 @@
 #include "Hallchute/src/Daemon/Drain.h"
 #include "Hallchute/src/Daemon/Job.h"
 #include "Hallchute/src/Daemon/JobFactory.h"
+#include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Observability/Log.h"
 
 namespace Hallchute {
@@ -21,10 +22,6 @@
 /// Daemons of a domain that look for orphans.
 constexpr std::size_t kAdopters = 1;
 
-Instant clockNow() {
-  return std::chrono::steady_clock::now();
-}
-
 }  // namespace
 
 Daemon::Daemon(StartupFile startup)
--- a/Hallchute/src/Daemon/Drain.cpp
+++ b/Hallchute/src/Daemon/Drain.cpp
@@ -16,6 +16,7 @@
 #include "Hallchute/src/Daemon/OnceKeeper.h"
 #include "Hallchute/src/Daemon/PeerJobs.h"
 #include "Hallchute/src/Daemon/TrafficContext.h"
+#include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Observability/Log.h"
 
 namespace Hallchute {
@@ -28,10 +29,6 @@
 /// Time for callers to read the last bytes, and for what is unsaved to be written.
 constexpr Millis kLastWords{3'000};
 
-Instant clockNow() {
-  return std::chrono::steady_clock::now();
-}
-
 }  // namespace
 
 Drain::Drain(CallerServices& services, Control& control, CallerServer& server)
--- a/Hallchute/src/Daemon/Gossip.cpp
+++ b/Hallchute/src/Daemon/Gossip.cpp
@@ -4,6 +4,7 @@
 #include "Hallchute/src/Daemon/Gossip.h"
 
 #include "Hallchute/src/Membership/Membership.h"
+#include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Net/EventLoop.h"
 #include "Hallchute/src/Net/PeerMessages.h"
 #include "Hallchute/src/Net/PeerTransport.h"
@@ -16,10 +17,6 @@
 constexpr Millis kProbeLimit{1'500};
 constexpr std::size_t kSpreadRemembered = 4'096;
 
-Instant clockNow() {
-  return std::chrono::steady_clock::now();
-}
-
 }  // namespace
 
 Gossip::Gossip(EventLoop& loop, PeerTransport& transport, Membership& membership, Sink sink)
--- a/Hallchute/src/Daemon/GrantBroker.cpp
+++ b/Hallchute/src/Daemon/GrantBroker.cpp
@@ -11,6 +11,7 @@
 #include "Hallchute/src/Daemon/ShardOwners.h"
 #include "Hallchute/src/Membership/Membership.h"
 #include "Hallchute/src/Membership/UpstreamDirectory.h"
+#include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Net/EventLoop.h"
 #include "Hallchute/src/Net/PeerTransport.h"
 #include "Hallchute/src/Observability/Metrics.h"
@@ -25,10 +26,6 @@
 constexpr Millis kReholdPause{300};
 constexpr Millis kNoUpstreamRetryAfter{1'000};
 
-Instant clockNow() {
-  return std::chrono::steady_clock::now();
-}
-
 Millis remaining(Instant deadline) {
   return std::max(Millis(0), std::chrono::duration_cast<Millis>(deadline - clockNow()));
 }
--- a/Hallchute/src/Daemon/Job.cpp
+++ b/Hallchute/src/Daemon/Job.cpp
@@ -3,15 +3,13 @@
 
 #include "Hallchute/src/Daemon/Job.h"
 
+#include "Hallchute/src/Net/Clock.h"
+
 #include <algorithm>
 
 namespace Hallchute {
 namespace {
 
-Instant clockNow() {
-  return std::chrono::steady_clock::now();
-}
-
 /// Classes above the middle weigh more: their recomputed tokens cost their callers' patience.
 double weightOf(const JobSpec& spec) {
   return spec.durable ? 2.0 : 1.0;
--- a/Hallchute/src/Daemon/JobFactory.cpp
+++ b/Hallchute/src/Daemon/JobFactory.cpp
@@ -5,6 +5,7 @@
 
 #include "Hallchute/src/Core/StableHash.h"
 #include "Hallchute/src/Daemon/Job.h"
+#include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Routing/PrefixBlocks.h"
 
 namespace Hallchute {
@@ -37,7 +38,7 @@
   spec.prefixHashes = blocks.hashes;
   spec.affinity = affinityOf(wish, blocks);
   spec.maxTokens = wish.maxTokens;
-  spec.accepted = std::chrono::steady_clock::now();
+  spec.accepted = clockNow();
   spec.deadline = spec.accepted + Millis(tree.policy(PolicyKey::requestLimitMs, scope));
   spec.queueLimit = Millis(tree.policy(PolicyKey::queueLimitMs, scope));
   return spec;
--- a/Hallchute/src/Daemon/JobRecords.cpp
+++ b/Hallchute/src/Daemon/JobRecords.cpp
@@ -7,6 +7,7 @@
 #include "Hallchute/src/Daemon/JobTable.h"
 #include "Hallchute/src/Daemon/PlatformHealth.h"
 #include "Hallchute/src/Daemon/TrafficContext.h"
+#include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Observability/Log.h"
 #include "Hallchute/src/Observability/Metrics.h"
 #include "Hallchute/src/Ports/PlatformPort.h"
@@ -122,7 +123,7 @@
 bool JobRecords::save(const Job& job, Kept& kept) {
   const std::size_t tokens = job.tokenCount();
   const bool ended = hasEnded(job.stage());
-  const Instant now = std::chrono::steady_clock::now();
+  const Instant now = clockNow();
   const bool due = tokens > kept.savedTokens && now - kept.savedAt >= kSaveEvery;
   if (!due && !ended) return true;
   kept.savedAt = now;
--- a/Hallchute/src/Daemon/OnceKeeper.cpp
+++ b/Hallchute/src/Daemon/OnceKeeper.cpp
@@ -6,6 +6,7 @@
 #include "Hallchute/src/Core/Overloaded.h"
 #include "Hallchute/src/Daemon/PlatformHealth.h"
 #include "Hallchute/src/Daemon/TrafficContext.h"
+#include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Observability/Log.h"
 #include "Hallchute/src/Observability/Metrics.h"
 #include "Hallchute/src/Ports/PlatformPort.h"
@@ -18,7 +19,7 @@
                             std::uint64_t ifVersion) {
   context_.metrics.add("hallchute_platform_calls_total", "kind=\"once-write\"");
   return std::visit(Overloaded{[&](const Done<std::uint64_t>& done) -> OnceEvent {
-                                 context_.health.noteAnswer(std::chrono::steady_clock::now());
+                                 context_.health.noteAnswer(clockNow());
                                  return RecordWritten{done.value};
                                },
                                [](const Refused& refused) -> OnceEvent {
--- a/Hallchute/src/Daemon/PlainHandler.cpp
+++ b/Hallchute/src/Daemon/PlainHandler.cpp
@@ -13,6 +13,7 @@
 #include "Hallchute/src/Daemon/Problem.h"
 #include "Hallchute/src/Daemon/RandomName.h"
 #include "Hallchute/src/Daemon/TrafficContext.h"
+#include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Observability/LogContext.h"
 #include "Hallchute/src/Observability/Metrics.h"
 
@@ -102,8 +103,7 @@
     if (request.has(name)) job.call.headers.emplace_back(name, request.get(name));
   }
   job.call.headers.emplace_back("Hallchute-Request", request_);
-  job.deadline =
-      std::chrono::steady_clock::now() + Millis(tree.policy(PolicyKey::requestLimitMs, scope));
+  job.deadline = clockNow() + Millis(tree.policy(PolicyKey::requestLimitMs, scope));
   job.queueLimit = Millis(tree.policy(PolicyKey::queueLimitMs, scope));
   const PlainOutcome outcome = PlainRunner(services_.context, services_.keeper, job).run();
   if (const auto* refusal = std::get_if<Refusal>(&outcome)) return *refusal;
--- a/Hallchute/src/Daemon/PlainRunner.cpp
+++ b/Hallchute/src/Daemon/PlainRunner.cpp
@@ -13,6 +13,7 @@
 #include "Hallchute/src/Daemon/SettingsStore.h"
 #include "Hallchute/src/Daemon/TrafficContext.h"
 #include "Hallchute/src/Ledger/OnceAttempt.h"
+#include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Observability/Metrics.h"
 #include "Hallchute/src/Upstream/PlainServiceHttp.h"
 
@@ -24,15 +25,6 @@
 /// Size taken for a call when an owner weighs its upstreams' work.
 constexpr std::size_t kCallCost = 1;
 
-Instant clockNow() {
-  return std::chrono::steady_clock::now();
-}
-
-std::int64_t wallClockMs() {
-  return std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 }  // namespace
 
 PlainRunner::PlainRunner(TrafficContext& context, OnceKeeper& keeper, PlainJob job)
--- a/Hallchute/src/Daemon/PlatformFollower.cpp
+++ b/Hallchute/src/Daemon/PlatformFollower.cpp
@@ -8,6 +8,7 @@
 #include "Hallchute/src/Daemon/Control.h"
 #include "Hallchute/src/Daemon/PlatformHealth.h"
 #include "Hallchute/src/Daemon/SettingsEditor.h"
+#include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Observability/Log.h"
 #include "Hallchute/src/Observability/Metrics.h"
 
@@ -24,11 +25,6 @@
 constexpr std::size_t kPage = 200;
 constexpr std::string_view kNoticePrefix = "notices/";
 
-std::int64_t wallClockMs() {
-  return std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 }  // namespace
 
 PlatformFollower::PlatformFollower(PlatformPort& platform, SettingsEditor& editor, Control& control,
@@ -69,7 +65,7 @@
 }
 
 bool PlatformFollower::note(bool answered) {
-  if (answered) health_.noteAnswer(std::chrono::steady_clock::now());
+  if (answered) health_.noteAnswer(clockNow());
   return answered;
 }
 
--- a/Hallchute/src/Daemon/RequestHandler.cpp
+++ b/Hallchute/src/Daemon/RequestHandler.cpp
@@ -17,6 +17,7 @@
 #include "Hallchute/src/Daemon/Problem.h"
 #include "Hallchute/src/Daemon/SettingsStore.h"
 #include "Hallchute/src/Daemon/TrafficContext.h"
+#include "Hallchute/src/Net/Clock.h"
 
 namespace Hallchute {
 namespace {
@@ -58,7 +59,7 @@
   } else {
     writer.whole();
   }
-  job->detach(std::chrono::steady_clock::now());
+  job->detach(clockNow());
   return std::nullopt;
 }
 
--- a/Hallchute/src/Daemon/StatusJson.cpp
+++ b/Hallchute/src/Daemon/StatusJson.cpp
@@ -15,6 +15,7 @@
 #include "Hallchute/src/Daemon/PlatformHealth.h"
 #include "Hallchute/src/Daemon/SettingsStore.h"
 #include "Hallchute/src/Daemon/StartupFile.h"
+#include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Observability/Metrics.h"
 
 namespace Hallchute {
@@ -70,7 +71,7 @@
 
 JsonObject statusJson(OperatorServices& services) {
   const ControlView view = services.control.view();
-  const Instant now = std::chrono::steady_clock::now();
+  const Instant now = clockNow();
   JsonObject json = new Poco::JSON::Object;
   json->set("daemon", memberJson(view.self));
   json->set("draining", services.draining());
--- a/Hallchute/src/Net/EventLoop.cpp
+++ b/Hallchute/src/Net/EventLoop.cpp
@@ -11,15 +11,13 @@
 #include <cstdint>
 #include <future>
 
+#include "Hallchute/src/Net/Clock.h"
+
 namespace Hallchute {
 namespace {
 
 constexpr Millis kLongestPoll{1'000};
 
-Instant clockNow() {
-  return std::chrono::steady_clock::now();
-}
-
 }  // namespace
 
 EventLoop::EventLoop() : wakeFd_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {}
--- a/Hallchute/src/Platform/PlatformBreaker.cpp
+++ b/Hallchute/src/Platform/PlatformBreaker.cpp
@@ -3,13 +3,11 @@
 
 #include "Hallchute/src/Platform/PlatformBreaker.h"
 
+#include "Hallchute/src/Net/Clock.h"
+
 namespace Hallchute {
 namespace {
 
-Instant clockNow() {
-  return std::chrono::steady_clock::now();
-}
-
 template <typename T>
 bool isOut(const PlatformReply<T>& reply) {
   if (const auto* refused = std::get_if<Refused>(&reply)) {
--- a/test/scenario/Runner.cpp
+++ b/test/scenario/Runner.cpp
@@ -475,10 +475,10 @@
   std::cout << "    after " << took.count() << " ms" << std::endl;
 }
 
-/// Values: `count NODE MEMBER`, `grown MARK NODE MEMBER`, `most KIND MEMBER`, `sum KIND MEMBER`, `metric DAEMON NAME`,
-/// `metrics NAME` (over all daemons), `revision DAEMON`, `least-revision`, `least-leaves`, `members
-/// DAEMON` (alive), `listed DAEMON` (not dead), `running NODE`, `received ID`, `exit NODE`, `since
-/// MARK` (ms), `now`.
+/// Values: `count NODE MEMBER`, `grown MARK NODE MEMBER`, `most KIND MEMBER`, `sum KIND MEMBER`,
+/// `metric DAEMON NAME`, `metrics NAME` (over all daemons), `revision DAEMON`, `least-revision`,
+/// `least-leaves`, `members DAEMON` (alive), `listed DAEMON` (not dead), `running NODE`, `received
+/// ID`, `exit NODE`, `since MARK` (ms), `now`.
 double Runner::value(const Step& step, std::size_t from) {
   const std::string& kind = word(step, from);
   const auto argument = [&](std::size_t index) { return word(step, from + index); };
