--- a/bench/load/main.cpp
+++ b/bench/load/main.cpp
@@ -162,7 +162,8 @@
   std::vector<std::thread> threads;
   const auto start = Clock::now();
   std::uint64_t number = 0;
-  for (double at = gap(random); at < absl::GetFlag(FLAGS_seconds); at += gap(random), ++number) {
+  double at = gap(random);
+  while (at < absl::GetFlag(FLAGS_seconds)) {
     std::this_thread::sleep_until(
         start + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(at)));
     if (!engine.empty() && number % 2 == 1) {
@@ -171,6 +172,8 @@
       threads.emplace_back(
           [&, number] { askDaemon(daemons[number % daemons.size()], number, through); });
     }
+    at += gap(random);
+    ++number;
   }
   for (std::thread& thread : threads) thread.join();
   const std::chrono::duration<double> took = Clock::now() - start;
--- a/bench/policy/Workload.cpp
+++ b/bench/policy/Workload.cpp
@@ -87,9 +87,11 @@
   std::uint64_t id = 1;
   for (const StreamSpec& spec : workload.streams) {
     std::exponential_distribution<double> gap(spec.sessionsPerSecond * scale / 1'000);
-    for (double at = gap(random); at < lengthMs; at += gap(random)) {
+    double at = gap(random);
+    while (at < lengthMs) {
       sessions.push_back(
           {id++, &spec, random() % std::max<std::size_t>(spec.sharedGroups, 1), 0, at});
+      at += gap(random);
     }
   }
   return sessions;
