--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -3,6 +3,7 @@
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
+#include <absl/strings/str_cat.h>
 
 #include <cstdio>
 #include <fstream>
@@ -147,7 +148,8 @@
                  result.recomputedPerThousand());
       for (const auto& [name, kind] : result.classes) {
         report.add(wave ? "wave" : "cache", workload.name, named.name,
-                   "p95 first token ms, " + name + ", " + word, kind.firstTokenQuantile(0.95));
+                   absl::StrCat("p95 first token ms, ", name, ", ", word),
+                   kind.firstTokenQuantile(0.95));
       }
     }
   }
@@ -168,7 +170,7 @@
     spec.engines = 14;
     TrialResult result = Trial(spec).run();
     report.add("fair", workload.name, "prefix-affinity",
-               "p95 ms of " + other + ", " + greedy + " x" + std::to_string(int(factor)),
+               absl::StrCat("p95 ms of ", other, ", ", greedy, " x", int(factor)),
                result.organisations[other].firstTokenQuantile(0.95));
   }
 }
--- a/bench/slopes/main.cpp
+++ b/bench/slopes/main.cpp
@@ -192,6 +192,7 @@
   log.add(change(1, patch));
   constexpr int kChanges = 200;
   std::vector<std::string> texts;
+  texts.reserve(kChanges);
   for (int i = 0; i < kChanges; ++i) {
     texts.push_back(
         changeText(change(static_cast<std::uint64_t>(i) + 2,
--- a/test/RoutingTest.cpp
+++ b/test/RoutingTest.cpp
@@ -15,6 +15,7 @@
 
 std::vector<DaemonId> daemons(int count) {
   std::vector<DaemonId> made;
+  made.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) made.emplace_back("d" + std::to_string(i));
   return made;
 }
