--- a/Hallchute/src/Cli/Command.cpp
+++ b/Hallchute/src/Cli/Command.cpp
@@ -4,6 +4,7 @@
 #include "Hallchute/src/Cli/Command.h"
 
 #include <iostream>
+#include <iterator>
 #include <string>
 #include <vector>
 
@@ -13,12 +14,6 @@
 namespace Hallchute {
 namespace {
 
-struct CommandRow {
-  std::string_view words;
-  std::string_view help;
-  ExitCode (*run)();
-};
-
 ExitCode version() {
   std::cout << "hallchute 0.1.0\n";
   return ExitCode::ok;
@@ -44,18 +39,27 @@
     {"version", "print the version", version},
 };
 
+std::vector<CommandRow>& commands() {
+  static std::vector<CommandRow> all(std::begin(kCommands), std::end(kCommands));
+  return all;
+}
+
 }  // namespace
 
+void registerCommand(const CommandRow& command) {
+  commands().push_back(command);
+}
+
 std::string_view usageText() {
   static const std::string kText = [] {
     std::string text = "hallchute COMMAND [FLAGS]\n\nCommands:\n";
-    for (const CommandRow& row : kCommands) {
+    for (const CommandRow& row : commands()) {
       std::string line = "  " + std::string(row.words);
       line.resize(22, ' ');
       text += line + std::string(row.help) + "\n";
     }
     text +=
-        "\nFlags of all but serve: --operator=IP:PORT (or HALLCHUTE_OPERATOR),\n"
+        "\nFlags of all but serve and gateway: --operator=IP:PORT (or HALLCHUTE_OPERATOR),\n"
         "--token=TOKEN (or HALLCHUTE_TOKEN), --json for the daemon's own words.\n"
         "Exit codes: 0 done, 2 usage, 3 findings, 4 conflict, 5 unreachable, 6 not known,\n"
         "7 refused.\n";
@@ -69,7 +73,7 @@
   for (const std::string_view word : words) {
     joined += (joined.empty() ? "" : " ") + std::string(word);
   }
-  for (const CommandRow& row : kCommands) {
+  for (const CommandRow& row : commands()) {
     if (row.words == joined) return row.run();
   }
   std::cerr << (joined.empty() ? "no command given" : "no such command: " + joined) << "\n\n"
--- a/Hallchute/src/Cli/Command.h
+++ b/Hallchute/src/Cli/Command.h
@@ -11,6 +11,17 @@
 
 namespace Hallchute {
 
+/// \brief A command, its line of help and what runs it. \ingroup Cli
+struct CommandRow {
+  std::string_view words;
+  std::string_view help;
+  ExitCode (*run)();
+};
+
+/// \brief Adds a command that an adapter brings; before usageText() and runCommand().
+/// \ingroup Cli
+void registerCommand(const CommandRow& command);
+
 /// \brief The text of `hallchute --help`.
 /// \ingroup Cli
 std::string_view usageText();
--- a/Hallchute/src/Cli/ServeCommand.cpp
+++ b/Hallchute/src/Cli/ServeCommand.cpp
@@ -22,12 +22,6 @@
 namespace Hallchute {
 namespace {
 
-LogLevel levelNamed(const std::string& word) {
-  if (word == "debug") return LogLevel::debug;
-  if (word == "warning") return LogLevel::warning;
-  return word == "error" ? LogLevel::error : LogLevel::info;
-}
-
 sigset_t stopSignals() {
   sigset_t signals;
   sigemptyset(&signals);
@@ -57,7 +51,7 @@
   const sigset_t signals = stopSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   signal(SIGPIPE, SIG_IGN);
-  startLogging(levelNamed(startup.logLevel), startup.daemon.str(), startup.domain.str());
+  startLogging(logLevelNamed(startup.logLevel), startup.daemon.str(), startup.domain.str());
   try {
     Daemon daemon(std::move(startup));
     std::atomic<bool> done{false};
--- /dev/null
+++ b/Hallchute/src/Front/FrontExchange.h
@@ -0,0 +1,59 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_FRONT_FRONTEXCHANGE_H
+#define HALLCHUTE_FRONT_FRONTEXCHANGE_H
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "Hallchute/src/Core/Time.h"
+#include "Hallchute/src/Http/HttpReader.h"
+
+namespace Hallchute {
+
+class FrontConnection;
+
+/// \brief One request of a caller and its answer. Traffic thread only.
+/// \ingroup Front
+///
+/// After the caller left, everything sent here goes nowhere.
+class FrontExchange {
+ public:
+  FrontExchange(FrontConnection& connection, HttpHead head, std::string body, Instant arrived);
+  FrontExchange(const FrontExchange&) = delete;
+  FrontExchange& operator=(const FrontExchange&) = delete;
+
+  const HttpHead& head() const { return head_; }
+  const std::string& body() const { return body_; }
+  /// \brief When the request was whole.
+  Instant arrived() const { return arrived_; }
+
+  /// \brief Sends the whole answer.
+  void answer(int status, HttpFields fields, std::string_view body);
+  /// \brief Sends the head of an answer whose body comes in pieces.
+  void startPieces(int status, HttpFields fields);
+  void sendPiece(std::string_view bytes);
+  /// \brief Ends the answer as complete.
+  void endPieces();
+  /// \brief Ends the connection so that the answer can't be taken for complete.
+  void breakOff();
+
+  bool callerLeft() const { return connection_ == nullptr; }
+  /// \brief Called at once when the caller closes its connection before the answer ended.
+  std::function<void()> onCallerLeft;
+
+ private:
+  friend class FrontConnection;
+
+  HttpHead head_;
+  std::string body_;
+  Instant arrived_;
+  /// Null after the answer ended or the caller left.
+  FrontConnection* connection_;
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_FRONT_FRONTEXCHANGE_H
--- /dev/null
+++ b/Hallchute/src/Front/FrontHandler.h
@@ -0,0 +1,28 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_FRONT_FRONTHANDLER_H
+#define HALLCHUTE_FRONT_FRONTHANDLER_H
+
+#include <memory>
+
+namespace Hallchute {
+
+class FrontExchange;
+
+/// \brief Answers the requests of callers.
+/// \ingroup Front
+class FrontHandler {
+ public:
+  FrontHandler() = default;
+  FrontHandler(const FrontHandler&) = delete;
+  FrontHandler& operator=(const FrontHandler&) = delete;
+  virtual ~FrontHandler() = default;
+
+  /// \brief A whole request came. The handler answers now or later, exactly once.
+  virtual void handle(const std::shared_ptr<FrontExchange>& exchange) = 0;
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_FRONT_FRONTHANDLER_H
--- /dev/null
+++ b/Hallchute/src/Front/FrontServer.cpp
@@ -0,0 +1,75 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Front/FrontServer.h"
+
+#include <Poco/Net/StreamSocketImpl.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <vector>
+
+#include "Hallchute/src/Front/FrontConnection.h"
+#include "Hallchute/src/Front/FrontHandler.h"
+#include "Hallchute/src/Net/EventLoop.h"
+#include "Hallchute/src/Observability/Metrics.h"
+
+namespace Hallchute {
+namespace {
+
+/// Callers that may connect at the same moment: a full queue costs them seconds.
+constexpr int kBacklog = 1'024;
+
+}  // namespace
+
+FrontServer::FrontServer(EventLoop& loop, const std::string& listen, FrontHandler& handler,
+                         Metrics& metrics)
+    : loop_(loop), handler_(handler), metrics_(metrics) {
+  listener_.bind(Poco::Net::SocketAddress(listen), true);
+  listener_.listen(kBacklog);
+  listener_.setBlocking(false);
+  loop_.watch(listener_.impl()->sockfd(), POLLIN, [this](short) { accept(); });
+}
+
+FrontServer::~FrontServer() {
+  loop_.unwatch(listener_.impl()->sockfd());
+}
+
+void FrontServer::accept() {
+  const int fd = ::accept4(listener_.impl()->sockfd(), nullptr, nullptr, SOCK_CLOEXEC);
+  // The caller may have gone between the event and the call.
+  if (fd < 0) return;
+  const Poco::Net::StreamSocket socket(new Poco::Net::StreamSocketImpl(fd));
+  if (connections_.size() >= limits_.connections) {
+    metrics_.add("hallchute_front_connections_refused_total", "");
+    return;
+  }
+  const std::uint64_t id = nextConnection_++;
+  connections_[id] = std::make_unique<FrontConnection>(*this, id, socket);
+}
+
+void FrontServer::remove(std::uint64_t connection) {
+  // The call may come out of a callback of that very connection.
+  const auto it = connections_.find(connection);
+  if (it == connections_.end()) return;
+  std::shared_ptr<FrontConnection> gone = std::move(it->second);
+  connections_.erase(it);
+  loop_.post([gone] {});
+}
+
+void FrontServer::noteRefused(int status) {
+  metrics_.add("hallchute_front_refused_total", "status=\"" + std::to_string(status) + "\"");
+}
+
+std::size_t FrontServer::busy() const {
+  return static_cast<std::size_t>(
+      std::count_if(connections_.begin(), connections_.end(),
+                    [](const auto& entry) { return entry.second->busy(); }));
+}
+
+void FrontServer::closeIdle() {
+  for (const auto& [id, connection] : connections_) connection->closeIfIdle();
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Front/FrontServer.h
@@ -0,0 +1,66 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_FRONT_FRONTSERVER_H
+#define HALLCHUTE_FRONT_FRONTSERVER_H
+
+#include <Poco/Net/ServerSocket.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "Hallchute/src/Front/FrontLimits.h"
+
+namespace Hallchute {
+
+class EventLoop;
+class FrontConnection;
+class FrontHandler;
+class Metrics;
+
+/// \brief Takes callers' connections at one address. Traffic thread only, but for construction.
+/// \ingroup Front
+class FrontServer {
+ public:
+  /// \param listen `ip:port`. \throws Poco::Exception if it can't be bound.
+  FrontServer(EventLoop& loop, const std::string& listen, FrontHandler& handler, Metrics& metrics);
+  ~FrontServer();
+  FrontServer(const FrontServer&) = delete;
+  FrontServer& operator=(const FrontServer&) = delete;
+
+  /// \brief Limits for requests that begin from now on.
+  void setLimits(const FrontLimits& limits) { limits_ = limits; }
+  /// \brief From now on each answer closes its connection.
+  void drain() { draining_ = true; }
+  /// \brief Closes the connections on which no request is under way.
+  void closeIdle();
+  std::size_t connections() const { return connections_.size(); }
+  std::size_t busy() const;
+  Poco::Net::SocketAddress address() const { return listener_.address(); }
+
+  // For FrontConnection.
+  EventLoop& loop() { return loop_; }
+  FrontHandler& handler() { return handler_; }
+  const FrontLimits& limits() const { return limits_; }
+  bool draining() const { return draining_; }
+  void remove(std::uint64_t connection);
+  void noteRefused(int status);
+
+ private:
+  void accept();
+
+  EventLoop& loop_;
+  FrontHandler& handler_;
+  Metrics& metrics_;
+  FrontLimits limits_;
+  Poco::Net::ServerSocket listener_;
+  std::unordered_map<std::uint64_t, std::unique_ptr<FrontConnection>> connections_;
+  std::uint64_t nextConnection_ = 1;
+  bool draining_ = false;
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_FRONT_FRONTSERVER_H
--- /dev/null
+++ b/Hallchute/src/Gateway/QuotaLedger.cpp
@@ -0,0 +1,74 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Gateway/QuotaLedger.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "Hallchute/src/Gateway/GatewaySettings.h"
+
+namespace Hallchute {
+namespace {
+
+/// A refusal asks for at least this much patience: a shorter one would only be refused again.
+constexpr double kLeastWaitMs = 50;
+
+}  // namespace
+
+void QuotaLedger::refill(Bucket& bucket, Instant now) const {
+  const std::chrono::duration<double> passed = now - bucket.filled;
+  bucket.filled = now;
+  bucket.level = std::min(bucket.burst, bucket.level + passed.count() * bucket.rate * heardPart_);
+}
+
+QuotaLedger::Bucket& QuotaLedger::bucketOf(const GatewayOrganisation& organisation, Instant now) {
+  Bucket& bucket = buckets_[organisation.name];
+  if (!bucket.known) {
+    bucket = {organisation.burst, organisation.rate, organisation.burst, now, true};
+    return bucket;
+  }
+  refill(bucket, now);
+  if (bucket.rate != organisation.rate || bucket.burst != organisation.burst) {
+    // A raised burst is there at once, a lowered one binds at once.
+    bucket.level += std::max(0.0, organisation.burst - bucket.burst);
+    bucket.rate = organisation.rate;
+    bucket.burst = organisation.burst;
+    bucket.level = std::min(bucket.level, bucket.burst);
+  }
+  return bucket;
+}
+
+std::optional<Millis> QuotaLedger::take(const GatewayOrganisation& organisation, double amount,
+                                        Instant now) {
+  if (organisation.rate <= 0) return std::nullopt;
+  Bucket& bucket = bucketOf(organisation, now);
+  // A request larger than the burst is admitted from a full bucket, and what it owes is paid later.
+  const double needed = std::min(amount, bucket.burst);
+  if (bucket.level >= needed) {
+    bucket.level -= amount;
+    spent_[organisation.name] += amount;
+    return std::nullopt;
+  }
+  const double perMs = bucket.rate * heardPart_ / 1000;
+  const double waitMs = std::max(kLeastWaitMs, std::ceil((needed - bucket.level) / perMs));
+  return Millis(static_cast<Millis::rep>(waitMs));
+}
+
+void QuotaLedger::giveBack(const OrganisationName& organisation, double amount) {
+  const auto it = buckets_.find(organisation);
+  if (it == buckets_.end()) return;
+  it->second.level = std::min(it->second.burst, it->second.level + amount);
+}
+
+void QuotaLedger::noteSpentElsewhere(const OrganisationName& organisation, double amount) {
+  const auto it = buckets_.find(organisation);
+  if (it != buckets_.end()) it->second.level -= amount;
+}
+
+void QuotaLedger::setHeardPart(double part, Instant now) {
+  for (auto& [name, bucket] : buckets_) refill(bucket, now);
+  heardPart_ = part;
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Gateway/QuotaLedger.h
@@ -0,0 +1,61 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_GATEWAY_QUOTALEDGER_H
+#define HALLCHUTE_GATEWAY_QUOTALEDGER_H
+
+#include <map>
+#include <optional>
+
+#include "Hallchute/src/Core/Id.h"
+#include "Hallchute/src/Core/Time.h"
+
+namespace Hallchute {
+
+struct GatewayOrganisation;
+
+/// \brief What daemons have admitted of each organisation since they started, in its unit.
+/// \ingroup Gateway
+using SpentQuota = std::map<OrganisationName, double>;
+
+/// \brief Quotas that hold over all daemons together, kept by telling each other what was spent.
+/// \ingroup Gateway
+///
+/// Each daemon keeps a bucket of the whole fleet's rate and takes off it what it admits at once and
+/// what others admitted as soon as it hears of it. What is spent twice while news travels is paid
+/// back by the buckets' debt. A daemon that hears nothing of some others leaves their part of the
+/// rate to them. One thread; no I/O, no clock.
+class QuotaLedger {
+ public:
+  /// \brief Takes \p amount of the organisation's quota.
+  /// \returns nothing if taken, else when to come back.
+  std::optional<Millis> take(const GatewayOrganisation& organisation, double amount, Instant now);
+  /// \brief Gives back what was taken for a request that did not run.
+  void giveBack(const OrganisationName& organisation, double amount);
+  /// \brief Another daemon admitted \p amount more than was known of it.
+  void noteSpentElsewhere(const OrganisationName& organisation, double amount);
+  /// \brief The part of the daemons that is heard of, from above 0 to 1.
+  void setHeardPart(double part, Instant now);
+  /// \brief What this daemon admitted; only rises.
+  const SpentQuota& spent() const { return spent_; }
+
+ private:
+  struct Bucket {
+    double level = 0;
+    double rate = 0;
+    double burst = 0;
+    Instant filled{};
+    bool known = false;
+  };
+
+  void refill(Bucket& bucket, Instant now) const;
+  Bucket& bucketOf(const GatewayOrganisation& organisation, Instant now);
+
+  std::map<OrganisationName, Bucket> buckets_;
+  SpentQuota spent_;
+  double heardPart_ = 1;
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_GATEWAY_QUOTALEDGER_H
--- /dev/null
+++ b/Hallchute/src/Gateway/RouteTable.cpp
@@ -0,0 +1,72 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Gateway/RouteTable.h"
+
+#include <absl/strings/ascii.h>
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+#include "Hallchute/src/Core/StableHash.h"
+
+namespace Hallchute {
+namespace {
+
+std::string plainHost(std::string_view host) {
+  const std::string_view name = host.substr(0, host.find(':'));
+  return absl::AsciiStrToLower(absl::string_view(name.data(), name.size()));
+}
+
+}  // namespace
+
+RouteTable::RouteTable(GatewaySettings settings) : settings_(std::move(settings)) {
+  for (const Route& route : settings_.routes) byHost_[route.host].push_back(&route);
+  for (auto& [host, routes] : byHost_) {
+    std::stable_sort(routes.begin(), routes.end(), [](const Route* left, const Route* right) {
+      return left->pathPrefix.size() > right->pathPrefix.size();
+    });
+  }
+  for (const GatewayOrganisation& organisation : settings_.organisations) {
+    for (const std::string& key : organisation.keys) byKey_[key] = &organisation;
+  }
+  for (const GatewayService& service : settings_.services) {
+    byService_[service.name.str()] = &service;
+  }
+}
+
+const Route* RouteTable::find(std::string_view host, std::string_view target) const {
+  const auto it = byHost_.find(plainHost(host));
+  if (it == byHost_.end()) return nullptr;
+  const std::string_view path = target.substr(0, target.find('?'));
+  for (const Route* route : it->second) {
+    if (path.substr(0, route->pathPrefix.size()) == route->pathPrefix) return route;
+  }
+  return nullptr;
+}
+
+const GatewayOrganisation* RouteTable::organisationOf(std::string_view key) const {
+  const auto it = byKey_.find(std::string(key));
+  return it == byKey_.end() ? nullptr : it->second;
+}
+
+const GatewayService* RouteTable::service(const ServiceName& name) const {
+  const auto it = byService_.find(name.str());
+  return it == byService_.end() ? nullptr : it->second;
+}
+
+const ServiceName& RouteTable::pickTarget(const Route& route, std::string_view requestId) {
+  const std::uint64_t total = std::accumulate(
+      route.targets.begin(), route.targets.end(), std::uint64_t{0},
+      [](std::uint64_t sum, const RouteTarget& target) { return sum + target.weight; });
+  if (total == 0) return route.targets.front().service;
+  std::uint64_t place = stableHash(requestId) % total;
+  for (const RouteTarget& target : route.targets) {
+    if (place < target.weight) return target.service;
+    place -= target.weight;
+  }
+  return route.targets.back().service;
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Gateway/RouteTable.h
@@ -0,0 +1,48 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_GATEWAY_ROUTETABLE_H
+#define HALLCHUTE_GATEWAY_ROUTETABLE_H
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "Hallchute/src/Gateway/GatewaySettings.h"
+
+namespace Hallchute {
+
+/// \brief Settings arranged for look-ups by request. Immutable; any thread.
+/// \ingroup Gateway
+///
+/// Cost: a look-up is one hash and a pass over the host's routes, longest prefix first.
+class RouteTable {
+ public:
+  explicit RouteTable(GatewaySettings settings);
+  RouteTable(const RouteTable&) = delete;
+  RouteTable& operator=(const RouteTable&) = delete;
+
+  const GatewaySettings& settings() const { return settings_; }
+  /// \param host as the caller sent it, with or without a port.
+  /// \param target the request target; its query plays no part.
+  /// \returns null if no route fits.
+  const Route* find(std::string_view host, std::string_view target) const;
+  /// \returns null if nobody holds \p key.
+  const GatewayOrganisation* organisationOf(std::string_view key) const;
+  /// \returns null if there is none of that name.
+  const GatewayService* service(const ServiceName& name) const;
+  /// \brief The service for a request: the same for the same \p requestId.
+  static const ServiceName& pickTarget(const Route& route, std::string_view requestId);
+
+ private:
+  GatewaySettings settings_;
+  /// Longest prefix first.
+  std::unordered_map<std::string, std::vector<const Route*>> byHost_;
+  std::unordered_map<std::string, const GatewayOrganisation*> byKey_;
+  std::unordered_map<std::string, const GatewayService*> byService_;
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_GATEWAY_ROUTETABLE_H
--- /dev/null
+++ b/Hallchute/src/Gateway/UpstreamPick.cpp
@@ -0,0 +1,93 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Gateway/UpstreamPick.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "Hallchute/src/Core/StableHash.h"
+
+namespace Hallchute {
+namespace {
+
+/// An upstream that left the directory is a last resort for this long: entries lapse while the
+/// directory is away, and one that really left serves on for about two seconds.
+constexpr Millis kUseAfterGone{1'500};
+/// A home is left for the next one above this multiple of the mean load, and this much on top.
+constexpr double kLoadBound = 1.5;
+constexpr double kLoadSlack = 6;
+/// What an upstream of another failure domain counts above its load, in parts of its slots: the
+/// way there costs a few milliseconds and the bytes are paid for.
+constexpr double kForeignCost = 0.15;
+
+enum class Tier { sound, shunned, gone, unfit };
+
+Tier tierOf(const UpstreamEntry& entry, const UpstreamWish& wish, Instant now) {
+  if (entry.record.service != wish.service) return Tier::unfit;
+  if (entry.record.state == UpstreamState::draining) return Tier::unfit;
+  if (wish.tried.contains(entry.record.id)) return Tier::unfit;
+  if (entry.goneSince) {
+    return now - *entry.goneSince <= kUseAfterGone ? Tier::gone : Tier::unfit;
+  }
+  return now < entry.shunnedUntil ? Tier::shunned : Tier::sound;
+}
+
+/// A number in [0, 1) that differs by upstream and key.
+double draw(const UpstreamEntry& entry, const std::string& key) {
+  constexpr double kRange = 18446744073709551616.0;
+  return static_cast<double>(stableHash(entry.record.id.str(), stableHash(key))) / kRange;
+}
+
+const UpstreamEntry* pickHome(const std::vector<const UpstreamEntry*>& entries,
+                              const UpstreamWish& wish) {
+  double total = 0;
+  for (const UpstreamEntry* entry : entries) total += entry->load();
+  const double bound = kLoadBound * total / static_cast<double>(entries.size()) + kLoadSlack;
+  const UpstreamEntry* best = nullptr;
+  double bestDraw = -1;
+  for (const UpstreamEntry* entry : entries) {
+    if (entry->load() > bound) continue;
+    const double drawn = draw(*entry, wish.affinity);
+    if (drawn <= bestDraw) continue;
+    best = entry;
+    bestDraw = drawn;
+  }
+  return best;
+}
+
+const UpstreamEntry* pickLeastLoaded(const std::vector<const UpstreamEntry*>& entries,
+                                     const UpstreamWish& wish) {
+  const UpstreamEntry* best = nullptr;
+  double bestCost = 0;
+  for (const UpstreamEntry* entry : entries) {
+    const double slots = std::max<std::uint32_t>(1, entry->record.slots);
+    const double foreign = entry->record.domain == wish.ownDomain ? 0 : kForeignCost;
+    // The draw only breaks ties: it is worth less than one request.
+    const double cost =
+        (entry->load() + draw(*entry, wish.requestId)) / slots + foreign;
+    if (best != nullptr && cost >= bestCost) continue;
+    best = entry;
+    bestCost = cost;
+  }
+  return best;
+}
+
+}  // namespace
+
+const UpstreamEntry* pickUpstream(const UpstreamTable& table, const UpstreamWish& wish,
+                                  Instant now) {
+  std::vector<const UpstreamEntry*> fit;
+  Tier best = Tier::unfit;
+  for (const auto& [id, entry] : table.entries()) {
+    const Tier tier = tierOf(entry, wish, now);
+    if (tier == Tier::unfit || tier > best) continue;
+    if (tier < best) fit.clear();
+    best = tier;
+    fit.push_back(&entry);
+  }
+  if (fit.empty()) return nullptr;
+  return wish.affinity.empty() ? pickLeastLoaded(fit, wish) : pickHome(fit, wish);
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Gateway/UpstreamPick.h
@@ -0,0 +1,38 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_GATEWAY_UPSTREAMPICK_H
+#define HALLCHUTE_GATEWAY_UPSTREAMPICK_H
+
+#include <set>
+#include <string>
+
+#include "Hallchute/src/Gateway/UpstreamTable.h"
+
+namespace Hallchute {
+
+/// \brief What a request wants of its upstream. \ingroup Gateway
+struct UpstreamWish {
+  ServiceName service;
+  /// Requests with the same one share prompt parts; empty where nothing is shared.
+  std::string affinity;
+  /// Where it was before.
+  std::set<UpstreamId> tried;
+  DomainName ownDomain;
+  /// Breaks ties, so that daemons don't all choose the same one.
+  std::string requestId;
+};
+
+/// \brief The upstream for a request; null if there is none. \ingroup Gateway
+///
+/// With an affinity: the first by rendezvous whose load is not far above the mean, so that a
+/// subject has one home in the fleet and a busy one a second. Without: the least loaded, with a
+/// preference for the own failure domain. Upstreams that are shunned, or that the directory no
+/// longer lists, serve only if no other is left, the latter for a short while. Cost: one pass and
+/// one hash an upstream.
+const UpstreamEntry* pickUpstream(const UpstreamTable& table, const UpstreamWish& wish,
+                                  Instant now);
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_GATEWAY_UPSTREAMPICK_H
--- /dev/null
+++ b/Hallchute/src/Gateway/UpstreamRecord.h
@@ -0,0 +1,38 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_GATEWAY_UPSTREAMRECORD_H
+#define HALLCHUTE_GATEWAY_UPSTREAMRECORD_H
+
+#include <cstdint>
+#include <string>
+
+#include "Hallchute/src/Core/Id.h"
+#include "Hallchute/src/Core/Time.h"
+
+namespace Hallchute {
+
+/// \brief Whether an upstream takes new work. \ingroup Gateway
+enum class UpstreamState { ready, draining };
+
+/// \brief An upstream as the platform's directory tells of it. \ingroup Gateway
+struct UpstreamRecord {
+  /// Names one lifetime: a restarted upstream has another one.
+  UpstreamId id;
+  ServiceName service;
+  /// `ip:port`.
+  std::string address;
+  DomainName domain;
+  /// Requests it works on at once.
+  std::uint32_t slots = 1;
+  UpstreamState state = UpstreamState::ready;
+  /// It was ordered as one that the platform may take away.
+  bool reclaimable = false;
+  /// How much longer it is slow from its start.
+  Millis coldFor{0};
+  bool operator==(const UpstreamRecord&) const = default;
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_GATEWAY_UPSTREAMRECORD_H
--- /dev/null
+++ b/Hallchute/src/Gateway/UpstreamTable.cpp
@@ -0,0 +1,126 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Gateway/UpstreamTable.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Hallchute {
+namespace {
+
+/// A first failure is often chance; a second in a row shuns the upstream.
+constexpr std::uint32_t kFailuresToShun = 2;
+/// The first time away from an upstream; it doubles with each further failure.
+constexpr Millis kFirstShun{400};
+constexpr Millis kLongestShun{3'200};
+/// How long a refused connection keeps work away: the process is likely to be restarting.
+constexpr Millis kUnreachableShun{600};
+/// A full upstream gets a short rest.
+constexpr Millis kRejectedShun{50};
+/// How long an upstream that left the directory is remembered.
+constexpr Millis kForgetAfter{10'000};
+
+}  // namespace
+
+std::vector<UpstreamId> UpstreamTable::replace(std::span<const UpstreamRecord> records,
+                                               Instant now) {
+  std::set<UpstreamId> listed;
+  for (const UpstreamRecord& record : records) {
+    listed.insert(record.id);
+    UpstreamEntry& entry = entries_[record.id];
+    // An upstream that once said that it leaves doesn't come back.
+    const bool draining = !entry.record.id.empty() && entry.record.state == UpstreamState::draining;
+    entry.record = record;
+    if (draining) entry.record.state = UpstreamState::draining;
+    entry.goneSince.reset();
+  }
+  std::vector<UpstreamId> gone;
+  for (auto& [id, entry] : entries_) {
+    if (listed.contains(id) || entry.goneSince) continue;
+    entry.goneSince = now;
+    gone.push_back(id);
+  }
+  return gone;
+}
+
+void UpstreamTable::noteDraining(const UpstreamId& upstream) {
+  const auto it = entries_.find(upstream);
+  if (it != entries_.end()) it->second.record.state = UpstreamState::draining;
+}
+
+void UpstreamTable::noteDispatched(const UpstreamId& upstream) {
+  const auto it = entries_.find(upstream);
+  if (it != entries_.end()) ++it->second.inFlight;
+}
+
+void UpstreamTable::noteFailure(UpstreamEntry& entry, Instant now) {
+  ++entry.failuresInARow;
+  if (entry.failuresInARow < kFailuresToShun) return;
+  Millis shun = kFirstShun;
+  for (std::uint32_t i = kFailuresToShun; i < entry.failuresInARow && shun < kLongestShun; ++i) {
+    shun *= 2;
+  }
+  entry.shunnedUntil = now + std::min(shun, kLongestShun);
+}
+
+void UpstreamTable::noteEnded(const UpstreamId& upstream, DispatchResult result, Instant now) {
+  const auto it = entries_.find(upstream);
+  if (it == entries_.end()) return;
+  UpstreamEntry& entry = it->second;
+  if (entry.inFlight > 0) --entry.inFlight;
+  switch (result) {
+    case DispatchResult::answered:
+      entry.failuresInARow = 0;
+      entry.shunnedUntil = {};
+      return;
+    case DispatchResult::rejected:
+      entry.shunnedUntil = std::max(entry.shunnedUntil, now + kRejectedShun);
+      return;
+    case DispatchResult::unreachable:
+      entry.shunnedUntil = std::max(entry.shunnedUntil, now + kUnreachableShun);
+      noteFailure(entry, now);
+      return;
+    case DispatchResult::broken:
+    case DispatchResult::silent:
+    case DispatchResult::failed:
+      noteFailure(entry, now);
+      return;
+    case DispatchResult::abandoned:
+      return;
+  }
+}
+
+void UpstreamTable::noteReplaced(const UpstreamId& upstream, Instant now) {
+  const auto it = entries_.find(upstream);
+  if (it != entries_.end() && !it->second.goneSince) it->second.goneSince = now - kForgetAfter;
+}
+
+void UpstreamTable::setLoadsElsewhere(const UpstreamLoads& loads) {
+  for (auto& [id, entry] : entries_) {
+    const auto it = loads.find(id);
+    entry.inFlightElsewhere = it == loads.end() ? 0 : it->second;
+  }
+}
+
+void UpstreamTable::sweep(Instant now) {
+  std::erase_if(entries_, [&](const auto& item) {
+    const UpstreamEntry& entry = item.second;
+    return entry.goneSince && entry.inFlight == 0 && now - *entry.goneSince > kForgetAfter;
+  });
+}
+
+const UpstreamEntry* UpstreamTable::find(const UpstreamId& upstream) const {
+  const auto it = entries_.find(upstream);
+  return it == entries_.end() ? nullptr : &it->second;
+}
+
+UpstreamLoads UpstreamTable::ownLoads() const {
+  UpstreamLoads loads;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.inFlight > 0) loads[id] = entry.inFlight;
+  }
+  return loads;
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Gateway/UpstreamTable.h
@@ -0,0 +1,83 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_GATEWAY_UPSTREAMTABLE_H
+#define HALLCHUTE_GATEWAY_UPSTREAMTABLE_H
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "Hallchute/src/Gateway/UpstreamRecord.h"
+
+namespace Hallchute {
+
+/// \brief How a dispatch to an upstream went. \ingroup Gateway
+enum class DispatchResult {
+  /// An answer came, be it a failure of the request's own.
+  answered,
+  /// Full, or on its way out.
+  rejected,
+  /// The connection didn't come up.
+  unreachable,
+  /// The connection ended or its bytes were faulty after the request was sent.
+  broken,
+  /// No sign of work for longer than there should be.
+  silent,
+  /// The upstream itself answered that it failed.
+  failed,
+  /// The caller left or its time was up: says nothing of the upstream.
+  abandoned,
+};
+
+/// \brief In-flight requests by upstream. \ingroup Gateway
+using UpstreamLoads = std::map<UpstreamId, std::uint32_t>;
+
+/// \brief What this daemon knows of an upstream. \ingroup Gateway
+struct UpstreamEntry {
+  UpstreamRecord record;
+  /// Set when the directory stopped listing it.
+  std::optional<Instant> goneSince;
+  /// No work goes there until then, unless there is nobody else.
+  Instant shunnedUntil{};
+  std::uint32_t failuresInARow = 0;
+  /// Requests of this daemon that it works on.
+  std::uint32_t inFlight = 0;
+  /// Those of other daemons, as last heard.
+  std::uint32_t inFlightElsewhere = 0;
+
+  std::uint32_t load() const { return inFlight + inFlightElsewhere; }
+};
+
+/// \brief The upstreams with their state, load and recent failures. One thread; no I/O, no clock.
+/// \ingroup Gateway
+class UpstreamTable {
+ public:
+  /// \brief Takes the whole directory.
+  /// \returns the upstreams that it no longer lists.
+  std::vector<UpstreamId> replace(std::span<const UpstreamRecord> records, Instant now);
+  /// \brief Another daemon learned that an upstream takes no new work.
+  void noteDraining(const UpstreamId& upstream);
+  void noteDispatched(const UpstreamId& upstream);
+  void noteEnded(const UpstreamId& upstream, DispatchResult result, Instant now);
+  /// \brief The address belongs to another upstream now.
+  void noteReplaced(const UpstreamId& upstream, Instant now);
+  void setLoadsElsewhere(const UpstreamLoads& loads);
+  /// \brief Forgets upstreams that are gone and have no work left.
+  void sweep(Instant now);
+
+  const std::map<UpstreamId, UpstreamEntry>& entries() const { return entries_; }
+  const UpstreamEntry* find(const UpstreamId& upstream) const;
+  UpstreamLoads ownLoads() const;
+
+ private:
+  void noteFailure(UpstreamEntry& entry, Instant now);
+
+  std::map<UpstreamId, UpstreamEntry> entries_;
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_GATEWAY_UPSTREAMTABLE_H
--- /dev/null
+++ b/Hallchute/src/Http/HttpReader.cpp
@@ -0,0 +1,165 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Http/HttpReader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <utility>
+#include <variant>
+
+namespace Hallchute {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::beast::string_view;
+using Error = boost::beast::error_code;
+
+std::string_view view(string_view text) {
+  return {text.data(), text.size()};
+}
+
+/// Collects what the library's parser finds.
+template <bool isRequest>
+class Collector final : public http::basic_parser<isRequest> {
+ public:
+  HttpHead head;
+  std::string body;
+  bool faulty = false;
+
+ private:
+  void on_request_impl(http::verb, string_view method, string_view target, int version,
+                       Error& error) override {
+    error = {};
+    head.method = view(method);
+    head.target = view(target);
+    head.version = version;
+  }
+  void on_response_impl(int status, string_view, int version, Error& error) override {
+    error = {};
+    head.status = status;
+    head.version = version;
+  }
+  void on_field_impl(http::field, string_view name, string_view value, Error& error) override {
+    error = {};
+    head.fields.add(view(name), view(value));
+  }
+  void on_header_impl(Error& error) override {
+    error = {};
+    head.keepAlive = this->keep_alive();
+    head.endsWithConnection = !isRequest && this->need_eof();
+    // The parser lets other codings pass: their bodies would have no sure end.
+    const bool coded = head.fields.has("Transfer-Encoding");
+    const bool twoLengths = coded && head.fields.has("Content-Length");
+    if ((coded && !this->chunked()) || twoLengths) faulty = true;
+    if (faulty) error = http::error::bad_transfer_encoding;
+  }
+  void on_body_init_impl(const boost::optional<std::uint64_t>&, Error& error) override {
+    error = {};
+  }
+  std::size_t on_body_impl(string_view bytes, Error& error) override {
+    error = {};
+    body.append(bytes.data(), bytes.size());
+    return bytes.size();
+  }
+  void on_chunk_header_impl(std::uint64_t, string_view, Error& error) override { error = {}; }
+  std::size_t on_chunk_body_impl(std::uint64_t, string_view bytes, Error& error) override {
+    error = {};
+    body.append(bytes.data(), bytes.size());
+    return bytes.size();
+  }
+  void on_finish_impl(Error& error) override { error = {}; }
+};
+
+HttpProgress progressOf(const Error& error) {
+  if (error == http::error::need_more) return HttpProgress::needsMore;
+  if (error == http::error::header_limit) return HttpProgress::headTooLarge;
+  if (error == http::error::body_limit) return HttpProgress::bodyTooLarge;
+  return HttpProgress::malformed;
+}
+
+}  // namespace
+
+class HttpReader::Parser {
+ public:
+  template <typename Visitor>
+  decltype(auto) visit(const Visitor& visitor) {
+    return std::visit(visitor, parser_);
+  }
+
+  Parser(HttpSide side, HttpReaderLimits limits) {
+    if (side == HttpSide::answers) parser_.emplace<Collector<false>>();
+    visit([&](auto& parser) {
+      parser.eager(true);
+      parser.header_limit(limits.headBytes);
+      parser.body_limit(limits.bodyBytes);
+    });
+  }
+
+  HttpProgress read(std::string& buffer) {
+    return visit([&](auto& parser) {
+      while (!buffer.empty() && !parser.is_done()) {
+        started = true;
+        Error error;
+        const std::size_t used = parser.put(boost::asio::buffer(buffer), error);
+        buffer.erase(0, used);
+        if (error && error != http::error::need_more) return progressOf(error);
+        if (error || used == 0) break;
+      }
+      return parser.is_done() ? HttpProgress::complete : HttpProgress::needsMore;
+    });
+  }
+
+  HttpProgress end() {
+    return visit([&](auto& parser) {
+      if (parser.is_done()) return HttpProgress::complete;
+      if (!parser.is_header_done()) return HttpProgress::malformed;
+      Error error;
+      parser.put_eof(error);
+      return error ? HttpProgress::malformed : HttpProgress::complete;
+    });
+  }
+
+  bool started = false;
+
+ private:
+  std::variant<Collector<true>, Collector<false>> parser_;
+};
+
+HttpReader::HttpReader(HttpSide side, HttpReaderLimits limits)
+    : parser_(std::make_unique<Parser>(side, limits)) {}
+HttpReader::~HttpReader() = default;
+HttpReader::HttpReader(HttpReader&&) noexcept = default;
+HttpReader& HttpReader::operator=(HttpReader&&) noexcept = default;
+
+HttpProgress HttpReader::read(std::string& buffer) {
+  return parser_->read(buffer);
+}
+
+HttpProgress HttpReader::end() {
+  return parser_->end();
+}
+
+void HttpReader::expectNoBody() {
+  parser_->visit([](auto& parser) { parser.skip(true); });
+}
+
+bool HttpReader::hasHead() const {
+  return parser_->visit([](auto& parser) { return parser.is_header_done(); });
+}
+
+bool HttpReader::started() const {
+  return parser_->started;
+}
+
+const HttpHead& HttpReader::head() const {
+  return parser_->visit([](auto& parser) -> const HttpHead& { return parser.head; });
+}
+
+std::string HttpReader::takeBody() {
+  return parser_->visit([](auto& parser) { return std::exchange(parser.body, {}); });
+}
+
+}  // namespace Hallchute
--- a/Hallchute/src/Net/EventLoop.cpp
+++ b/Hallchute/src/Net/EventLoop.cpp
@@ -4,10 +4,12 @@
 #include "Hallchute/src/Net/EventLoop.h"
 
 #include <poll.h>
+#include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
 #include <future>
 
@@ -17,12 +19,29 @@
 namespace {
 
 constexpr Millis kLongestPoll{1'000};
+/// Sockets whose events are taken at one turn; the others come at the next.
+constexpr int kEventsATurn = 64;
+
+// The loop takes the poll names and hands them to epoll as they are.
+static_assert(POLLIN == EPOLLIN && POLLOUT == EPOLLOUT);
+static_assert(POLLERR == EPOLLERR && POLLHUP == EPOLLHUP);
+
+std::uint64_t eventKey(int socket, std::uint32_t generation) {
+  return (static_cast<std::uint64_t>(generation) << 32U) | static_cast<std::uint32_t>(socket);
+}
 
 }  // namespace
 
-EventLoop::EventLoop() : wakeFd_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {}
+EventLoop::EventLoop()
+    : pollFd_(epoll_create1(EPOLL_CLOEXEC)), wakeFd_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
+  epoll_event event{};
+  event.events = EPOLLIN;
+  event.data.u64 = eventKey(wakeFd_, 0);
+  epoll_ctl(pollFd_, EPOLL_CTL_ADD, wakeFd_, &event);
+}
 
 EventLoop::~EventLoop() {
+  close(pollFd_);
   close(wakeFd_);
 }
 
@@ -74,41 +93,76 @@
 }
 
 void EventLoop::watch(int socket, short events, SocketTask task) {
-  sockets_[socket] = {events, std::move(task)};
+  const bool known = sockets_.contains(socket);
+  Watched& watched = sockets_[socket];
+  if (!known) watched.generation = nextGeneration_++;
+  watched.events = events;
+  watched.task = std::make_shared<SocketTask>(std::move(task));
+  epoll_event event{};
+  event.events = static_cast<std::uint32_t>(events);
+  event.data.u64 = eventKey(socket, watched.generation);
+  epoll_ctl(pollFd_, known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, socket, &event);
+}
+
+void EventLoop::rewatch(int socket, short events) {
+  const auto it = sockets_.find(socket);
+  if (it == sockets_.end() || it->second.events == events) return;
+  it->second.events = events;
+  epoll_event event{};
+  event.events = static_cast<std::uint32_t>(events);
+  event.data.u64 = eventKey(socket, it->second.generation);
+  epoll_ctl(pollFd_, EPOLL_CTL_MOD, socket, &event);
 }
 
 void EventLoop::unwatch(int socket) {
-  sockets_.erase(socket);
+  if (sockets_.erase(socket) == 0) return;
+  epoll_ctl(pollFd_, EPOLL_CTL_DEL, socket, nullptr);
+}
+
+EventLoop::TimerId EventLoop::addTimer(Instant at, Timer timer) {
+  const TimerId id = nextTimer_++;
+  timers_.emplace(TimerKey{at, id}, std::move(timer));
+  timerTimes_.emplace(id, at);
+  return id;
 }
 
 void EventLoop::every(Millis period, Task task) {
-  timers_.emplace(clockNow() + period, Timer{period, std::move(task)});
+  addTimer(clockNow() + period, Timer{period, std::move(task)});
+}
+
+EventLoop::TimerId EventLoop::after(Millis delay, Task task) {
+  return addTimer(clockNow() + delay, Timer{Millis(0), std::move(task)});
 }
 
-void EventLoop::after(Millis delay, Task task) {
-  timers_.emplace(clockNow() + delay, Timer{Millis(0), std::move(task)});
+void EventLoop::cancel(TimerId timer) {
+  const auto it = timerTimes_.find(timer);
+  if (it == timerTimes_.end()) return;
+  timers_.erase({it->second, timer});
+  timerTimes_.erase(it);
 }
 
 Millis EventLoop::untilNextTimer() const {
   if (timers_.empty()) return kLongestPoll;
-  const auto left = std::chrono::ceil<Millis>(timers_.begin()->first - clockNow());
+  const auto left = std::chrono::ceil<Millis>(timers_.begin()->first.first - clockNow());
   return std::clamp(left, Millis(0), kLongestPoll);
 }
 
 void EventLoop::pollOnce() {
-  std::vector<pollfd> fds;
-  fds.reserve(sockets_.size() + 1);
-  fds.push_back({wakeFd_, POLLIN, 0});
-  for (const auto& [socket, watched] : sockets_) fds.push_back({socket, watched.events, 0});
-  const int ready = poll(fds.data(), fds.size(), static_cast<int>(untilNextTimer().count()));
-  if (ready <= 0) return;
-  if (fds.front().revents != 0) drainWake();
-  for (std::size_t i = 1; i < fds.size(); ++i) {
-    if (fds[i].revents == 0) continue;
-    const auto it = sockets_.find(fds[i].fd);
-    if (it == sockets_.end()) continue;
-    const SocketTask task = it->second.task;
-    task(fds[i].revents);
+  std::array<epoll_event, kEventsATurn> ready;
+  const int timeout = static_cast<int>(untilNextTimer().count());
+  const int count = epoll_wait(pollFd_, ready.data(), kEventsATurn, timeout);
+  for (int i = 0; i < count; ++i) {
+    const std::uint64_t key = ready[i].data.u64;
+    const int socket = static_cast<int>(key & 0xffffffffU);
+    if (socket == wakeFd_) {
+      drainWake();
+      continue;
+    }
+    const auto it = sockets_.find(socket);
+    if (it == sockets_.end() || it->second.generation != key >> 32U) continue;
+    // The task may replace or remove itself.
+    const std::shared_ptr<SocketTask> task = it->second.task;
+    (*task)(static_cast<short>(ready[i].events));
   }
 }
 
@@ -123,11 +177,12 @@
 
 void EventLoop::runTimers() {
   const Instant now = clockNow();
-  while (!timers_.empty() && timers_.begin()->first <= now) {
+  while (!timers_.empty() && timers_.begin()->first.first <= now) {
     auto node = timers_.extract(timers_.begin());
-    const Timer timer = std::move(node.mapped());
+    timerTimes_.erase(node.key().second);
+    Timer timer = std::move(node.mapped());
     timer.task();
-    if (timer.period > Millis(0)) timers_.emplace(now + timer.period, timer);
+    if (timer.period > Millis(0)) addTimer(now + timer.period, std::move(timer));
   }
 }
 
--- a/Hallchute/src/Net/EventLoop.h
+++ b/Hallchute/src/Net/EventLoop.h
@@ -5,10 +5,14 @@
 #define HALLCHUTE_NET_EVENTLOOP_H
 
 #include <atomic>
+#include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <thread>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "Hallchute/src/Core/Time.h"
@@ -25,6 +29,8 @@
   using Task = std::function<void()>;
   /// \brief Told which of POLLIN, POLLOUT, POLLERR, POLLHUP came.
   using SocketTask = std::function<void(short events)>;
+  /// \brief Names a timer; 0 names none.
+  using TimerId = std::uint64_t;
 
   EventLoop();
   ~EventLoop();
@@ -40,22 +46,30 @@
   void call(const Task& task);
   /// \brief Watches a socket for \p events; a second call changes them.
   void watch(int socket, short events, SocketTask task);
+  /// \brief Changes what a watched socket waits for.
+  void rewatch(int socket, short events);
   void unwatch(int socket);
   /// \brief Runs \p task every \p period.
   void every(Millis period, Task task);
   /// \brief Runs \p task once after \p delay.
-  void after(Millis delay, Task task);
+  TimerId after(Millis delay, Task task);
+  /// \brief Takes back a timer; does nothing if it has run.
+  void cancel(TimerId timer);
   bool onLoopThread() const { return std::this_thread::get_id() == thread_.load(); }
 
  private:
   struct Watched {
     short events = 0;
-    SocketTask task;
+    /// Tells this watch from an earlier one of the same descriptor.
+    std::uint32_t generation = 0;
+    std::shared_ptr<SocketTask> task;
   };
   struct Timer {
     Millis period{0};
     Task task;
   };
+  /// Timers run in the order of their time; the number makes each key unique.
+  using TimerKey = std::pair<Instant, TimerId>;
 
   void wake();
   void drainWake();
@@ -63,14 +77,19 @@
   void runTimers();
   Millis untilNextTimer() const;
   void pollOnce();
+  TimerId addTimer(Instant at, Timer timer);
 
+  int pollFd_;
   int wakeFd_;
   std::atomic<bool> stopping_{false};
   std::atomic<std::thread::id> thread_{};
   std::mutex mutex_;
   std::vector<Task> posted_;
-  std::map<int, Watched> sockets_;
-  std::multimap<Instant, Timer> timers_;
+  std::unordered_map<int, Watched> sockets_;
+  std::uint32_t nextGeneration_ = 1;
+  std::map<TimerKey, Timer> timers_;
+  std::unordered_map<TimerId, Instant> timerTimes_;
+  TimerId nextTimer_ = 1;
 };
 
 }  // namespace Hallchute
--- a/Hallchute/src/Net/PeerConnection.cpp
+++ b/Hallchute/src/Net/PeerConnection.cpp
@@ -12,6 +12,7 @@
 
 #include "Hallchute/src/Net/EventLoop.h"
 #include "Hallchute/src/Net/PeerTransport.h"
+#include "Hallchute/src/Net/SocketLiveness.h"
 
 namespace Hallchute {
 namespace {
@@ -25,6 +26,7 @@
     : transport_(transport), id_(id), socket_(socket), session_(role, transport.secret_, events()) {
   socket_.setBlocking(false);
   socket_.setNoDelay(true);
+  watchLiveness(socket_);
   updateWatch();
 }
 
--- /dev/null
+++ b/Hallchute/src/Node/FleetLink.cpp
@@ -0,0 +1,73 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Node/FleetLink.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Hallchute/src/Net/EventLoop.h"
+#include "Hallchute/src/Net/WireCodec.h"
+#include "Hallchute/src/Node/FleetWire.h"
+#include "Hallchute/src/Observability/LogLine.h"
+
+namespace Hallchute {
+namespace {
+
+constexpr std::string_view kReportPath = "/fleet/report";
+constexpr std::string_view kSnapshotPath = "/fleet/snapshot";
+
+}  // namespace
+
+FleetLink::FleetLink(EventLoop& loop, const std::string& listen, Callbacks callbacks)
+    : callbacks_(std::move(callbacks)), transport_(loop, listen, "") {
+  transport_.serve(kReportPath, [this](const PeerStreamPtr& stream) {
+    stream->onMessage = [this](std::string_view message) {
+      const auto report = unpack<FleetReport>(message);
+      if (report) {
+        callbacks_.onReport(*report);
+      } else {
+        LogLine(LogLevel::warning, "fleet.unreadable").with("bytes", message.size());
+      }
+    };
+  });
+  transport_.serve(kSnapshotPath, [this](const PeerStreamPtr& stream) {
+    // The stream lives in the transport until it closes: a strong reference would keep itself.
+    stream->onMessage = [this, weak = std::weak_ptr(stream)](std::string_view) {
+      const PeerStreamPtr open = weak.lock();
+      if (!open) return;
+      open->send(pack(callbacks_.snapshot()));
+      open->finish();
+    };
+  });
+}
+
+FleetLink::~FleetLink() = default;
+
+void FleetLink::push(const FleetReport& report, const std::vector<std::string>& addresses) {
+  std::erase_if(streams_, [&](const auto& entry) {
+    const bool wanted = std::binary_search(addresses.begin(), addresses.end(), entry.first);
+    if (!wanted) entry.second->close();
+    return !wanted || !entry.second->isOpen();
+  });
+  const std::string message = pack(report);
+  for (const std::string& address : addresses) {
+    PeerStreamPtr& stream = streams_[address];
+    if (stream) {
+      stream->send(message);
+    } else {
+      stream = transport_.open(address, kReportPath, message);
+    }
+  }
+}
+
+void FleetLink::askSnapshot(const std::string& address,
+                            std::function<void(const FleetSnapshot&)> onSnapshot) {
+  const PeerStreamPtr stream = transport_.open(address, kSnapshotPath, "?");
+  stream->onMessage = [onSnapshot = std::move(onSnapshot)](std::string_view message) {
+    const auto snapshot = unpack<FleetSnapshot>(message);
+    if (snapshot) onSnapshot(*snapshot);
+  };
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Node/FleetLink.h
@@ -0,0 +1,59 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_NODE_FLEETLINK_H
+#define HALLCHUTE_NODE_FLEETLINK_H
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Hallchute/src/Fleet/FleetView.h"
+#include "Hallchute/src/Gateway/UpstreamRecord.h"
+#include "Hallchute/src/Net/PeerTransport.h"
+
+namespace Hallchute {
+
+class EventLoop;
+
+/// \brief What a daemon that can't reach the store takes from a peer. \ingroup Node
+struct FleetSnapshot {
+  std::uint64_t settingsVersion = 0;
+  /// As the platform holds them; empty if the peer knows none.
+  std::string settingsText;
+  std::vector<UpstreamRecord> upstreams;
+};
+
+/// \brief Carries reports and snapshots between daemons. Control thread only.
+/// \ingroup Node
+///
+/// One stream a peer and direction stays open; reports are pushed on it.
+class FleetLink {
+ public:
+  struct Callbacks {
+    std::function<void(const FleetReport&)> onReport;
+    /// What this daemon tells a peer that asks.
+    std::function<FleetSnapshot()> snapshot;
+  };
+
+  FleetLink(EventLoop& loop, const std::string& listen, Callbacks callbacks);
+  ~FleetLink();
+  FleetLink(const FleetLink&) = delete;
+  FleetLink& operator=(const FleetLink&) = delete;
+
+  /// \brief Pushes a report to each address; streams to others are closed.
+  void push(const FleetReport& report, const std::vector<std::string>& addresses);
+  /// \brief Asks a peer for its snapshot; nothing comes if it can't be reached.
+  void askSnapshot(const std::string& address,
+                   std::function<void(const FleetSnapshot&)> onSnapshot);
+
+ private:
+  Callbacks callbacks_;
+  PeerTransport transport_;
+  std::map<std::string, PeerStreamPtr> streams_;
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_NODE_FLEETLINK_H
--- /dev/null
+++ b/Hallchute/src/Node/FleetWire.h
@@ -0,0 +1,37 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_NODE_FLEETWIRE_H
+#define HALLCHUTE_NODE_FLEETWIRE_H
+
+#include <tuple>
+
+#include "Hallchute/src/Fleet/FleetReport.h"
+#include "Hallchute/src/Net/WireCodec.h"
+#include "Hallchute/src/Node/FleetLink.h"
+
+/// \file
+/// \brief The wire form of what gateway daemons tell each other.
+
+namespace Hallchute {
+
+inline auto wireFields(FleetMember& m) {
+  return std::tie(m.daemon, m.address, m.incarnation);
+}
+inline auto wireFields(DutyHolder& m) {
+  return std::tie(m.daemon, m.incarnation, m.epoch);
+}
+inline auto wireFields(FleetReport& m) {
+  return std::tie(m.self, m.domain, m.settingsVersion, m.spent, m.loads, m.usage, m.draining,
+                  m.duties, m.members, m.leaving);
+}
+inline auto wireFields(UpstreamRecord& m) {
+  return std::tie(m.id, m.service, m.address, m.domain, m.slots, m.state, m.reclaimable, m.coldFor);
+}
+inline auto wireFields(FleetSnapshot& m) {
+  return std::tie(m.settingsVersion, m.settingsText, m.upstreams);
+}
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_NODE_FLEETWIRE_H
--- /dev/null
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -0,0 +1,265 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Node/GatewayNode.h"
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+#include "Hallchute/src/Net/Clock.h"
+#include "Hallchute/src/Observability/LogLine.h"
+
+namespace Hallchute {
+namespace {
+
+/// How often daemons tell each other: what a quota may be overdrawn by grows with it.
+constexpr Millis kReportPeriod{200};
+/// The balancer asks once a second and takes two misses: until then new callers still come.
+constexpr Millis kUntilUnlisted{2'600};
+constexpr Millis kStopPeriod{50};
+/// What must be left of the grace for ending the process.
+constexpr Millis kStopMargin{700};
+/// Descriptors kept for other things than callers and upstreams.
+constexpr std::size_t kReservedDescriptors = 300;
+/// A watch is silent no longer than this, and never longer than contact may be lost unnoticed.
+constexpr Millis kLongestWatch{3'000};
+constexpr Millis kWatchMargin{500};
+/// Windows of usage that are kept: those whose report may still be due.
+constexpr std::int64_t kWindowsKept = 8;
+
+Millis watchWait(const NodeBounds& bounds) {
+  return std::clamp(bounds.contact - kWatchMargin, kWatchMargin, kLongestWatch);
+}
+
+FleetMember memberOf(const NodeStartup& startup) {
+  return {startup.daemon, startup.peerListen, static_cast<std::uint64_t>(wallClockMs())};
+}
+
+}  // namespace
+
+GatewayNode::GatewayNode(NodeStartup startup, NodePorts ports, std::string startupPath)
+    : startup_(std::move(startup)),
+      ports_(std::move(ports)),
+      startupPath_(std::move(startupPath)),
+      self_(memberOf(startup_)),
+      engine_(trafficLoop_, trafficOptions(), ports_.codec, metrics_),
+      readiness_([this] { return engine_.ready() && !stopAsked_; }),
+      metricsPage_(metrics_),
+      callers_(trafficLoop_, startup_.callerListen, engine_, metrics_),
+      readinessServer_(trafficLoop_, startup_.readinessListen, readiness_, metrics_),
+      fleet_(self_),
+      link_(controlLoop_, startup_.peerListen,
+            {[this](const FleetReport& report) { takeReport(report); },
+             [this] { return snapshot(); }}) {
+  if (!startup_.metricsListen.empty()) {
+    metricsServer_.emplace(trafficLoop_, startup_.metricsListen, metricsPage_, metrics_);
+  }
+  fleet_.addAddresses(startup_.seeds);
+  startFollowers();
+}
+
+GatewayNode::~GatewayNode() = default;
+
+TrafficOptions GatewayNode::trafficOptions() const {
+  const NodeBounds& bounds = startup_.bounds;
+  TrafficOptions options;
+  options.domain = startup_.domain;
+  options.ownIp = startup_.ownIp;
+  options.retries = {bounds.retryRatio, bounds.retrySlack, bounds.retryWindow};
+  options.usageWindow = bounds.usageWindow;
+  return options;
+}
+
+void GatewayNode::startFollowers() {
+  using Objects = ObjectFollower::Objects;
+  settingsFollower_ = std::make_unique<ObjectFollower>(
+      "settings", ports_.settings, watchWait(startup_.bounds),
+      ObjectFollower::Callbacks{[this](const Objects& objects) { takeSettings(objects); },
+                                [this](bool reachable) { noteContact(reachable); }});
+  upstreamFollower_ = std::make_unique<ObjectFollower>(
+      "upstreams", ports_.upstreams, watchWait(startup_.bounds),
+      ObjectFollower::Callbacks{[this](const Objects& objects) { takeUpstreams(objects); },
+                                [](bool) {}});
+}
+
+void GatewayNode::noteContact(bool reachable) {
+  trafficLoop_.post([this, reachable] { engine_.setSettingsMayBeOld(!reachable); });
+}
+
+void GatewayNode::takeSettings(const ObjectFollower::Objects& objects) {
+  const auto it = objects.find(std::string(ports_.settingsName));
+  if (it != objects.end()) applySettings(it->second.content, "store");
+}
+
+void GatewayNode::applySettings(const JsonObject& content, std::string_view source) {
+  Findings findings;
+  std::optional<GatewaySettings> settings = ports_.readSettings(content, findings);
+  if (!findings.empty()) {
+    LogLine(LogLevel::error, "settings.faulty")
+        .with("source", source)
+        .with("findings", describe(findings));
+  }
+  if (!settings) return;
+  const std::size_t usable = startup_.descriptors - std::min(startup_.descriptors / 2,
+                                                             kReservedDescriptors);
+  settings->limits.connections = usable / 2;
+  const std::uint64_t version = settings->version;
+  const FrontLimits limits = settings->limits;
+  const auto routes = std::make_shared<const RouteTable>(std::move(*settings));
+  trafficLoop_.post([this, routes, limits] {
+    engine_.setSettings(routes);
+    callers_.setLimits(limits);
+  });
+  controlLoop_.post([this, version, text = jsonText(content)] {
+    if (version <= settingsVersion_) return;
+    settingsVersion_ = version;
+    settingsText_ = text;
+  });
+}
+
+void GatewayNode::takeUpstreams(const ObjectFollower::Objects& objects) {
+  std::vector<UpstreamRecord> records;
+  Findings findings;
+  for (const auto& [name, object] : objects) {
+    std::optional<UpstreamRecord> record = ports_.readUpstream(object, findings);
+    if (record) records.push_back(std::move(*record));
+  }
+  if (!findings.empty()) {
+    LogLine(LogLevel::error, "upstreams.faulty").with("findings", describe(findings));
+  }
+  controlLoop_.post([this, records] { upstreams_ = records; });
+  trafficLoop_.post([this, records = std::move(records)] { engine_.setUpstreams(records); });
+}
+
+void GatewayNode::reportLocally() {
+  const std::int64_t window = engine_.usage().windowAt(Millis(wallClockMs()));
+  engine_.usage().forgetBefore(window - kWindowsKept);
+  LocalReport local{engine_.quota().spent(), engine_.upstreams().ownLoads(),
+                    engine_.usage().counts(), {}};
+  for (const auto& [id, entry] : engine_.upstreams().entries()) {
+    if (entry.record.state == UpstreamState::draining) local.draining.push_back(id);
+  }
+  controlLoop_.post([this, local = std::move(local)] { reportToFleet(local); });
+}
+
+void GatewayNode::reportToFleet(const LocalReport& local) {
+  const Instant now = clockNow();
+  FleetReport report;
+  report.self = self_;
+  report.domain = startup_.domain;
+  report.settingsVersion = settingsVersion_;
+  report.spent = local.spent;
+  report.loads = local.loads;
+  report.usage = local.usage;
+  report.draining = local.draining;
+  report.members = fleet_.members(now);
+  report.leaving = leaving_;
+  link_.push(report, fleet_.targets(now));
+  FleetTold told{fleet_.heard(now), fleet_.known(now), fleet_.loadsElsewhere(now)};
+  trafficLoop_.post([this, told = std::move(told)] { engine_.setFleet(told); });
+  catchUpFromPeers();
+}
+
+void GatewayNode::takeReport(const FleetReport& report) {
+  FleetNews news = fleet_.receive(report, clockNow());
+  if (news.newIncarnation) {
+    LogLine(LogLevel::info, "fleet.member")
+        .with("peer", report.self.daemon.str())
+        .with("address", report.self.address)
+        .with("incarnation", report.self.incarnation);
+  }
+  if (news.spentMore.empty() && news.draining.empty()) return;
+  trafficLoop_.post([this, news = std::move(news)] {
+    for (const auto& [organisation, amount] : news.spentMore) {
+      engine_.noteSpentElsewhere(organisation, amount);
+    }
+    for (const UpstreamId& upstream : news.draining) engine_.noteDraining(upstream);
+  });
+}
+
+/// Peers may hear of settings earlier, or reach a store that is out of reach from here.
+void GatewayNode::catchUpFromPeers() {
+  const FleetReport* ahead = nullptr;
+  for (const FleetReport* report : fleet_.reports(clockNow())) {
+    if (report->settingsVersion > settingsVersion_) ahead = report;
+  }
+  if (ahead == nullptr) return;
+  // The follower's pending watch may hang on a lost path.
+  settingsFollower_->refresh();
+  link_.askSnapshot(ahead->self.address,
+                    [this](const FleetSnapshot& snapshot) { takeSnapshot(snapshot); });
+}
+
+FleetSnapshot GatewayNode::snapshot() const {
+  return {settingsVersion_, settingsText_, upstreams_};
+}
+
+void GatewayNode::takeSnapshot(const FleetSnapshot& snapshot) {
+  if (snapshot.settingsVersion <= settingsVersion_) return;
+  Findings findings;
+  const JsonObject content = parseJsonObject(snapshot.settingsText, findings);
+  if (content) applySettings(content, "peer");
+  if (!upstreams_.empty() || snapshot.upstreams.empty()) return;
+  upstreams_ = snapshot.upstreams;
+  trafficLoop_.post([this, records = snapshot.upstreams] {
+    if (engine_.upstreams().entries().empty()) engine_.setUpstreams(records);
+  });
+}
+
+void GatewayNode::run() {
+  trafficLoop_.every(kReportPeriod, [this] { reportLocally(); });
+  std::thread control([this] { controlLoop_.run(); });
+  settingsFollower_->start();
+  upstreamFollower_->start();
+  LogLine(LogLevel::info, "daemon.start")
+      .with("callers", startup_.callerListen)
+      .with("incarnation", self_.incarnation)
+      .with("store", startup_.storeAddress);
+  trafficLoop_.run();
+  controlLoop_.stop();
+  control.join();
+  settingsFollower_->stop();
+  upstreamFollower_->stop();
+  LogLine(LogLevel::info, "daemon.stopped").with("sessionsLeft", engine_.sessions());
+}
+
+void GatewayNode::stop() {
+  if (stopAsked_.exchange(true)) return;
+  LogLine(LogLevel::info, "daemon.stop").with("graceMs", startup_.bounds.grace);
+  controlLoop_.post([this] { leaving_ = true; });
+  trafficLoop_.post([this] {
+    callers_.drain();
+    stopTurn(clockNow());
+  });
+}
+
+/// Serves what is under way, and callers that still come, until the balancer sends no more.
+void GatewayNode::stopTurn(Instant began) {
+  const auto passed = clockNow() - began;
+  const bool unlisted = passed >= kUntilUnlisted;
+  if (unlisted) callers_.closeIdle();
+  const bool idle = unlisted && engine_.sessions() == 0 && callers_.connections() == 0;
+  if (idle || passed >= startup_.bounds.grace - kStopMargin) {
+    trafficLoop_.stop();
+    return;
+  }
+  trafficLoop_.after(kStopPeriod, [this, began] { stopTurn(began); });
+}
+
+void GatewayNode::reload() {
+  std::ifstream file(startupPath_);
+  std::stringstream text;
+  text << file.rdbuf();
+  Findings findings;
+  const NodeStartup fresh = readNodeStartup(text.str(), findings);
+  if (!findings.empty()) {
+    LogLine(LogLevel::error, "daemon.reloadRefused").with("findings", describe(findings));
+    return;
+  }
+  LogLine(LogLevel::info, "daemon.reload").with("seeds", fresh.seeds.size());
+  controlLoop_.post([this, seeds = fresh.seeds] { fleet_.addAddresses(seeds); });
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Node/GatewayNode.h
@@ -0,0 +1,101 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_NODE_GATEWAYNODE_H
+#define HALLCHUTE_NODE_GATEWAYNODE_H
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "Hallchute/src/Front/FrontServer.h"
+#include "Hallchute/src/Net/EventLoop.h"
+#include "Hallchute/src/Node/FleetLink.h"
+#include "Hallchute/src/Node/NodePorts.h"
+#include "Hallchute/src/Node/NodeStartup.h"
+#include "Hallchute/src/Node/ObjectFollower.h"
+#include "Hallchute/src/Node/PageHandlers.h"
+#include "Hallchute/src/Observability/Metrics.h"
+#include "Hallchute/src/Traffic/TrafficEngine.h"
+
+namespace Hallchute {
+
+/// \brief One gateway daemon with all its parts.
+/// \ingroup Node
+///
+/// Threads: one for traffic, one for control state and peers, one a followed kind of objects, and
+/// the caller's own, which waits for the stop.
+class GatewayNode {
+ public:
+  /// \param startupPath read again by reload().
+  /// \throws Poco::Exception if an address can't be bound.
+  GatewayNode(NodeStartup startup, NodePorts ports, std::string startupPath);
+  ~GatewayNode();
+  GatewayNode(const GatewayNode&) = delete;
+  GatewayNode& operator=(const GatewayNode&) = delete;
+
+  /// \brief Serves until a stop was asked for and done.
+  void run();
+  /// \brief Asks for a planned stop. Any thread.
+  void stop();
+  /// \brief Reads the start-up file again. Any thread.
+  void reload();
+
+ private:
+  /// What the traffic thread tells the control thread at each turn.
+  struct LocalReport {
+    SpentQuota spent;
+    UpstreamLoads loads;
+    UsageByWindow usage;
+    std::vector<UpstreamId> draining;
+  };
+
+  TrafficOptions trafficOptions() const;
+  void startFollowers();
+  void takeSettings(const ObjectFollower::Objects& objects);
+  void applySettings(const JsonObject& content, std::string_view source);
+  void takeUpstreams(const ObjectFollower::Objects& objects);
+  void noteContact(bool reachable);
+  void reportLocally();
+  void reportToFleet(const LocalReport& local);
+  void takeReport(const FleetReport& report);
+  void catchUpFromPeers();
+  void takeSnapshot(const FleetSnapshot& snapshot);
+  FleetSnapshot snapshot() const;
+  void stopTurn(Instant began);
+
+  NodeStartup startup_;
+  NodePorts ports_;
+  std::string startupPath_;
+  FleetMember self_;
+  Metrics metrics_;
+  EventLoop trafficLoop_;
+  EventLoop controlLoop_;
+
+  // Traffic thread.
+  TrafficEngine engine_;
+  ReadinessHandler readiness_;
+  MetricsHandler metricsPage_;
+  FrontServer callers_;
+  FrontServer readinessServer_;
+  std::optional<FrontServer> metricsServer_;
+
+  // Control thread.
+  FleetView fleet_;
+  FleetLink link_;
+  std::uint64_t settingsVersion_ = 0;
+  std::string settingsText_;
+  std::vector<UpstreamRecord> upstreams_;
+  bool leaving_ = false;
+
+  std::unique_ptr<ObjectFollower> settingsFollower_;
+  std::unique_ptr<ObjectFollower> upstreamFollower_;
+  std::atomic<bool> stopAsked_{false};
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_NODE_GATEWAYNODE_H
--- /dev/null
+++ b/Hallchute/src/Node/NodePorts.h
@@ -0,0 +1,39 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_NODE_NODEPORTS_H
+#define HALLCHUTE_NODE_NODEPORTS_H
+
+#include <functional>
+#include <optional>
+#include <string_view>
+
+#include "Hallchute/src/Core/Finding.h"
+#include "Hallchute/src/Gateway/GatewaySettings.h"
+#include "Hallchute/src/Gateway/UpstreamRecord.h"
+#include "Hallchute/src/Ports/ObjectSource.h"
+
+namespace Hallchute {
+
+class DutyPort;
+class TrafficCodec;
+
+/// \brief What a platform's adapter gives to a gateway daemon. \ingroup Node
+struct NodePorts {
+  const TrafficCodec& codec;
+  /// Holds one object, the settings in force.
+  ObjectSource& settings;
+  /// One object an upstream.
+  ObjectSource& upstreams;
+  /// The name of the settings' object among those of its kind.
+  std::string_view settingsName;
+  /// Faults are added to the findings; nothing is returned if the settings can't be used.
+  std::function<std::optional<GatewaySettings>(const JsonObject&, Findings&)> readSettings;
+  std::function<std::optional<UpstreamRecord>(const SourceObject&, Findings&)> readUpstream;
+  /// Null where the deployment has no duties.
+  DutyPort* duties = nullptr;
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_NODE_NODEPORTS_H
--- /dev/null
+++ b/Hallchute/src/Node/NodeStartup.cpp
@@ -0,0 +1,102 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Node/NodeStartup.h"
+
+#include <Poco/Net/SocketAddress.h>
+
+#include <algorithm>
+#include <array>
+
+#include "Hallchute/src/Settings/JsonReader.h"
+
+namespace Hallchute {
+namespace {
+
+constexpr std::array<std::string_view, 4> kLogLevels{"info", "debug", "warning", "error"};
+constexpr double kMostSeconds = 3'600;
+constexpr double kMostMs = kMostSeconds * 1'000;
+constexpr std::int64_t kMostDescriptors = 1'048'576;
+constexpr double kMostRetries = 1'000'000;
+/// Descriptors for the log, the loops, the store and peers.
+constexpr std::int64_t kLeastDescriptors = 64;
+
+std::string address(JsonReader& reader, const std::string& name, bool required) {
+  std::string text = reader.text(name, required);
+  if (text.empty()) return text;
+  try {
+    const Poco::Net::SocketAddress parsed(text);
+    if (text.find(':') == std::string::npos) reader.report(name, "must be ip:port");
+  } catch (const Poco::Exception&) {
+    reader.report(name, "must be ip:port");
+  }
+  return text;
+}
+
+Millis millis(JsonReader& reader, const std::string& name, Millis fallback) {
+  const auto start = static_cast<double>(fallback.count());
+  return Millis(static_cast<Millis::rep>(reader.number(name, 0, kMostMs, start)));
+}
+
+Millis seconds(JsonReader& reader, const std::string& name, Millis fallback) {
+  const std::chrono::duration<double> start = fallback;
+  const std::chrono::duration<double> read(reader.number(name, 0, kMostSeconds, start.count()));
+  return std::chrono::duration_cast<Millis>(read);
+}
+
+void readBounds(JsonReader& reader, NodeBounds& bounds) {
+  bounds.drain = millis(reader, "drainMs", bounds.drain);
+  bounds.settings = millis(reader, "settingsMs", bounds.settings);
+  bounds.contact = millis(reader, "contactMs", bounds.contact);
+  bounds.grace = seconds(reader, "graceS", bounds.grace);
+  bounds.lease = millis(reader, "leaseMs", bounds.lease);
+  bounds.retryRatio = reader.number("retryRatio", 0, 1, bounds.retryRatio);
+  bounds.retryWindow = seconds(reader, "retryWindowS", bounds.retryWindow);
+  bounds.retrySlack = reader.number("retrySlack", 0, kMostRetries, bounds.retrySlack);
+  bounds.usageWindow = seconds(reader, "usageWindowS", bounds.usageWindow);
+  bounds.usageDue = seconds(reader, "usageDueS", bounds.usageDue);
+  if (bounds.usageWindow <= Millis(0)) reader.report("usageWindowS", "must be above 0");
+}
+
+void readListen(JsonReader& reader, NodeStartup& startup) {
+  startup.callerListen = address(reader, "callers", true);
+  startup.readinessListen = address(reader, "readiness", true);
+  startup.peerListen = address(reader, "peers", true);
+  startup.metricsListen = address(reader, "metrics", false);
+}
+
+void readDuties(JsonReader& reader, NodeStartup& startup) {
+  startup.dutyAddress = address(reader, "address", false);
+  startup.reportsUsage = reader.boolean("usage", false);
+  startup.ordersReplicas = reader.boolean("replicas", false);
+}
+
+}  // namespace
+
+NodeStartup readNodeStartup(std::string_view text, Findings& findings) {
+  NodeStartup startup;
+  const JsonObject json = parseJsonObject(text, findings);
+  if (!json) return startup;
+  JsonReader root(json, "", findings);
+  startup.daemon = DaemonId(root.text("daemon", true));
+  startup.domain = DomainName(root.text("failureDomain", true));
+  startup.ownIp = root.text("ip", true);
+  startup.logLevel = root.oneOf("logLevel", kLogLevels);
+  startup.seeds = root.texts("seeds");
+  for (const std::string& name : root.texts("failureDomains")) startup.domains.emplace_back(name);
+  startup.descriptors = static_cast<std::size_t>(
+      root.integer("descriptors", kLeastDescriptors, kMostDescriptors, 1'024));
+  for (const char* section : {"listen", "store"}) {
+    if (!root.has(section)) root.report(section, "is missing");
+  }
+  root.object("listen", [&](JsonReader& reader) { readListen(reader, startup); });
+  root.object("store", [&](JsonReader& reader) {
+    startup.storeAddress = address(reader, "address", true);
+  });
+  root.object("duties", [&](JsonReader& reader) { readDuties(reader, startup); });
+  root.object("bounds", [&](JsonReader& reader) { readBounds(reader, startup.bounds); });
+  root.finish();
+  return startup;
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Node/ObjectFollower.cpp
@@ -0,0 +1,111 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Node/ObjectFollower.h"
+
+#include <utility>
+
+#include "Hallchute/src/Observability/LogLine.h"
+
+namespace Hallchute {
+namespace {
+
+/// Between two tries at a store that doesn't answer: changes must be in force within a few
+/// hundred milliseconds of its return.
+constexpr Millis kRetryPause{250};
+
+std::string_view view(absl::string_view text) {
+  return {text.data(), text.size()};
+}
+
+}  // namespace
+
+ObjectFollower::ObjectFollower(std::string name, ObjectSource& source, Millis watchWait,
+                               Callbacks callbacks)
+    : name_(std::move(name)),
+      source_(source),
+      watchWait_(watchWait),
+      callbacks_(std::move(callbacks)) {}
+
+ObjectFollower::~ObjectFollower() {
+  stop();
+}
+
+void ObjectFollower::start() {
+  thread_ = std::thread([this] { run(); });
+}
+
+void ObjectFollower::stop() {
+  stopping_ = true;
+  wake_.notify_all();
+  if (thread_.joinable()) thread_.join();
+}
+
+void ObjectFollower::pause(Millis time) {
+  std::unique_lock lock(mutex_);
+  wake_.wait_for(lock, time, [this] { return stopping_.load(); });
+}
+
+void ObjectFollower::run() {
+  while (!stopping_) {
+    if (refresh_.exchange(false)) listed_ = false;
+    const bool answered = listed_ ? watchOnce() : listAll();
+    if (!answered) pause(kRetryPause);
+  }
+}
+
+void ObjectFollower::noteContact(bool reachable, const absl::Status& status) {
+  if (reachable == reachable_) return;
+  reachable_ = reachable;
+  LogLine(reachable ? LogLevel::info : LogLevel::warning,
+          reachable ? "store.regained" : "store.lost")
+      .with("follows", name_)
+      .with("asOf", asOf_)
+      .with("detail", view(status.message()));
+  callbacks_.onContact(reachable);
+}
+
+bool ObjectFollower::listAll() {
+  absl::StatusOr<SourceBatch> batch = source_.list();
+  noteContact(batch.ok(), batch.status());
+  if (!batch.ok()) return false;
+  objects_.clear();
+  asOf_ = batch->asOf;
+  listed_ = true;
+  for (SourceObject& object : batch->objects) objects_[object.name] = std::move(object);
+  callbacks_.onChange(objects_);
+  return true;
+}
+
+bool ObjectFollower::watchOnce() {
+  const absl::StatusOr<SourceBatch> batch = source_.watch(asOf_, watchWait_);
+  if (batch.ok()) {
+    noteContact(true, batch.status());
+    apply(*batch);
+    return true;
+  }
+  listed_ = false;
+  // A gap in the history is an answer; so is a watch that was cut: the list tells what is true.
+  const bool gap = absl::IsOutOfRange(batch.status());
+  LogLine(LogLevel::info, "store.watchEnded")
+      .with("follows", name_)
+      .with("asOf", asOf_)
+      .with("detail", view(batch.status().message()));
+  if (gap) return true;
+  return listAll();
+}
+
+void ObjectFollower::apply(const SourceBatch& batch) {
+  asOf_ = batch.asOf;
+  if (batch.objects.empty()) return;
+  for (const SourceObject& object : batch.objects) {
+    if (object.deleted) {
+      objects_.erase(object.name);
+    } else {
+      objects_[object.name] = object;
+    }
+  }
+  callbacks_.onChange(objects_);
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Node/ObjectFollower.h
@@ -0,0 +1,72 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_NODE_OBJECTFOLLOWER_H
+#define HALLCHUTE_NODE_OBJECTFOLLOWER_H
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "Hallchute/src/Core/Time.h"
+#include "Hallchute/src/Ports/ObjectSource.h"
+
+namespace Hallchute {
+
+/// \brief Keeps a copy of the objects of one kind, by listing once and watching on.
+/// \ingroup Node
+///
+/// A thread of its own. A watch that is cut, or whose history is gone, leads to a new list at
+/// once; a store that doesn't answer is asked again after a short pause.
+class ObjectFollower {
+ public:
+  using Objects = std::map<std::string, SourceObject>;
+  struct Callbacks {
+    /// Called with all objects after each change, from the follower's thread.
+    std::function<void(const Objects&)> onChange;
+    /// The store answers again, or no longer.
+    std::function<void(bool reachable)> onContact;
+  };
+
+  /// \param name for log lines.
+  /// \param watchWait how long a watch may stay silent: what a lost path can hide for.
+  ObjectFollower(std::string name, ObjectSource& source, Millis watchWait, Callbacks callbacks);
+  ~ObjectFollower();
+  ObjectFollower(const ObjectFollower&) = delete;
+  ObjectFollower& operator=(const ObjectFollower&) = delete;
+
+  void start();
+  void stop();
+  /// \brief The store may be ahead of this copy: it is listed as soon as the pending call ends.
+  void refresh() { refresh_ = true; }
+
+ private:
+  void run();
+  bool listAll();
+  bool watchOnce();
+  void apply(const SourceBatch& batch);
+  void noteContact(bool reachable, const absl::Status& status);
+  void pause(Millis time);
+
+  std::string name_;
+  ObjectSource& source_;
+  Millis watchWait_;
+  Callbacks callbacks_;
+  Objects objects_;
+  std::uint64_t asOf_ = 0;
+  bool listed_ = false;
+  bool reachable_ = false;
+  std::atomic<bool> refresh_{false};
+  std::atomic<bool> stopping_{false};
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  std::thread thread_;
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_NODE_OBJECTFOLLOWER_H
--- a/Hallchute/src/Observability/Log.cpp
+++ b/Hallchute/src/Observability/Log.cpp
@@ -3,66 +3,44 @@
 
 #include "Hallchute/src/Observability/Log.h"
 
+#include <log4cxx/appenderskeleton.h>
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
-#include <log4cxx/jsonlayout.h>
 #include <log4cxx/logger.h>
-#include <log4cxx/mdc.h>
+#include <log4cxx/patternlayout.h>
 
-#include <string>
+#include "Hallchute/src/Observability/LogLine.h"
 
 namespace Hallchute {
 namespace {
 
-log4cxx::LevelPtr levelOf(LogLevel level) {
-  switch (level) {
-    case LogLevel::debug:
-      return log4cxx::Level::getDebug();
-    case LogLevel::info:
-      return log4cxx::Level::getInfo();
-    case LogLevel::warning:
-      return log4cxx::Level::getWarn();
-    case LogLevel::error:
-      break;
-  }
-  return log4cxx::Level::getError();
-}
-
-/// Written once, before any other thread runs.
-std::string daemonName;
-std::string domainName;
+/// Lines that wait while standard output is not read; further ones are dropped and counted.
+constexpr int kLinesWaiting = 1'024;
 
-/// The library keeps context by thread: each thread gets the daemon's before its first line.
-void ensureContext() {
-  thread_local bool done = false;
-  if (done) return;
-  done = true;
-  log4cxx::MDC::put("daemon", daemonName);
-  log4cxx::MDC::put("failureDomain", domainName);
-}
+}  // namespace
 
-log4cxx::LoggerPtr logger() {
-  return log4cxx::Logger::getLogger("hallchute");
+LogLevel logLevelNamed(std::string_view word) {
+  if (word == "debug") return LogLevel::debug;
+  if (word == "warning") return LogLevel::warning;
+  return word == "error" ? LogLevel::error : LogLevel::info;
 }
 
-}  // namespace
-
 void startLogging(LogLevel least, std::string_view daemon, std::string_view domain) {
-  daemonName = daemon;
-  domainName = domain;
-  const auto layout = std::make_shared<log4cxx::JSONLayout>();
-  layout->setLocationInfo(false);
-  const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, "System.err");
-  log4cxx::BasicConfigurator::configure(appender);
-  logger()->setLevel(levelOf(least));
+  internal::setLogOrigin(least, daemon, domain);
+  const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
+  const auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, "System.out");
+  const auto async = std::make_shared<log4cxx::AsyncAppender>();
+  async->setBufferSize(kLinesWaiting);
+  async->setBlocking(false);
+  async->addAppender(console);
+  log4cxx::BasicConfigurator::configure(async);
+  // What passes is decided in LogLine, before a line is made.
+  log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::getDebug());
 }
 
 void logLine(LogLevel level, std::string_view message) {
-  const log4cxx::LevelPtr kind = levelOf(level);
-  const log4cxx::LoggerPtr target = logger();
-  if (!target->isEnabledFor(kind)) return;
-  ensureContext();
-  target->forcedLog(kind, std::string(message));
+  LogLine(level, "message").with("text", message);
 }
 
 }  // namespace Hallchute
--- a/Hallchute/src/Observability/Log.h
+++ b/Hallchute/src/Observability/Log.h
@@ -12,8 +12,15 @@
 /// \ingroup Observability
 enum class LogLevel { debug, info, warning, error };
 
-/// \brief Sends logs to standard error, a JSON object a line.
+/// \brief The level that a start-up file names; `info` if it is none.
 /// \ingroup Observability
+LogLevel logLevelNamed(std::string_view word);
+
+/// \brief Sends logs to standard output, a JSON object a line.
+/// \ingroup Observability
+///
+/// A thread of its own writes them: nobody else ever waits for a reader. Lines that find no room
+/// are dropped.
 /// \param least lines below it are left out.
 /// \param daemon, domain members of every line.
 void startLogging(LogLevel least, std::string_view daemon, std::string_view domain);
@@ -22,6 +29,11 @@
 /// \ingroup Observability
 void logLine(LogLevel level, std::string_view message);
 
+namespace internal {
+/// \brief What LogLine puts into every line, and the least level it writes.
+void setLogOrigin(LogLevel least, std::string_view daemon, std::string_view domain);
+}  // namespace internal
+
 }  // namespace Hallchute
 
 #endif  // HALLCHUTE_OBSERVABILITY_LOG_H
--- a/Hallchute/src/Observability/LogContext.h
+++ b/Hallchute/src/Observability/LogContext.h
@@ -4,9 +4,9 @@
 #ifndef HALLCHUTE_OBSERVABILITY_LOGCONTEXT_H
 #define HALLCHUTE_OBSERVABILITY_LOGCONTEXT_H
 
-#include <log4cxx/mdc.h>
-
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace Hallchute {
 
@@ -14,10 +14,23 @@
 /// \ingroup Observability
 class LogContext {
  public:
-  LogContext(const std::string& key, const std::string& value) : entry_(key, value) {}
+  using Fields = std::vector<std::pair<std::string, std::string>>;
+
+  LogContext(std::string key, std::string value) {
+    fields().emplace_back(std::move(key), std::move(value));
+  }
+  ~LogContext() { fields().pop_back(); }
+  LogContext(const LogContext&) = delete;
+  LogContext& operator=(const LogContext&) = delete;
+
+  /// \brief The members of this thread's lines, outermost first.
+  static const Fields& current() { return fields(); }
 
  private:
-  log4cxx::MDC entry_;
+  static Fields& fields() {
+    static thread_local Fields theFields;
+    return theFields;
+  }
 };
 
 }  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Relay/RelayEvent.h
@@ -0,0 +1,47 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_RELAY_RELAYEVENT_H
+#define HALLCHUTE_RELAY_RELAYEVENT_H
+
+#include <variant>
+
+namespace Hallchute {
+
+/// \brief What happens to a request under way; see RelayCourse. \ingroup Relay
+namespace RelayEvents {
+
+/// The request was admitted: the first dispatch may go out.
+struct Begin {};
+/// There is nobody to dispatch to, or the retry budget is empty.
+struct NobodyToAsk {};
+/// The dispatch provably never left this host.
+struct NotSent {};
+/// The upstream says that it did not run the request.
+struct NotExecuted {};
+/// A whole event of a stream came.
+struct Piece {};
+/// The whole answer came; of a stream, its end.
+struct Whole {
+  bool success = true;
+};
+/// The connection ended or its bytes were faulty after the request was sent.
+struct Broken {};
+/// The upstream took the request and has been silent for longer than it should.
+struct Silent {};
+struct CallerLeft {};
+/// The time limit of the request passed.
+struct TimeUp {};
+
+}  // namespace RelayEvents
+
+/// \ingroup Relay
+using RelayEvent =
+    std::variant<RelayEvents::Begin, RelayEvents::NobodyToAsk, RelayEvents::NotSent,
+                 RelayEvents::NotExecuted, RelayEvents::Piece, RelayEvents::Whole,
+                 RelayEvents::Broken, RelayEvents::Silent, RelayEvents::CallerLeft,
+                 RelayEvents::TimeUp>;
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_RELAY_RELAYEVENT_H
--- a/Hallchute/src/Settings/JsonReader.cpp
+++ b/Hallchute/src/Settings/JsonReader.cpp
@@ -3,6 +3,8 @@
 
 #include "Hallchute/src/Settings/JsonReader.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 
 namespace Hallchute {
@@ -40,6 +42,19 @@
   return number;
 }
 
+double JsonReader::number(const std::string& name, double least, double most, double fallback) {
+  const Poco::Dynamic::Var value = take(name);
+  if (value.isEmpty()) return fallback;
+  if (!value.isNumeric() || value.isBoolean()) {
+    report(name, "must be a number");
+    return fallback;
+  }
+  const auto found = value.convert<double>();
+  if (found >= least && found <= most) return found;
+  report(name, absl::StrCat("must be between ", least, " and ", most, ", is ", found));
+  return fallback;
+}
+
 bool JsonReader::boolean(const std::string& name, bool fallback) {
   const Poco::Dynamic::Var value = take(name);
   if (value.isEmpty()) return fallback;
--- a/Hallchute/src/Settings/JsonReader.h
+++ b/Hallchute/src/Settings/JsonReader.h
@@ -28,6 +28,8 @@
   /// \brief An integer within [\p least, \p most]; \p fallback if absent or faulty.
   std::int64_t integer(const std::string& name, std::int64_t least, std::int64_t most,
                        std::int64_t fallback);
+  /// \brief A number within [\p least, \p most]; \p fallback if absent or faulty.
+  double number(const std::string& name, double least, double most, double fallback);
   bool boolean(const std::string& name, bool fallback);
   /// \brief A string; a finding if it is absent and \p required.
   std::string text(const std::string& name, bool required);
--- /dev/null
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -0,0 +1,180 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Traffic/TrafficEngine.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Hallchute/src/Front/FrontExchange.h"
+#include "Hallchute/src/Net/Clock.h"
+#include "Hallchute/src/Net/EventLoop.h"
+#include "Hallchute/src/Observability/LogLine.h"
+#include "Hallchute/src/Observability/Metrics.h"
+#include "Hallchute/src/Ports/TrafficCodec.h"
+#include "Hallchute/src/Traffic/RetryAfter.h"
+#include "Hallchute/src/Traffic/TrafficSession.h"
+
+namespace Hallchute {
+namespace {
+
+constexpr Millis kSweepPeriod{500};
+/// When a caller may come back to a daemon that knows no settings yet: a start takes about that.
+constexpr Millis kNotKnownYetWait{300};
+/// The part of an upstream's connections that daemons use together: some may be unknown.
+constexpr double kConnectionsUsed = 0.9;
+/// Even a large fleet's daemon needs a few connections to work at all.
+constexpr std::size_t kLeastConnections = 3;
+
+double quotaAmount(const GatewayOrganisation& organisation, const ClientRequest& request) {
+  if (!organisation.countsTokens) return 1;
+  if (!request.promptTokens) return static_cast<double>(organisation.plainTokens);
+  return static_cast<double>(*request.promptTokens + request.maxOutputTokens);
+}
+
+}  // namespace
+
+TrafficEngine::TrafficEngine(EventLoop& loop, TrafficOptions options, const TrafficCodec& codec,
+                             Metrics& metrics)
+    : loop_(loop),
+      options_(std::move(options)),
+      codec_(codec),
+      metrics_(metrics),
+      pool_(loop, options_.ownIp, metrics),
+      usage_(options_.usageWindow) {
+  loop_.every(kSweepPeriod, [this] { sweep(); });
+}
+
+TrafficEngine::~TrafficEngine() = default;
+
+void TrafficEngine::sweep() {
+  const Instant now = clockNow();
+  pool_.sweep(now);
+  upstreams_.sweep(now);
+}
+
+void TrafficEngine::setSettings(std::shared_ptr<const RouteTable> routes) {
+  if (routes_ != nullptr && routes->settings().version <= routes_->settings().version) return;
+  LogLine(LogLevel::info, "settings.applied")
+      .with("version", routes->settings().version)
+      .with("before", routes_ == nullptr ? 0 : routes_->settings().version)
+      .with("routes", routes->settings().routes.size());
+  routes_ = std::move(routes);
+}
+
+void TrafficEngine::setUpstreams(std::span<const UpstreamRecord> records) {
+  const Instant now = clockNow();
+  for (const UpstreamId& gone : upstreams_.replace(records, now)) {
+    LogLine(LogLevel::info, "upstream.gone").with("upstream", gone.str());
+    pool_.forget(gone);
+  }
+}
+
+void TrafficEngine::noteDraining(const UpstreamId& upstream) {
+  upstreams_.noteDraining(upstream);
+}
+
+void TrafficEngine::setFleet(const FleetTold& told) {
+  daemons_ = std::max<std::size_t>(1, told.known);
+  upstreams_.setLoadsElsewhere(told.loads);
+  const double part =
+      static_cast<double>(std::max<std::size_t>(1, told.heard)) / static_cast<double>(daemons_);
+  quota_.setHeardPart(std::min(1.0, part), clockNow());
+}
+
+void TrafficEngine::noteSpentElsewhere(const OrganisationName& organisation, double amount) {
+  quota_.noteSpentElsewhere(organisation, amount);
+}
+
+void TrafficEngine::refuse(FrontExchange& exchange, const ClientRequest& request, int status,
+                           std::string_view reason, std::optional<Millis> retryAfter) {
+  LogLine(LogLevel::info, "request.refused")
+      .with("request", request.id.str())
+      .with("status", status)
+      .with("reason", reason)
+      .with("settings", routes_ == nullptr ? 0 : routes_->settings().version)
+      .with("retryAfterMs", retryAfter.value_or(Millis(0)));
+  metrics_.add("hallchute_requests_refused_total", "reason=\"" + std::string(reason) + "\"");
+  HttpFields fields;
+  if (retryAfter) fields.add("Retry-After", retryAfterText(*retryAfter));
+  exchange.answer(status, std::move(fields), "");
+}
+
+bool TrafficEngine::authorise(FrontExchange& exchange, const ClientRequest& request,
+                              const Route& route, const GatewayOrganisation*& organisation) {
+  const bool needsKey = !route.open && !routes_->settings().organisations.empty();
+  if (!needsKey) return true;
+  organisation = routes_->organisationOf(request.key);
+  if (organisation != nullptr) return true;
+  if (settingsMayBeOld_) {
+    refuse(exchange, request, 503, "settingsOld", kNotKnownYetWait);
+  } else {
+    refuse(exchange, request, 401, "unknownKey", std::nullopt);
+  }
+  return false;
+}
+
+void TrafficEngine::handle(const std::shared_ptr<FrontExchange>& exchange) {
+  const Instant now = clockNow();
+  const HttpHead& head = exchange->head();
+  const ClientRequest request = codec_.readRequest(head);
+  if (routes_ == nullptr) {
+    refuse(*exchange, request, 503, "noSettings", kNotKnownYetWait);
+    return;
+  }
+  const Route* route = routes_->find(head.fields.get("Host"), head.target);
+  if (route == nullptr) {
+    if (settingsMayBeOld_) {
+      refuse(*exchange, request, 503, "settingsOld", kNotKnownYetWait);
+    } else {
+      refuse(*exchange, request, 404, "noRoute", std::nullopt);
+    }
+    return;
+  }
+  const GatewayOrganisation* organisation = nullptr;
+  if (!authorise(*exchange, request, *route, organisation)) return;
+  SessionAdmission admission{routes_, route, organisation, request, 0};
+  if (organisation != nullptr) {
+    admission.quotaTaken = quotaAmount(*organisation, request);
+    const std::optional<Millis> wait = quota_.take(*organisation, admission.quotaTaken, now);
+    if (wait) {
+      refuse(*exchange, request, 429, "quota", wait);
+      return;
+    }
+  }
+  const std::uint64_t id = nextSession_++;
+  const auto session = std::make_shared<TrafficSession>(*this, id, exchange, std::move(admission));
+  sessions_[id] = session;
+  session->begin();
+}
+
+std::size_t TrafficEngine::connectionShare(const ServiceName& service) const {
+  const GatewayService* found = routes_->service(service);
+  const double all = found == nullptr ? 0 : found->maxConnections;
+  const auto share =
+      static_cast<std::size_t>(all * kConnectionsUsed / static_cast<double>(daemons_));
+  return std::max(kLeastConnections, share);
+}
+
+bool TrafficEngine::takeRepeat(const ServiceName& service, Instant now) {
+  return retries_[service].takeRepeat(options_.retries, daemons_, now);
+}
+
+void TrafficEngine::giveBackQuota(const OrganisationName& organisation, double amount) {
+  quota_.giveBack(organisation, amount);
+}
+
+void TrafficEngine::noteRun(const OrganisationName& organisation) {
+  usage_.noteRun(organisation, Millis(wallClockMs()));
+}
+
+void TrafficEngine::endSession(std::uint64_t session) {
+  const auto it = sessions_.find(session);
+  if (it == sessions_.end()) return;
+  // The call comes out of the session itself.
+  const std::shared_ptr<TrafficSession> ended = std::move(it->second);
+  sessions_.erase(it);
+  loop_.post([ended] {});
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Traffic/TrafficOptions.h
@@ -0,0 +1,27 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_TRAFFIC_TRAFFICOPTIONS_H
+#define HALLCHUTE_TRAFFIC_TRAFFICOPTIONS_H
+
+#include <string>
+
+#include "Hallchute/src/Core/Id.h"
+#include "Hallchute/src/Core/Time.h"
+#include "Hallchute/src/Gateway/RetryWindow.h"
+
+namespace Hallchute {
+
+/// \brief What the traffic thread is told at start. \ingroup Traffic
+struct TrafficOptions {
+  DomainName domain;
+  /// Connections to upstreams leave from it.
+  std::string ownIp;
+  RetryAllowance retries;
+  /// The length of a usage window.
+  Millis usageWindow{5'000};
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_TRAFFIC_TRAFFICOPTIONS_H
--- a/app/main.cpp
+++ b/app/main.cpp
@@ -10,8 +10,11 @@
 #include <vector>
 
 #include "Hallchute/Cli"
+#include "platform/GatewayCommand.h"
 
 int main(int argc, char** argv) {
+  Hallchute::registerCommand({"gateway", "serve the users' platform: --config=FILE",
+                              Hallchute::gatewayCommand});
   absl::SetProgramUsageMessage(std::string(Hallchute::usageText()));
   if (argc == 2 && std::string_view(argv[1]) == "--help") {
     std::cout << Hallchute::usageText();
