--- a/Hallchute/src/Front/FrontConnection.cpp
+++ b/Hallchute/src/Front/FrontConnection.cpp
@@ -136,8 +136,8 @@
   reusable_ = head.keepAlive;
   headRequest_ = head.method == "HEAD";
   chunked_ = head.version >= 11;
-  exchange_ = std::make_shared<FrontExchange>(*this, std::move(head), reader_.takeBody(),
-                                              clockNow());
+  exchange_ =
+      std::make_shared<FrontExchange>(*this, std::move(head), reader_.takeBody(), clockNow());
   const std::shared_ptr<FrontExchange> exchange = exchange_;
   server_.handler().handle(exchange);
 }
--- a/Hallchute/src/Front/FrontExchange.cpp
+++ b/Hallchute/src/Front/FrontExchange.cpp
@@ -11,10 +11,7 @@
 
 FrontExchange::FrontExchange(FrontConnection& connection, HttpHead head, std::string body,
                              Instant arrived)
-    : head_(std::move(head)),
-      body_(std::move(body)),
-      arrived_(arrived),
-      connection_(&connection) {}
+    : head_(std::move(head)), body_(std::move(body)), arrived_(arrived), connection_(&connection) {}
 
 void FrontExchange::answer(int status, HttpFields fields, std::string_view body) {
   if (connection_ == nullptr) return;
--- a/Hallchute/src/Gateway/RetryWindow.cpp
+++ b/Hallchute/src/Gateway/RetryWindow.cpp
@@ -20,7 +20,8 @@
 bool RetryWindow::takeRepeat(const RetryAllowance& allowance, std::size_t daemons, Instant now) {
   dropBefore(requests_, now - allowance.window);
   dropBefore(repeats_, now - allowance.window);
-  const double share = allowance.slack * kSlackUsed / static_cast<double>(std::max(daemons, std::size_t{1}));
+  const double share =
+      allowance.slack * kSlackUsed / static_cast<double>(std::max(daemons, std::size_t{1}));
   const double allowed = allowance.ratio * static_cast<double>(requests_.size()) + share;
   if (static_cast<double>(repeats_.size()) + 1 > allowed) return false;
   repeats_.push_back(now);
--- a/Hallchute/src/Gateway/UpstreamPick.cpp
+++ b/Hallchute/src/Gateway/UpstreamPick.cpp
@@ -64,8 +64,7 @@
     const double slots = std::max<std::uint32_t>(1, entry->record.slots);
     const double foreign = entry->record.domain == wish.ownDomain ? 0 : kForeignCost;
     // The draw only breaks ties: it is worth less than one request.
-    const double cost =
-        (entry->load() + draw(*entry, wish.requestId)) / slots + foreign;
+    const double cost = (entry->load() + draw(*entry, wish.requestId)) / slots + foreign;
     if (best != nullptr && cost >= bestCost) continue;
     best = entry;
     bestCost = cost;
--- a/Hallchute/src/Http/HttpFields.cpp
+++ b/Hallchute/src/Http/HttpFields.cpp
@@ -13,9 +13,15 @@
 namespace Hallchute {
 namespace {
 
-constexpr std::array<std::string_view, 9> kHopByHop{
-    "Connection", "Keep-Alive", "Proxy-Connection",    "Proxy-Authenticate", "Proxy-Authorization",
-    "TE",         "Trailer",    "Transfer-Encoding",   "Upgrade"};
+constexpr std::array<std::string_view, 9> kHopByHop{"Connection",
+                                                    "Keep-Alive",
+                                                    "Proxy-Connection",
+                                                    "Proxy-Authenticate",
+                                                    "Proxy-Authorization",
+                                                    "TE",
+                                                    "Trailer",
+                                                    "Transfer-Encoding",
+                                                    "Upgrade"};
 
 absl::string_view abslView(std::string_view text) {
   return {text.data(), text.size()};
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -102,8 +102,8 @@
         .with("findings", describe(findings));
   }
   if (!settings) return;
-  const std::size_t usable = startup_.descriptors - std::min(startup_.descriptors / 2,
-                                                             kReservedDescriptors);
+  const std::size_t usable =
+      startup_.descriptors - std::min(startup_.descriptors / 2, kReservedDescriptors);
   settings->limits.connections = usable / 2;
   const std::uint64_t version = settings->version;
   const FrontLimits limits = settings->limits;
@@ -136,8 +136,8 @@
 void GatewayNode::reportLocally() {
   const std::int64_t window = engine_.usage().windowAt(Millis(wallClockMs()));
   engine_.usage().forgetBefore(window - kWindowsKept);
-  LocalReport local{engine_.quota().spent(), engine_.upstreams().ownLoads(),
-                    engine_.usage().counts(), {}};
+  LocalReport local{
+      engine_.quota().spent(), engine_.upstreams().ownLoads(), engine_.usage().counts(), {}};
   for (const auto& [id, entry] : engine_.upstreams().entries()) {
     if (entry.record.state == UpstreamState::draining) local.draining.push_back(id);
   }
--- a/Hallchute/src/Node/NodeStartup.cpp
+++ b/Hallchute/src/Node/NodeStartup.cpp
@@ -90,9 +90,8 @@
     if (!root.has(section)) root.report(section, "is missing");
   }
   root.object("listen", [&](JsonReader& reader) { readListen(reader, startup); });
-  root.object("store", [&](JsonReader& reader) {
-    startup.storeAddress = address(reader, "address", true);
-  });
+  root.object("store",
+              [&](JsonReader& reader) { startup.storeAddress = address(reader, "address", true); });
   root.object("duties", [&](JsonReader& reader) { readDuties(reader, startup); });
   root.object("bounds", [&](JsonReader& reader) { readBounds(reader, startup.bounds); });
   root.finish();
--- a/Hallchute/src/Observability/LogLine.cpp
+++ b/Hallchute/src/Observability/LogLine.cpp
@@ -127,7 +127,8 @@
 LogLine::LogLine(LogLevel level, std::string_view event) : level_(level) {
   const Origin& own = origin();
   std::uint64_t dropped = 0;
-  enabled_ = own.started && level >= own.least && budget().take(level >= LogLevel::warning, dropped);
+  enabled_ =
+      own.started && level >= own.least && budget().take(level >= LogLevel::warning, dropped);
   if (!enabled_) return;
   text_ = "{\"time\":\"" +
           Poco::DateTimeFormatter::format(Poco::Timestamp(), "%Y-%m-%dT%H:%M:%S.%iZ") +
--- a/Hallchute/src/Relay/RelayEvent.h
+++ b/Hallchute/src/Relay/RelayEvent.h
@@ -36,11 +36,10 @@
 }  // namespace RelayEvents
 
 /// \ingroup Relay
-using RelayEvent =
-    std::variant<RelayEvents::Begin, RelayEvents::NobodyToAsk, RelayEvents::NotSent,
-                 RelayEvents::NotExecuted, RelayEvents::Piece, RelayEvents::Whole,
-                 RelayEvents::Broken, RelayEvents::Silent, RelayEvents::CallerLeft,
-                 RelayEvents::TimeUp>;
+using RelayEvent = std::variant<RelayEvents::Begin, RelayEvents::NobodyToAsk, RelayEvents::NotSent,
+                                RelayEvents::NotExecuted, RelayEvents::Piece, RelayEvents::Whole,
+                                RelayEvents::Broken, RelayEvents::Silent, RelayEvents::CallerLeft,
+                                RelayEvents::TimeUp>;
 
 }  // namespace Hallchute
 
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -145,6 +145,7 @@
   const std::uint64_t id = nextSession_++;
   const auto session = std::make_shared<TrafficSession>(*this, id, exchange, std::move(admission));
   sessions_[id] = session;
+  retries_[session->service()].noteRequest(now);
   session->begin();
 }
 
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -58,8 +58,8 @@
       exchange_(std::move(exchange)),
       admission_(std::move(admission)),
       service_(RouteTable::pickTarget(*admission_.route, admission_.request.id.str())),
-      course_({admission_.route->mayRepeat(), admission_.route->resumable,
-               admission_.route->maxRuns}),
+      course_(
+          {admission_.route->mayRepeat(), admission_.route->resumable, admission_.route->maxRuns}),
       deadline_(exchange_->arrived() + limitOf(*admission_.route, admission_.request)) {
   wish_.service = service_;
   if (admission_.route->sharesPrompts) wish_.affinity = affinityOf(admission_.request);
@@ -72,7 +72,9 @@
 }
 
 void TrafficSession::begin() {
-  exchange_->onCallerLeft = [this] { take(RelayEvents::CallerLeft{}); };
+  exchange_->onCallerLeft = [weak = weak_from_this()] {
+    if (const auto session = weak.lock()) session->take(RelayEvents::CallerLeft{});
+  };
   const Millis left = remaining();
   deadlineTimer_ = engine_.loop().after(left, [this] {
     deadlineTimer_ = 0;
@@ -122,8 +124,7 @@
   const Instant now = clockNow();
   const UpstreamId id = upstream.record.id;
   wish_.tried.insert(id);
-  const ChannelCare care =
-      admission_.route->mayRepeat() ? ChannelCare::any : ChannelCare::sure;
+  const ChannelCare care = admission_.route->mayRepeat() ? ChannelCare::any : ChannelCare::sure;
   channel_ = engine_.pool().take(id, upstream.record.address, care,
                                  engine_.connectionShare(service_), now);
   if (channel_ == nullptr) return false;
@@ -171,8 +172,7 @@
 
 bool TrafficSession::upstreamHead(const HttpHead& head) {
   answer_ = engine_.codec().readAnswer(head);
-  if (!answer_.notExecuted && !answer_.otherUpstream &&
-      answer_.id != admission_.request.id) {
+  if (!answer_.notExecuted && !answer_.otherUpstream && answer_.id != admission_.request.id) {
     LogLine(LogLevel::warning, "upstream.foreignAnswer")
         .with("request", wish_.requestId)
         .with("upstream", upstream_.str())
@@ -344,7 +344,6 @@
 
 void TrafficSession::finish(std::string_view outcome, int status) {
   stopTimers();
-  exchange_->onCallerLeft = nullptr;
   const Instant now = clockNow();
   const auto total = std::chrono::duration_cast<Millis>(now - exchange_->arrived());
   const auto first = firstPieceAt_.value_or(now) - exchange_->arrived();
--- a/Hallchute/src/Traffic/TrafficSession.h
+++ b/Hallchute/src/Traffic/TrafficSession.h
@@ -35,13 +35,15 @@
 
 /// \brief One admitted request with its connections: carries out what RelayCourse decides.
 /// \ingroup Traffic
-class TrafficSession final : public UpstreamListener {
+class TrafficSession final : public UpstreamListener,
+                             public std::enable_shared_from_this<TrafficSession> {
  public:
   TrafficSession(TrafficEngine& engine, std::uint64_t id, std::shared_ptr<FrontExchange> exchange,
                  SessionAdmission admission);
   ~TrafficSession() override;
 
   void begin();
+  const ServiceName& service() const { return service_; }
 
   bool upstreamHead(const HttpHead& head) override;
   void upstreamBody(std::string_view bytes) override;
--- a/Hallchute/src/Upstream/UpstreamPool.cpp
+++ b/Hallchute/src/Upstream/UpstreamPool.cpp
@@ -48,12 +48,14 @@
   while (!entry.idle.empty()) {
     Idle idle = std::move(entry.idle.back());
     entry.idle.pop_back();
-    const Millis limit = care == ChannelCare::sure ? sureFor(*idle.channel) : keptFor(*idle.channel);
+    const Millis limit =
+        care == ChannelCare::sure ? sureFor(*idle.channel) : keptFor(*idle.channel);
     if (now - idle.since < limit && idle.channel->quiet()) {
       idle.channel->onIdleEnd = nullptr;
       return std::move(idle.channel);
     }
     --entry.open;
+    idle.channel->abort();
     destroy(std::move(idle.channel));
   }
   if (entry.open >= most) return nullptr;
@@ -82,7 +84,8 @@
   eraseIfEmpty(upstream);
 }
 
-void UpstreamPool::dropIdle(const UpstreamId& upstream, const UpstreamChannel* channel) {
+/// By value: the name stands in the callback that is dropped here.
+void UpstreamPool::dropIdle(UpstreamId upstream, const UpstreamChannel* channel) {
   const auto it = entries_.find(upstream);
   if (it == entries_.end()) return;
   std::vector<Idle>& idle = it->second.idle;
@@ -100,9 +103,8 @@
 }
 
 void UpstreamPool::destroy(std::unique_ptr<UpstreamChannel> channel) {
-  // The call may come out of a callback of that very channel.
+  // The call may come out of a callback of that very channel, which lives until the next turn.
   const std::shared_ptr<UpstreamChannel> gone = std::move(channel);
-  gone->onIdleEnd = nullptr;
   loop_.post([gone] {});
 }
 
