Daemons hear each other: quotas hold over the fleet

Ruled out: the ledger's arithmetic (its own part held). Change: the store's address, which all daemons of a deployment share, is the word; peers' sockets keep their watch instead of making a new one at each flush.

--- a/Hallchute/src/Net/PeerConnection.cpp
+++ b/Hallchute/src/Net/PeerConnection.cpp
@@ -27,7 +27,12 @@
   socket_.setBlocking(false);
   socket_.setNoDelay(true);
   watchLiveness(socket_);
-  updateWatch();
+  transport_.loop_.watch(socket_.impl()->sockfd(), POLLIN,
+                         [&transport = transport_, id = id_](short ready) {
+                           if (PeerConnection* connection = transport.find(id)) {
+                             connection->onReady(ready);
+                           }
+                         });
 }
 
 PeerConnection::~PeerConnection() {
@@ -146,10 +151,7 @@
 
 void PeerConnection::updateWatch() {
   const auto events = static_cast<short>(output_.empty() ? POLLIN : POLLIN | POLLOUT);
-  PeerTransport& transport = transport_;
-  transport_.loop_.watch(socket_.impl()->sockfd(), events, [&transport, id = id_](short ready) {
-    if (PeerConnection* connection = transport.find(id)) connection->onReady(ready);
-  });
+  transport_.loop_.rewatch(socket_.impl()->sockfd(), events);
 }
 
 void PeerConnection::onReady(short events) {
--- a/Hallchute/src/Node/FleetLink.cpp
+++ b/Hallchute/src/Node/FleetLink.cpp
@@ -19,8 +19,9 @@
 
 }  // namespace
 
-FleetLink::FleetLink(EventLoop& loop, const std::string& listen, Callbacks callbacks)
-    : callbacks_(std::move(callbacks)), transport_(loop, listen, "") {
+FleetLink::FleetLink(EventLoop& loop, const std::string& listen, const std::string& fleet,
+                     Callbacks callbacks)
+    : callbacks_(std::move(callbacks)), transport_(loop, listen, fleet) {
   transport_.serve(kReportPath, [this](const PeerStreamPtr& stream) {
     stream->onMessage = [this](std::string_view message) {
       const auto report = unpack<FleetReport>(message);
--- a/Hallchute/src/Node/FleetLink.h
+++ b/Hallchute/src/Node/FleetLink.h
@@ -37,7 +37,9 @@
     std::function<FleetSnapshot()> snapshot;
   };
 
-  FleetLink(EventLoop& loop, const std::string& listen, Callbacks callbacks);
+  /// \param fleet a word that all daemons of a deployment share: others are turned away.
+  FleetLink(EventLoop& loop, const std::string& listen, const std::string& fleet,
+            Callbacks callbacks);
   ~FleetLink();
   FleetLink(const FleetLink&) = delete;
   FleetLink& operator=(const FleetLink&) = delete;
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -50,7 +50,8 @@
       callers_(trafficLoop_, startup_.callerListen, engine_, metrics_),
       readinessServer_(trafficLoop_, startup_.readinessListen, readiness_, metrics_),
       fleet_(self_),
-      link_(controlLoop_, startup_.peerListen,
+      // All daemons of a deployment share its store, and no two deployments do.
+      link_(controlLoop_, startup_.peerListen, startup_.storeAddress,
             {[this](const FleetReport& report) { takeReport(report); },
              [this] { return snapshot(); }}) {
   if (!startup_.metricsListen.empty()) {
