Duties by one holder: usage reports and orders of replicas

Change: one record in the store with holder, epoch and the counts already fixed; usage is fixed there before it is sent; a planner orders reclaimable replicas spread over the failure domains and keeps on-demand ones only until those are ready.

--- /dev/null
+++ b/Hallchute/src/Capacity/ReplicaPlanner.cpp
@@ -0,0 +1,134 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Capacity/ReplicaPlanner.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Hallchute {
+namespace {
+
+double priceIn(const ReplicaLimits& limits, const DomainName& domain) {
+  const auto it = limits.domainPrices.find(domain);
+  return it == limits.domainPrices.end() ? 1.0 : it->second;
+}
+
+std::uint32_t dividedUp(std::uint32_t total, std::uint32_t parts) {
+  return (total + parts - 1) / parts;
+}
+
+}  // namespace
+
+bool ReplicaPlanner::refused(const ReplicaGroup& group, Instant now) const {
+  const auto it = refusedUntil_.find(group);
+  return it != refusedUntil_.end() && now < it->second;
+}
+
+void ReplicaPlanner::noteOrdered(const ReplicaOrder& order) {
+  ordered_[order.group] = order.count;
+}
+
+void ReplicaPlanner::noteRefused(const ReplicaGroup& group, Instant now) {
+  refusedUntil_[group] = now + policy_.refusedFor;
+}
+
+std::uint32_t ReplicaPlanner::needed(const GatewayService& service, std::uint32_t load,
+                                     Instant now) {
+  const auto forLoad = static_cast<std::uint32_t>(std::ceil(load / policy_.runsPerReplica));
+  const std::uint32_t need = std::max(policy_.least, forLoad + policy_.spare);
+  Peak& peak = peaks_[service.name];
+  if (need >= peak.need || now >= peak.until) peak = {need, now + policy_.holdFor};
+  return peak.need;
+}
+
+std::vector<ReplicaOrder> ReplicaPlanner::plan(const CapacityView& view, Instant now) {
+  std::vector<ReplicaOrder> orders;
+  for (const GatewayService& service : view.services) {
+    if (!service.replicas) continue;
+    Domains domains;
+    std::set<DomainName>& seen = seen_[service.name];
+    for (const UpstreamRecord& upstream : view.upstreams) {
+      if (upstream.service != service.name) continue;
+      seen.insert(upstream.domain);
+      if (upstream.state == UpstreamState::draining) continue;
+      Present& present = domains[upstream.domain];
+      ++(upstream.reclaimable ? present.reclaimable : present.onDemand);
+    }
+    for (const DomainName& domain : seen) domains.try_emplace(domain);
+    if (domains.empty()) continue;
+    const auto load = view.load.find(service.name);
+    const std::uint32_t need = needed(service, load == view.load.end() ? 0 : load->second, now);
+    planService(service, domains, need, now, orders);
+  }
+  return orders;
+}
+
+std::map<DomainName, std::uint32_t> ReplicaPlanner::reclaimableWanted(const GatewayService& service,
+                                                                      const Domains& domains,
+                                                                      std::uint32_t need,
+                                                                      Instant now) const {
+  std::map<DomainName, std::uint32_t> wanted;
+  if (!service.replicas->reclaimablePrice) return wanted;
+  std::uint32_t open = 0;
+  for (const auto& [domain, present] : domains) {
+    if (!refused({service.name, domain, true}, now)) ++open;
+  }
+  // With one domain lost, the others carry the need.
+  const std::uint32_t carriers = std::max<std::uint32_t>(1, open > 1 ? open - 1 : open);
+  const std::uint32_t each = std::min(dividedUp(need, carriers), service.replicas->most);
+  for (const auto& [domain, present] : domains) {
+    wanted[domain] = refused({service.name, domain, true}, now) ? present.reclaimable : each;
+  }
+  return wanted;
+}
+
+void ReplicaPlanner::planService(const GatewayService& service, const Domains& domains,
+                                 std::uint32_t need, Instant now,
+                                 std::vector<ReplicaOrder>& orders) {
+  const ReplicaLimits& limits = *service.replicas;
+  const auto wanted = reclaimableWanted(service, domains, need, now);
+  std::uint32_t ready = 0;
+  for (const auto& [domain, present] : domains) ready += present.reclaimable;
+  for (const auto& [domain, count] : wanted) {
+    const ReplicaGroup group{service.name, domain, true};
+    if (!refused(group, now)) add({group, count}, domains.at(domain).reclaimable, orders);
+  }
+  // On-demand replicas make up for what reclaimable ones don't carry yet.
+  std::uint32_t left = std::max(policy_.onDemandFloor, need > ready ? need - ready : 0);
+  std::vector<DomainName> byPrice;
+  for (const auto& [domain, present] : domains) byPrice.push_back(domain);
+  std::stable_sort(byPrice.begin(), byPrice.end(), [&](const auto& a, const auto& b) {
+    return priceIn(limits, a) < priceIn(limits, b);
+  });
+  std::map<DomainName, std::uint32_t> onDemand;
+  // Those that are there are kept before others are ordered.
+  for (const bool keep : {true, false}) {
+    for (const DomainName& domain : byPrice) {
+      const Present& present = domains.at(domain);
+      const std::uint32_t room = limits.most - std::min(limits.most, present.reclaimable);
+      const std::uint32_t most = keep ? std::min(room, present.onDemand) : room;
+      const std::uint32_t have = onDemand[domain];
+      const std::uint32_t more = std::min(left, most > have ? most - have : 0);
+      onDemand[domain] += more;
+      left -= more;
+    }
+  }
+  for (auto& [domain, count] : onDemand) {
+    const Present& present = domains.at(domain);
+    const std::uint32_t floor =
+        limits.least > present.reclaimable ? limits.least - present.reclaimable : 0;
+    count = std::max(count, floor);
+    const ReplicaGroup group{service.name, domain, false};
+    if (!refused(group, now)) add({group, count}, present.onDemand, orders);
+  }
+}
+
+void ReplicaPlanner::add(const ReplicaOrder& order, std::uint32_t present,
+                         std::vector<ReplicaOrder>& orders) {
+  const auto last = ordered_.find(order.group);
+  const std::uint32_t standing = last == ordered_.end() ? present : last->second;
+  if (standing != order.count) orders.push_back(order);
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Capacity/ReplicaPlanner.h
@@ -0,0 +1,94 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_CAPACITY_REPLICAPLANNER_H
+#define HALLCHUTE_CAPACITY_REPLICAPLANNER_H
+
+#include <map>
+#include <set>
+#include <span>
+#include <vector>
+
+#include "Hallchute/src/Capacity/ReplicaOrder.h"
+#include "Hallchute/src/Core/Time.h"
+#include "Hallchute/src/Gateway/GatewaySettings.h"
+#include "Hallchute/src/Gateway/UpstreamRecord.h"
+
+namespace Hallchute {
+
+/// \brief How capacity follows demand; each figure's choice is in docs/CAPACITY.md. \ingroup
+/// Capacity
+struct CapacityPolicy {
+  /// Requests that one replica should work on at once at most. With more, prompts that are read
+  /// delay the tokens of too many.
+  double runsPerReplica = 10;
+  /// Replicas above what the load asks for: a burst comes faster than a replica boots.
+  std::uint32_t spare = 1;
+  /// The least number of a service's replicas, whatever its load.
+  std::uint32_t least = 3;
+  /// On-demand replicas that stay whatever is taken away, in the cheapest failure domains.
+  std::uint32_t onDemandFloor = 1;
+  /// How long a group that had none to give is not asked again.
+  Millis refusedFor{6'000};
+  /// How long capacity stays after the load that asked for it fell.
+  Millis holdFor{10'000};
+};
+
+/// \brief What the planner looks at. \ingroup Capacity
+struct CapacityView {
+  std::span<const GatewayService> services;
+  std::span<const UpstreamRecord> upstreams;
+  /// Requests under way by service, over all daemons.
+  std::map<ServiceName, std::uint32_t> load;
+};
+
+/// \brief Decides how many replicas to order. No I/O, no clock. \ingroup Capacity
+///
+/// Reclaimable replicas carry the load, spread so that the loss of any failure domain leaves
+/// enough; on-demand ones leave only as fast as reclaimable ones are ready to take over.
+class ReplicaPlanner {
+ public:
+  explicit ReplicaPlanner(CapacityPolicy policy) : policy_(policy) {}
+
+  /// \brief The orders that differ from what was ordered last.
+  std::vector<ReplicaOrder> plan(const CapacityView& view, Instant now);
+  /// \brief The platform took an order.
+  void noteOrdered(const ReplicaOrder& order);
+  /// \brief There are none to be had of that group now.
+  void noteRefused(const ReplicaGroup& group, Instant now);
+  /// \brief Another daemon ordered meanwhile: what was ordered last is not known any more.
+  void forget() { ordered_.clear(); }
+
+ private:
+  /// What a service has in a failure domain, not counting what is leaving.
+  struct Present {
+    std::uint32_t onDemand = 0;
+    std::uint32_t reclaimable = 0;
+  };
+  using Domains = std::map<DomainName, Present>;
+
+  std::uint32_t needed(const GatewayService& service, std::uint32_t load, Instant now);
+  void planService(const GatewayService& service, const Domains& domains, std::uint32_t need,
+                   Instant now, std::vector<ReplicaOrder>& orders);
+  std::map<DomainName, std::uint32_t> reclaimableWanted(const GatewayService& service,
+                                                        const Domains& domains, std::uint32_t need,
+                                                        Instant now) const;
+  void add(const ReplicaOrder& order, std::uint32_t present, std::vector<ReplicaOrder>& orders);
+  bool refused(const ReplicaGroup& group, Instant now) const;
+
+  struct Peak {
+    std::uint32_t need = 0;
+    Instant until{};
+  };
+
+  CapacityPolicy policy_;
+  std::map<ReplicaGroup, std::uint32_t> ordered_;
+  std::map<ReplicaGroup, Instant> refusedUntil_;
+  std::map<ServiceName, Peak> peaks_;
+  /// Where a service was ever seen: its groups exist there though all may be gone.
+  std::map<ServiceName, std::set<DomainName>> seen_;
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_CAPACITY_REPLICAPLANNER_H
--- /dev/null
+++ b/Hallchute/src/Duty/DutyKeeper.cpp
@@ -0,0 +1,185 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Duty/DutyKeeper.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Hallchute {
+namespace {
+
+/// After a window's end until all daemons' counts of it are in: several report periods, and the
+/// answers that tell of a run only afterwards.
+constexpr Millis kSettle{2'500};
+/// A silent holder is given up this much after its lease: its clock and ours may drift, and its
+/// last call may be under way.
+constexpr Millis kLeaseMargin{1'000};
+/// Between two tries at a call that failed.
+constexpr Millis kRetry{400};
+/// Windows kept in the record: those that may still be due, and one more.
+constexpr std::int64_t kFixedKept = 4;
+
+}  // namespace
+
+DutyKeeper::DutyKeeper(DutyPolicy policy, DaemonId self, std::uint64_t incarnation)
+    : policy_(policy), self_{std::move(self), incarnation, 0} {}
+
+DutyHolder DutyKeeper::holder() const {
+  return known_ ? known_->record.holder : DutyHolder{};
+}
+
+bool DutyKeeper::renewedWithin(Millis time, Instant now) const {
+  return holds_ && now - renewed_ <= time;
+}
+
+DutyStep DutyKeeper::renewal() const {
+  return DutySteps::Write{known_->record, known_->revision};
+}
+
+void DutyKeeper::stepDown() {
+  holds_ = false;
+  known_.reset();
+  pending_.reset();
+  sending_.reset();
+}
+
+bool DutyKeeper::isFirst(const DutyFacts& facts) const {
+  return !facts.heard.empty() && facts.heard.begin()->first == self_.daemon;
+}
+
+bool DutyKeeper::mayTake(const DutyFacts& facts, Instant now) const {
+  const DutyHolder& holder = known_->record.holder;
+  const auto heard = facts.heard.find(holder.daemon);
+  // A later incarnation means that the one that held them is no more.
+  if (heard != facts.heard.end()) return heard->second != holder.incarnation;
+  return now - seenSince_ >= policy_.lease + kLeaseMargin;
+}
+
+DutyRecord DutyKeeper::taken(const DutyRecord& before) const {
+  DutyRecord record = before;
+  record.holder = self_;
+  record.holder.epoch = before.holder.epoch + 1;
+  return record;
+}
+
+DutyStep DutyKeeper::next(const DutyFacts& facts, Instant now) {
+  if (now < retryAt_) return DutySteps::Nothing{};
+  if (holds_ && facts.named.epoch > holder().epoch) stepDown();
+  return holds_ ? nextAsHolder(facts) : nextAsOther(facts, now);
+}
+
+DutyStep DutyKeeper::nextAsOther(const DutyFacts& facts, Instant now) {
+  if (!isFirst(facts)) {
+    // What was read may change unseen while another daemon is first.
+    known_.reset();
+    absent_ = false;
+    return DutySteps::Nothing{};
+  }
+  const auto named = facts.heard.find(facts.named.daemon);
+  const bool heldElsewhere = facts.named.epoch > 0 && named != facts.heard.end() &&
+                             named->second == facts.named.incarnation &&
+                             facts.named.daemon != self_.daemon;
+  if (heldElsewhere) {
+    known_.reset();
+    return DutySteps::Nothing{};
+  }
+  if (absent_) {
+    pending_ = taken({});
+    return DutySteps::Create{*pending_};
+  }
+  if (!known_) return DutySteps::Read{};
+  if (!mayTake(facts, now)) return DutySteps::Nothing{};
+  pending_ = taken(known_->record);
+  return DutySteps::Write{*pending_, known_->revision};
+}
+
+std::int64_t DutyKeeper::firstWindow(const DutyFacts& facts) const {
+  const std::int64_t oldest = (facts.wallClock - policy_.due - policy_.window) / policy_.window;
+  const DutyRecord& record = known_->record;
+  std::int64_t first = std::max(oldest, record.sentThrough + 1);
+  if (record.sentThrough == 0 && !facts.usage.empty()) {
+    first = std::max(first, facts.usage.begin()->first);
+  }
+  return first;
+}
+
+/// Adds the counts of windows that ended long enough ago. \returns whether there were any.
+bool DutyKeeper::fixWindows(const DutyFacts& facts, DutyRecord& record) const {
+  if (record.sentThrough == 0 && facts.usage.empty()) return false;
+  const std::int64_t last = (facts.wallClock - kSettle) / policy_.window - 1;
+  bool added = false;
+  for (std::int64_t window = firstWindow(facts); window <= last; ++window) {
+    if (record.fixed.contains(window)) continue;
+    const auto counts = facts.usage.find(window);
+    record.fixed[window] = counts == facts.usage.end() ? UsageCounts{} : counts->second;
+    added = true;
+  }
+  record.fixed.erase(record.fixed.begin(),
+                     record.fixed.lower_bound(record.sentThrough - kFixedKept));
+  return added;
+}
+
+DutyStep DutyKeeper::nextAsHolder(const DutyFacts& facts) {
+  const DutyRecord& record = known_->record;
+  const std::int64_t first = firstWindow(facts);
+  for (const auto& [window, counts] : record.fixed) {
+    if (window < first) continue;
+    sending_ = window;
+    return DutySteps::SendUsage{record.holder.epoch, window, counts};
+  }
+  DutyRecord more = record;
+  if (!fixWindows(facts, more)) return DutySteps::Nothing{};
+  pending_ = std::move(more);
+  return DutySteps::Write{*pending_, known_->revision};
+}
+
+void DutyKeeper::noteRead(const StoredDutyRecord& stored, Instant now) {
+  absent_ = false;
+  const bool changed = !known_ || known_->revision != stored.revision;
+  known_ = stored;
+  if (changed) seenSince_ = now;
+  // A write whose answer was lost was done after all.
+  const DutyHolder& holder = stored.record.holder;
+  holds_ = holder.daemon == self_.daemon && holder.incarnation == self_.incarnation;
+  if (holds_) renewed_ = now;
+}
+
+void DutyKeeper::noteOutcome(DutyOutcome outcome, std::uint64_t revision, Instant now) {
+  const std::optional<DutyRecord> pending = std::exchange(pending_, std::nullopt);
+  const std::optional<std::int64_t> sending = std::exchange(sending_, std::nullopt);
+  switch (outcome) {
+    case DutyOutcome::done:
+      if (pending) {
+        known_ = StoredDutyRecord{*pending, revision};
+        seenSince_ = now;
+        renewed_ = now;
+        holds_ = true;
+        absent_ = false;
+      } else if (sending && known_) {
+        known_->record.sentThrough = std::max(known_->record.sentThrough, *sending);
+      }
+      return;
+    case DutyOutcome::superseded:
+      stepDown();
+      absent_ = false;
+      retryAt_ = now + kRetry;
+      return;
+    case DutyOutcome::absent:
+      absent_ = true;
+      return;
+    case DutyOutcome::unavailable:
+      retryAt_ = now + kRetry;
+      return;
+    case DutyOutcome::unknown:
+      retryAt_ = now + kRetry;
+      // The record may have changed under us: it is read before anything else is done.
+      if (pending) {
+        holds_ = false;
+        known_.reset();
+      }
+      return;
+  }
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Duty/DutyKeeper.h
@@ -0,0 +1,87 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_DUTY_DUTYKEEPER_H
+#define HALLCHUTE_DUTY_DUTYKEEPER_H
+
+#include <map>
+#include <optional>
+
+#include "Hallchute/src/Core/Time.h"
+#include "Hallchute/src/Duty/DutyRecord.h"
+#include "Hallchute/src/Duty/DutyStep.h"
+
+namespace Hallchute {
+
+/// \brief Times of the duties, from the deployment's bounds. \ingroup Duty
+struct DutyPolicy {
+  /// How long a silent holder counts as holding.
+  Millis lease{3'000};
+  Millis window{5'000};
+  /// From a window's end to when its report is due.
+  Millis due{10'000};
+};
+
+/// \brief What a daemon knows of the others when it decides. \ingroup Duty
+struct DutyFacts {
+  /// Daemons heard of lately with their incarnations, this one included unless it is leaving.
+  std::map<DaemonId, std::uint64_t> heard;
+  /// The holder with the highest epoch that any report names.
+  DutyHolder named;
+  /// Usage of the whole fleet by window.
+  UsageByWindow usage;
+  /// Time since the start of 1970; only the windows' numbers come from it.
+  Millis wallClock{0};
+};
+
+/// \brief Decides who holds the duties and what the holder does next. No I/O, no clock.
+/// \ingroup Duty
+///
+/// The first daemon by name of those heard takes the duties when their holder has restarted or was
+/// never there, or when it is unheard and its record stayed as it is for more than a lease. Every
+/// take-over raises the epoch. The holder fixes a window's counts in the record before it sends
+/// them; a write that fails tells it that it holds nothing any more.
+class DutyKeeper {
+ public:
+  DutyKeeper(DutyPolicy policy, DaemonId self, std::uint64_t incarnation);
+
+  DutyStep next(const DutyFacts& facts, Instant now);
+  void noteRead(const StoredDutyRecord& stored, Instant now);
+  /// \brief How the last step ended. \param revision of the record after a write that was done.
+  void noteOutcome(DutyOutcome outcome, std::uint64_t revision, Instant now);
+  /// \brief A call was refused as another daemon had used a higher epoch.
+  void stepDown();
+
+  bool holds() const { return holds_; }
+  /// \brief Whether the record was written so lately that acting needs no renewal.
+  bool renewedWithin(Millis time, Instant now) const;
+  /// \brief The write that renews the holder's record, before it acts on something else.
+  DutyStep renewal() const;
+  DutyHolder holder() const;
+
+ private:
+  bool mayTake(const DutyFacts& facts, Instant now) const;
+  bool isFirst(const DutyFacts& facts) const;
+  DutyStep nextAsHolder(const DutyFacts& facts);
+  DutyStep nextAsOther(const DutyFacts& facts, Instant now);
+  bool fixWindows(const DutyFacts& facts, DutyRecord& record) const;
+  std::int64_t firstWindow(const DutyFacts& facts) const;
+  DutyRecord taken(const DutyRecord& before) const;
+
+  DutyPolicy policy_;
+  DutyHolder self_;
+  std::optional<StoredDutyRecord> known_;
+  /// When the record was first seen at its present revision.
+  Instant seenSince_{};
+  Instant renewed_{};
+  /// What the last step would make of the record.
+  std::optional<DutyRecord> pending_;
+  std::optional<std::int64_t> sending_;
+  Instant retryAt_{};
+  bool absent_ = false;
+  bool holds_ = false;
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_DUTY_DUTYKEEPER_H
--- /dev/null
+++ b/Hallchute/src/Duty/DutyRecord.h
@@ -0,0 +1,34 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_DUTY_DUTYRECORD_H
+#define HALLCHUTE_DUTY_DUTYRECORD_H
+
+#include <cstdint>
+
+#include "Hallchute/src/Fleet/FleetReport.h"
+#include "Hallchute/src/Gateway/UsageLedger.h"
+
+namespace Hallchute {
+
+/// \brief The one object that says who holds the duties and what was fixed. \ingroup Duty
+///
+/// Written only under the revision that its writer read: one write renews and records.
+struct DutyRecord {
+  /// Its epoch is the fencing token of every call.
+  DutyHolder holder;
+  /// Counts of windows that may have been sent: nobody ever sends others for them.
+  UsageByWindow fixed;
+  /// The last window whose report was acknowledged, and all before it; 0 if none was.
+  std::int64_t sentThrough = 0;
+};
+
+/// \brief A record with the store's revision of it. \ingroup Duty
+struct StoredDutyRecord {
+  DutyRecord record;
+  std::uint64_t revision = 0;
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_DUTY_DUTYRECORD_H
--- /dev/null
+++ b/Hallchute/src/Node/DutyRunner.cpp
@@ -0,0 +1,163 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Node/DutyRunner.h"
+
+#include <utility>
+
+#include "Hallchute/src/Net/Clock.h"
+#include "Hallchute/src/Observability/LogLine.h"
+#include "Hallchute/src/Observability/Metrics.h"
+#include "Hallchute/src/Ports/DutyPort.h"
+
+namespace Hallchute {
+namespace {
+
+/// Orders follow a reclaim within this, which is little beside a replica's boot.
+constexpr Millis kTurnPeriod{250};
+
+DutyOutcome outcomeOf(const absl::Status& status) {
+  switch (status.code()) {
+    case absl::StatusCode::kOk:
+      return DutyOutcome::done;
+    case absl::StatusCode::kAborted:
+      return DutyOutcome::superseded;
+    case absl::StatusCode::kNotFound:
+      return DutyOutcome::absent;
+    case absl::StatusCode::kUnavailable:
+      return DutyOutcome::unavailable;
+    default:
+      return DutyOutcome::unknown;
+  }
+}
+
+std::string_view messageOf(const absl::Status& status) {
+  return {status.message().data(), status.message().size()};
+}
+
+}  // namespace
+
+DutyRunner::DutyRunner(DutyPort& port, DutyRunnerOptions options, FleetMember self,
+                       std::function<DutyInput()> input, Metrics& metrics)
+    : port_(port),
+      options_(options),
+      self_(std::move(self)),
+      input_(std::move(input)),
+      metrics_(metrics),
+      keeper_(options_.policy, self_.daemon, self_.incarnation),
+      planner_(CapacityPolicy{}) {}
+
+DutyRunner::~DutyRunner() {
+  stop();
+}
+
+void DutyRunner::start() {
+  thread_ = std::thread([this] { run(); });
+}
+
+void DutyRunner::stop() {
+  stopping_ = true;
+  if (thread_.joinable()) thread_.join();
+}
+
+DutyHolder DutyRunner::holder() const {
+  const std::lock_guard lock(mutex_);
+  return holder_;
+}
+
+void DutyRunner::noteHolder() {
+  const bool holds = keeper_.holds();
+  if (holds != held_) {
+    held_ = holds;
+    planner_.forget();
+    LogLine(LogLevel::info, holds ? "duty.taken" : "duty.left")
+        .with("epoch", keeper_.holder().epoch);
+  }
+  const std::lock_guard lock(mutex_);
+  const DutyHolder known = keeper_.holder();
+  if (known.epoch >= holder_.epoch) holder_ = known;
+}
+
+void DutyRunner::run() {
+  while (!stopping_) {
+    turn();
+    std::this_thread::sleep_for(kTurnPeriod);
+  }
+}
+
+void DutyRunner::turn() {
+  const DutyInput input = input_();
+  if (input.leaving) {
+    if (keeper_.holds()) keeper_.stepDown();
+    noteHolder();
+    return;
+  }
+  const DutyStep step = keeper_.next(input.facts, clockNow());
+  std::visit([&](const auto& s) { perform(s, input); }, step);
+  noteHolder();
+}
+
+void DutyRunner::perform(const DutySteps::Nothing&, const DutyInput& input) {
+  if (keeper_.holds() && options_.ordersReplicas) orderReplicas(input);
+}
+
+void DutyRunner::perform(const DutySteps::Read&, const DutyInput&) {
+  const absl::StatusOr<StoredDutyRecord> stored = port_.read();
+  if (stored.ok()) {
+    keeper_.noteRead(*stored, clockNow());
+  } else {
+    keeper_.noteOutcome(outcomeOf(stored.status()), 0, clockNow());
+  }
+}
+
+void DutyRunner::perform(const DutySteps::Create& step, const DutyInput&) {
+  const absl::StatusOr<std::uint64_t> revision = port_.create(step.record);
+  keeper_.noteOutcome(outcomeOf(revision.status()), revision.value_or(0), clockNow());
+}
+
+void DutyRunner::perform(const DutySteps::Write& step, const DutyInput&) {
+  const absl::StatusOr<std::uint64_t> revision = port_.write(step.record, step.revision);
+  keeper_.noteOutcome(outcomeOf(revision.status()), revision.value_or(0), clockNow());
+}
+
+void DutyRunner::perform(const DutySteps::SendUsage& step, const DutyInput&) {
+  DutyHolder holder = keeper_.holder();
+  holder.epoch = step.epoch;
+  const absl::Status status = port_.reportUsage(holder, step.window, step.counts);
+  LogLine(LogLevel::info, "duty.usage")
+      .with("window", step.window)
+      .with("epoch", step.epoch)
+      .with("ok", status.ok())
+      .with("detail", messageOf(status));
+  metrics_.add("hallchute_usage_reports_total", status.ok() ? "ok=\"true\"" : "ok=\"false\"");
+  keeper_.noteOutcome(outcomeOf(status), 0, clockNow());
+}
+
+void DutyRunner::orderReplicas(const DutyInput& input) {
+  CapacityView view{input.services, input.upstreams, input.load};
+  for (const ReplicaOrder& order : planner_.plan(view, clockNow())) {
+    // A holder that slept must not order by what it knew before.
+    if (!keeper_.renewedWithin(options_.policy.window + options_.policy.lease, clockNow())) {
+      perform(std::get<DutySteps::Write>(keeper_.renewal()), input);
+      return;
+    }
+    const absl::Status status = port_.order(keeper_.holder(), order);
+    LogLine(LogLevel::info, "duty.order")
+        .with("service", order.group.service.str())
+        .with("domain", order.group.domain.str())
+        .with("reclaimable", order.group.reclaimable)
+        .with("count", static_cast<std::uint64_t>(order.count))
+        .with("ok", status.ok())
+        .with("detail", messageOf(status));
+    if (status.ok()) {
+      planner_.noteOrdered(order);
+    } else if (absl::IsResourceExhausted(status)) {
+      planner_.noteRefused(order.group, clockNow());
+    } else if (absl::IsAborted(status)) {
+      keeper_.stepDown();
+      return;
+    }
+  }
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Node/DutyRunner.h
@@ -0,0 +1,82 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_NODE_DUTYRUNNER_H
+#define HALLCHUTE_NODE_DUTYRUNNER_H
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "Hallchute/src/Capacity/ReplicaPlanner.h"
+#include "Hallchute/src/Duty/DutyKeeper.h"
+#include "Hallchute/src/Gateway/GatewaySettings.h"
+#include "Hallchute/src/Gateway/UpstreamRecord.h"
+
+namespace Hallchute {
+
+class DutyPort;
+class Metrics;
+
+/// \brief What the duties are decided from. \ingroup Node
+struct DutyInput {
+  DutyFacts facts;
+  std::vector<GatewayService> services;
+  std::vector<UpstreamRecord> upstreams;
+  std::map<ServiceName, std::uint32_t> load;
+  bool leaving = false;
+};
+
+/// \brief Which duties a deployment has. \ingroup Node
+struct DutyRunnerOptions {
+  DutyPolicy policy;
+  bool ordersReplicas = false;
+};
+
+/// \brief Carries out what DutyKeeper and ReplicaPlanner decide, on a thread of its own: the
+/// platform's calls block. \ingroup Node
+class DutyRunner {
+ public:
+  /// \param input asked at each turn, from the runner's thread.
+  DutyRunner(DutyPort& port, DutyRunnerOptions options, FleetMember self,
+             std::function<DutyInput()> input, Metrics& metrics);
+  ~DutyRunner();
+  DutyRunner(const DutyRunner&) = delete;
+  DutyRunner& operator=(const DutyRunner&) = delete;
+
+  void start();
+  void stop();
+  /// \brief The holder as this daemon knows it; epoch 0 if it knows none. Any thread.
+  DutyHolder holder() const;
+
+ private:
+  void run();
+  void turn();
+  void perform(const DutySteps::Nothing& step, const DutyInput& input);
+  void perform(const DutySteps::Read& step, const DutyInput& input);
+  void perform(const DutySteps::Create& step, const DutyInput& input);
+  void perform(const DutySteps::Write& step, const DutyInput& input);
+  void perform(const DutySteps::SendUsage& step, const DutyInput& input);
+  void orderReplicas(const DutyInput& input);
+  void noteHolder();
+
+  DutyPort& port_;
+  DutyRunnerOptions options_;
+  FleetMember self_;
+  std::function<DutyInput()> input_;
+  Metrics& metrics_;
+  DutyKeeper keeper_;
+  ReplicaPlanner planner_;
+  bool held_ = false;
+  mutable std::mutex mutex_;
+  DutyHolder holder_;
+  std::atomic<bool> stopping_{false};
+  std::thread thread_;
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_NODE_DUTYRUNNER_H
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -59,6 +59,7 @@
   }
   fleet_.addAddresses(startup_.seeds);
   startFollowers();
+  startDuties();
 }
 
 GatewayNode::~GatewayNode() = default;
@@ -85,6 +86,41 @@
                                 [](bool) {}});
 }
 
+void GatewayNode::startDuties() {
+  if (ports_.duties == nullptr || !startup_.reportsUsage) return;
+  const NodeBounds& bounds = startup_.bounds;
+  const DutyRunnerOptions options{{bounds.lease, bounds.usageWindow, bounds.usageDue},
+                                  startup_.ordersReplicas};
+  duties_ = std::make_unique<DutyRunner>(
+      *ports_.duties, options, self_, [this] { return dutyInput(); }, metrics_);
+}
+
+DutyInput GatewayNode::dutyInput() {
+  DutyInput input;
+  controlLoop_.call([&] {
+    const Instant now = clockNow();
+    input.leaving = leaving_;
+    input.services = services_;
+    input.upstreams = upstreams_;
+    DutyFacts& facts = input.facts;
+    facts.wallClock = Millis(wallClockMs());
+    facts.usage = fleet_.usageElsewhere();
+    addUsage(facts.usage, local_.usage);
+    if (!leaving_) facts.heard[self_.daemon] = self_.incarnation;
+    UpstreamLoads loads = fleet_.loadsElsewhere(now);
+    for (const auto& [upstream, load] : local_.loads) loads[upstream] += load;
+    for (const UpstreamRecord& record : upstreams_) {
+      const auto load = loads.find(record.id);
+      if (load != loads.end()) input.load[record.service] += load->second;
+    }
+    for (const FleetReport* report : fleet_.reports(now)) {
+      if (!report->leaving) facts.heard[report->self.daemon] = report->self.incarnation;
+      if (report->duties.epoch > facts.named.epoch) facts.named = report->duties;
+    }
+  });
+  return input;
+}
+
 void GatewayNode::noteContact(bool reachable) {
   trafficLoop_.post([this, reachable] { engine_.setSettingsMayBeOld(!reachable); });
 }
@@ -108,13 +144,15 @@
   settings->limits.connections = usable / 2;
   const std::uint64_t version = settings->version;
   const FrontLimits limits = settings->limits;
+  const std::vector<GatewayService> services = settings->services;
   const auto routes = std::make_shared<const RouteTable>(std::move(*settings));
   trafficLoop_.post([this, routes, limits] {
     engine_.setSettings(routes);
     callers_.setLimits(limits);
   });
-  controlLoop_.post([this, version, text = jsonText(content)] {
+  controlLoop_.post([this, version, services, text = jsonText(content)] {
     if (version <= settingsVersion_) return;
+    services_ = services;
     settingsVersion_ = version;
     settingsText_ = text;
   });
@@ -142,11 +180,15 @@
   for (const auto& [id, entry] : engine_.upstreams().entries()) {
     if (entry.record.state == UpstreamState::draining) local.draining.push_back(id);
   }
-  controlLoop_.post([this, local = std::move(local)] { reportToFleet(local); });
+  controlLoop_.post([this, window, local = std::move(local)] {
+    fleet_.forgetUsageBefore(window - kWindowsKept);
+    reportToFleet(local);
+  });
 }
 
 void GatewayNode::reportToFleet(const LocalReport& local) {
   const Instant now = clockNow();
+  local_ = local;
   FleetReport report;
   report.self = self_;
   report.domain = startup_.domain;
@@ -157,6 +199,7 @@
   report.draining = local.draining;
   report.members = fleet_.members(now);
   report.leaving = leaving_;
+  if (duties_) report.duties = duties_->holder();
   link_.push(report, fleet_.targets(now));
   FleetTold told{fleet_.heard(now), fleet_.known(now), fleet_.loadsElsewhere(now)};
   trafficLoop_.post([this, told = std::move(told)] { engine_.setFleet(told); });
@@ -214,11 +257,14 @@
   std::thread control([this] { controlLoop_.run(); });
   settingsFollower_->start();
   upstreamFollower_->start();
+  if (duties_) duties_->start();
   LogLine(LogLevel::info, "daemon.start")
       .with("callers", startup_.callerListen)
       .with("incarnation", self_.incarnation)
       .with("store", startup_.storeAddress);
   trafficLoop_.run();
+  // Each turn of the duties asks the control thread.
+  if (duties_) duties_->stop();
   controlLoop_.stop();
   control.join();
   settingsFollower_->stop();
--- a/Hallchute/src/Node/GatewayNode.h
+++ b/Hallchute/src/Node/GatewayNode.h
@@ -13,6 +13,7 @@
 
 #include "Hallchute/src/Front/FrontServer.h"
 #include "Hallchute/src/Net/EventLoop.h"
+#include "Hallchute/src/Node/DutyRunner.h"
 #include "Hallchute/src/Node/FleetLink.h"
 #include "Hallchute/src/Node/NodePorts.h"
 #include "Hallchute/src/Node/NodeStartup.h"
@@ -55,6 +56,8 @@
 
   TrafficOptions trafficOptions() const;
   void startFollowers();
+  void startDuties();
+  DutyInput dutyInput();
   void takeSettings(const ObjectFollower::Objects& objects);
   void applySettings(const JsonObject& content, std::string_view source);
   void takeUpstreams(const ObjectFollower::Objects& objects);
@@ -89,10 +92,13 @@
   std::uint64_t settingsVersion_ = 0;
   std::string settingsText_;
   std::vector<UpstreamRecord> upstreams_;
+  std::vector<GatewayService> services_;
+  LocalReport local_;
   bool leaving_ = false;
 
   std::unique_ptr<ObjectFollower> settingsFollower_;
   std::unique_ptr<ObjectFollower> upstreamFollower_;
+  std::unique_ptr<DutyRunner> duties_;
   std::atomic<bool> stopAsked_{false};
 };
 
