A stopping daemon refuses what it could not finish, and ends in its grace

Ruled out: the upstreams (their runs were cut by us). Change: once the balancer must know of the stop, new requests get 503 with a short Retry-After; run() leaves pending calls of the platform to the end of the process.

--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -62,7 +62,14 @@
   startDuties();
 }
 
-GatewayNode::~GatewayNode() = default;
+GatewayNode::~GatewayNode() {
+  // Each turn of the duties asks the control thread: that one ends last.
+  duties_.reset();
+  settingsFollower_.reset();
+  upstreamFollower_.reset();
+  controlLoop_.stop();
+  if (controlThread_.joinable()) controlThread_.join();
+}
 
 TrafficOptions GatewayNode::trafficOptions() const {
   const NodeBounds& bounds = startup_.bounds;
@@ -254,7 +261,7 @@
 
 void GatewayNode::run() {
   trafficLoop_.every(kReportPeriod, [this] { reportLocally(); });
-  std::thread control([this] { controlLoop_.run(); });
+  controlThread_ = std::thread([this] { controlLoop_.run(); });
   settingsFollower_->start();
   upstreamFollower_->start();
   if (duties_) duties_->start();
@@ -263,12 +270,6 @@
       .with("incarnation", self_.incarnation)
       .with("store", startup_.storeAddress);
   trafficLoop_.run();
-  // Each turn of the duties asks the control thread.
-  if (duties_) duties_->stop();
-  controlLoop_.stop();
-  control.join();
-  settingsFollower_->stop();
-  upstreamFollower_->stop();
   LogLine(LogLevel::info, "daemon.stopped").with("sessionsLeft", engine_.sessions());
 }
 
@@ -286,8 +287,11 @@
 void GatewayNode::stopTurn(Instant began) {
   const auto passed = clockNow() - began;
   const bool unlisted = passed >= kUntilUnlisted;
-  if (unlisted) callers_.closeIdle();
-  const bool idle = unlisted && engine_.sessions() == 0 && callers_.connections() == 0;
+  if (unlisted) {
+    callers_.closeIdle();
+    engine_.refuseNew();
+  }
+  const bool idle = unlisted && engine_.sessions() == 0 && callers_.busy() == 0;
   if (idle || passed >= startup_.bounds.grace - kStopMargin) {
     trafficLoop_.stop();
     return;
--- a/Hallchute/src/Node/GatewayNode.h
+++ b/Hallchute/src/Node/GatewayNode.h
@@ -38,7 +38,8 @@
   GatewayNode(const GatewayNode&) = delete;
   GatewayNode& operator=(const GatewayNode&) = delete;
 
-  /// \brief Serves until a stop was asked for and done.
+  /// \brief Serves until a stop was asked for and done. Other threads run on until destruction,
+  /// which waits for pending calls of the platform.
   void run();
   /// \brief Asks for a planned stop. Any thread.
   void stop();
@@ -99,6 +100,7 @@
   std::unique_ptr<ObjectFollower> settingsFollower_;
   std::unique_ptr<ObjectFollower> upstreamFollower_;
   std::unique_ptr<DutyRunner> duties_;
+  std::thread controlThread_;
   std::atomic<bool> stopAsked_{false};
 };
 
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -21,6 +21,8 @@
 constexpr Millis kSweepPeriod{500};
 /// When a caller may come back to a daemon that knows no settings yet: a start takes about that.
 constexpr Millis kNotKnownYetWait{300};
+/// When a caller may come back that another daemon can serve at once.
+constexpr Millis kElsewhereWait{10};
 /// The part of an upstream's connections that daemons use together: some may be unknown.
 constexpr double kConnectionsUsed = 0.9;
 /// Even a large fleet's daemon needs a few connections to work at all.
@@ -118,6 +120,10 @@
   const Instant now = clockNow();
   const HttpHead& head = exchange->head();
   const ClientRequest request = codec_.readRequest(head);
+  if (refusing_) {
+    refuse(*exchange, request, 503, "stopping", kElsewhereWait);
+    return;
+  }
   if (routes_ == nullptr) {
     refuse(*exchange, request, 503, "noSettings", kNotKnownYetWait);
     return;
--- a/Hallchute/src/Traffic/TrafficEngine.h
+++ b/Hallchute/src/Traffic/TrafficEngine.h
@@ -56,6 +56,8 @@
   void noteDraining(const UpstreamId& upstream);
   /// \brief Whether newer settings may exist that this daemon can't hear of.
   void setSettingsMayBeOld(bool old) { settingsMayBeOld_ = old; }
+  /// \brief From now on new requests are refused: they could not end before the daemon does.
+  void refuseNew() { refusing_ = true; }
   void setFleet(const FleetTold& told);
   void noteSpentElsewhere(const OrganisationName& organisation, double amount);
   /// \brief Whether requests can be served.
@@ -102,6 +104,7 @@
   std::uint64_t nextSession_ = 1;
   std::size_t daemons_ = 1;
   bool settingsMayBeOld_ = false;
+  bool refusing_ = false;
 };
 
 }  // namespace Hallchute
