A stream without events is passed as what it is

Change: a complete stream counts as the whole answer. A contract test of the data path with scripted upstreams, 19 rows; this row failed first. Conclusion: traced and mended.

--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -241,6 +241,7 @@
       return;
     }
     endDispatch(DispatchResult::answered, true);
+    answerWhole_ = true;
     piece_ = {splitter_.rest(), ""};
     if (!piece_.bytes.empty()) take(RelayEvents::Piece{});
     take(RelayEvents::Whole{});
--- /dev/null
+++ b/test/ScriptedUpstream.cpp
@@ -0,0 +1,100 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "ScriptedUpstream.h"
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/StreamSocket.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_replace.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+
+namespace Hallchute {
+namespace {
+
+const Poco::Timespan kTurn(0, 20'000);
+
+std::string fieldOf(const std::string& head, const std::string& name) {
+  const std::size_t at = head.find("\r\n" + name + ": ");
+  if (at == std::string::npos) return {};
+  const std::size_t start = at + name.size() + 4;
+  return head.substr(start, head.find("\r\n", start) - start);
+}
+
+/// Takes one request off the front of \p in; empty if it is not whole.
+std::string takeRequest(std::string& in) {
+  const std::size_t headEnd = in.find("\r\n\r\n");
+  if (headEnd == std::string::npos) return {};
+  std::size_t length = 0;
+  if (!absl::SimpleAtoi(fieldOf(in.substr(0, headEnd), "Content-Length"), &length)) length = 0;
+  const std::size_t whole = headEnd + 4 + length;
+  if (in.size() < whole) return {};
+  std::string request = in.substr(0, whole);
+  in.erase(0, whole);
+  return request;
+}
+
+}  // namespace
+
+ScriptedUpstream::ScriptedUpstream(std::vector<UpstreamScript> scripts)
+    : scripts_(std::move(scripts)) {
+  listener_.bind(Poco::Net::SocketAddress("127.0.0.1", 0), true);
+  listener_.listen();
+  acceptor_ = std::thread([this] { accept(); });
+}
+
+ScriptedUpstream::~ScriptedUpstream() {
+  stopping_ = true;
+  acceptor_.join();
+  for (std::thread& thread : threads_) thread.join();
+}
+
+std::vector<std::string> ScriptedUpstream::requests() const {
+  const std::lock_guard lock(mutex_);
+  return requests_;
+}
+
+void ScriptedUpstream::accept() {
+  while (!stopping_) {
+    if (!listener_.poll(kTurn, Poco::Net::Socket::SELECT_READ)) continue;
+    const Poco::Net::StreamSocket socket = listener_.acceptConnection();
+    threads_.emplace_back([this, socket] { serve(socket); });
+  }
+}
+
+void ScriptedUpstream::serve(Poco::Net::StreamSocket socket) {
+  std::string in;
+  std::array<char, 4096> buffer;
+  bool hanging = false;
+  while (!stopping_) {
+    if (!socket.poll(kTurn, Poco::Net::Socket::SELECT_READ)) continue;
+    const ssize_t got = ::recv(socket.impl()->sockfd(), buffer.data(), buffer.size(), 0);
+    if (got <= 0) {
+      if (hanging) ++cancelled_;
+      return;
+    }
+    in.append(buffer.data(), static_cast<std::size_t>(got));
+    for (std::string request = takeRequest(in); !request.empty(); request = takeRequest(in)) {
+      UpstreamScript script;
+      {
+        const std::lock_guard lock(mutex_);
+        script = scripts_[std::min(requests_.size(), scripts_.size() - 1)];
+        requests_.push_back(request);
+      }
+      const std::string id = fieldOf(request, "Hallchute-Attempt-Id");
+      const std::string out = absl::StrReplaceAll(script.bytes, {{"{id}", id}});
+      if (!out.empty()) socket.sendBytes(out.data(), static_cast<int>(out.size()));
+      if (script.then == UpstreamScript::Then::close) return;
+      if (script.then == UpstreamScript::Then::reset) {
+        socket.setLinger(true, 0);
+        return;
+      }
+      hanging = script.then == UpstreamScript::Then::hang;
+    }
+  }
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/test/ScriptedUpstream.h
@@ -0,0 +1,57 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_TEST_SCRIPTEDUPSTREAM_H
+#define HALLCHUTE_TEST_SCRIPTEDUPSTREAM_H
+
+#include <Poco/Net/ServerSocket.h>
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace Hallchute {
+
+/// \brief What a scripted upstream does with one request.
+struct UpstreamScript {
+  /// Sent as it is once the request's head and body are in; `{id}` becomes the request's id.
+  std::string bytes;
+  /// How the connection goes on.
+  enum class Then { keep, close, reset, hang } then = Then::keep;
+};
+
+/// \brief A TCP server that answers the n-th request with the n-th script, byte for byte, and the
+/// last script ever after. A thread a connection; loopback only.
+class ScriptedUpstream {
+ public:
+  explicit ScriptedUpstream(std::vector<UpstreamScript> scripts);
+  ~ScriptedUpstream();
+  ScriptedUpstream(const ScriptedUpstream&) = delete;
+  ScriptedUpstream& operator=(const ScriptedUpstream&) = delete;
+
+  std::string address() const { return listener_.address().toString(); }
+  /// \brief The requests so far, whole.
+  std::vector<std::string> requests() const;
+  /// \brief Connections that the other side ended while a script hung.
+  int cancelled() const { return cancelled_; }
+
+ private:
+  void accept();
+  void serve(Poco::Net::StreamSocket socket);
+
+  Poco::Net::ServerSocket listener_;
+  std::vector<UpstreamScript> scripts_;
+  mutable std::mutex mutex_;
+  std::vector<std::string> requests_;
+  std::vector<std::thread> threads_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<int> cancelled_{0};
+  std::thread acceptor_;
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_TEST_SCRIPTEDUPSTREAM_H
--- /dev/null
+++ b/test/TrafficContractTest.cpp
@@ -0,0 +1,372 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "GatewayRig.h"
+#include "ScriptedUpstream.h"
+
+namespace {
+
+using namespace Hallchute;
+using Then = UpstreamScript::Then;
+
+const std::string kSigned = "Hallchute-Attempt-Id: {id}\r\nHallchute-Replica-Signature: sig\r\n";
+
+std::string whole(int status, const std::string& body, const std::string& fields = kSigned) {
+  return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string chunk(const std::string& text) {
+  std::string size = "0123456789abcdef";
+  std::string hex;
+  for (std::size_t n = text.size(); n > 0; n /= 16) hex.insert(hex.begin(), size[n % 16]);
+  return hex + "\r\n" + text + "\r\n";
+}
+
+const std::string kStreamHead =
+    "HTTP/1.1 200 OK\r\n" + kSigned +
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string kEnd = "0\r\n\r\n";
+
+std::string event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: t" + std::to_string(id) + "\n\n";
+}
+
+/// One request, what the upstreams do with it, and what the caller gets.
+struct Row {
+  std::string name;
+  WorkKind kind;
+  bool resumable;
+  /// The first upstream's script, then the second's.
+  UpstreamScript first;
+  UpstreamScript second;
+  std::string expectedStart;
+  std::string expectedPart;
+  std::string forbidden;
+  /// Requests that reach upstreams.
+  std::size_t arrivals;
+};
+
+class TrafficContractTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TrafficContractTest);
+  CPPUNIT_TEST(answersByTable);
+  CPPUNIT_TEST(hidesTheKeyAndSetsItsOwnFields);
+  CPPUNIT_TEST(refusesByTable);
+  CPPUNIT_TEST(callerLeavingStopsTheUpstream);
+  CPPUNIT_TEST(surplusAnswerIsNeverTakenForTheNext);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void answersByTable() {
+    const UpstreamScript fine{whole(200, "fine"), Then::keep};
+    const UpstreamScript rejects{
+        whole(503, "", "Hallchute-Attempt-Id: {id}\r\nHallchute-Not-Executed: 1\r\n"), Then::keep};
+    const std::vector<Row> rows{
+        {"passes an answer as it is", WorkKind::once, false, fine, fine, "HTTP/1.1 200",
+         "\r\n\r\nfine", "", 1},
+        {"a rejected request goes elsewhere", WorkKind::once, false, rejects, fine, "HTTP/1.1 200",
+         "fine", "", 2},
+        {"what may not repeat fails after a reset",
+         WorkKind::once,
+         false,
+         {"", Then::reset},
+         fine,
+         "HTTP/1.1 502",
+         "",
+         "fine",
+         1},
+        {"what may repeat goes elsewhere after a reset",
+         WorkKind::repeatable,
+         false,
+         {"", Then::reset},
+         fine,
+         "HTTP/1.1 200",
+         "fine",
+         "",
+         2},
+        {"a failure of the upstream keeps its status",
+         WorkKind::once,
+         false,
+         {whole(500, "oops"), Then::keep},
+         fine,
+         "HTTP/1.1 500",
+         "oops",
+         "fine",
+         1},
+        {"a repeatable failure is tried elsewhere",
+         WorkKind::repeatable,
+         false,
+         {whole(500, "oops"), Then::keep},
+         fine,
+         "HTTP/1.1 200",
+         "fine",
+         "oops",
+         2},
+        {"two failures pass one of them",
+         WorkKind::repeatable,
+         false,
+         {whole(500, "oops"), Then::keep},
+         {whole(500, "oops"), Then::keep},
+         "HTTP/1.1 500",
+         "oops",
+         "",
+         2},
+        {"an unsigned success is none",
+         WorkKind::once,
+         false,
+         {whole(200, "forged", "Hallchute-Attempt-Id: {id}\r\n"), Then::keep},
+         fine,
+         "HTTP/1.1 502",
+         "",
+         "forged",
+         1},
+        {"bytes that are no answer",
+         WorkKind::once,
+         false,
+         {"gibberish\r\n\r\n", Then::keep},
+         fine,
+         "HTTP/1.1 502",
+         "",
+         "gibberish",
+         1},
+        {"a body cut short",
+         WorkKind::once,
+         false,
+         {"HTTP/1.1 200 OK\r\n" + kSigned + "Content-Length: 9\r\n\r\nfi", Then::close},
+         fine,
+         "HTTP/1.1 502",
+         "",
+         "\r\n\r\nfi",
+         1},
+        {"a body that its connection ends",
+         WorkKind::once,
+         false,
+         {"HTTP/1.1 200 OK\r\n" + kSigned + "\r\nunframed", Then::close},
+         fine,
+         "HTTP/1.1 200",
+         "Content-Length: 8\r\n\r\nunframed",
+         "",
+         1},
+        {"such a body that was reset",
+         WorkKind::once,
+         false,
+         {"HTTP/1.1 200 OK\r\n" + kSigned + "\r\nunframed", Then::reset},
+         fine,
+         "HTTP/1.1 502",
+         "",
+         "unframed",
+         1},
+        {"two lengths",
+         WorkKind::once,
+         false,
+         {"HTTP/1.1 200 OK\r\n" + kSigned +
+              "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+          Then::keep},
+         fine,
+         "HTTP/1.1 502",
+         "",
+         "",
+         1},
+        {"a stream passes event by event",
+         WorkKind::stream,
+         false,
+         {kStreamHead + chunk(event(1)) + chunk(event(2)) + kEnd, Then::keep},
+         fine,
+         "HTTP/1.1 200",
+         chunk(event(1)) + chunk(event(2)) + kEnd,
+         "",
+         1},
+        {"a stream without events is complete",
+         WorkKind::stream,
+         true,
+         {kStreamHead + kEnd, Then::keep},
+         fine,
+         "HTTP/1.1 200 OK\r\n",
+         "Content-Length: 0",
+         "",
+         1},
+        {"a broken stream goes on elsewhere",
+         WorkKind::stream,
+         true,
+         {kStreamHead + chunk(event(1) + "id: 2\nda"), Then::reset},
+         {kStreamHead + chunk(event(1)) + chunk(event(2)) + kEnd, Then::keep},
+         "HTTP/1.1 200",
+         chunk(event(1)) + chunk(event(2)) + kEnd,
+         "da\r\n",
+         2},
+        {"a stream that may not go on breaks off",
+         WorkKind::stream,
+         false,
+         {kStreamHead + chunk(event(1)), Then::reset},
+         fine,
+         "HTTP/1.1 200",
+         chunk(event(1)),
+         kEnd,
+         1},
+        {"a stream that goes on as something else breaks off",
+         WorkKind::stream,
+         true,
+         {kStreamHead + chunk(event(1)), Then::reset},
+         {whole(200, "other"), Then::keep},
+         "HTTP/1.1 200",
+         chunk(event(1)),
+         kEnd,
+         2},
+        {"an interim answer is passed over",
+         WorkKind::once,
+         false,
+         {"HTTP/1.1 100 Continue\r\n\r\n" + whole(200, "fine"), Then::keep},
+         fine,
+         "HTTP/1.1 200",
+         "fine",
+         "100",
+         1},
+    };
+    for (const Row& row : rows) check(row);
+  }
+
+  void hidesTheKeyAndSetsItsOwnFields() {
+    ScriptedUpstream upstream({{whole(200, "fine"), Then::keep}});
+    GatewayRig rig;
+    Route route = plainRoute(WorkKind::once);
+    route.open = false;
+    GatewaySettings settings = settingsWith(route);
+    GatewayOrganisation organisation;
+    organisation.name = OrganisationName("org");
+    organisation.keys = {"key1"};
+    settings.organisations = {organisation};
+    rig.setSettings(settings);
+    rig.setUpstreams({upstreamAt("i-1", upstream.address())});
+    RawCaller caller(rig.address());
+    caller.send(requestText("POST",
+                            "Authorization: Bearer key1\r\nHallchute-Tenant: forged\r\n"
+                            "Hallchute-Deadline-Ms: 900\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"
+                            "Hallchute-Model: m\r\n",
+                            "body"));
+    CPPUNIT_ASSERT(caller.read("fine").find("200") != std::string::npos);
+    const std::string seen = upstream.requests().at(0);
+    for (const char* part :
+         {"POST /s/x HTTP/1.1\r\n", "Host: h.example\r\n", "Hallchute-Attempt-Id: q1\r\n",
+          "Hallchute-Tenant: org\r\n", "Hallchute-Expect-Replica: i-1\r\n",
+          "Hallchute-Model: m\r\n", "\r\n\r\nbody"}) {
+      CPPUNIT_ASSERT_MESSAGE(std::string(part) + " in " + seen,
+                             seen.find(part) != std::string::npos);
+    }
+    for (const char* part : {"key1", "forged", "X-Hop", "Deadline-Ms: 900\r\nHallchute-D"}) {
+      CPPUNIT_ASSERT_MESSAGE(std::string(part) + " in " + seen,
+                             seen.find(part) == std::string::npos);
+    }
+  }
+
+  void refusesByTable() {
+    ScriptedUpstream upstream({{whole(200, "fine"), Then::keep}});
+    GatewayRig rig;
+    const auto ask = [&](const std::string& text) {
+      RawCaller caller(rig.address());
+      caller.send(text);
+      return caller.read("\r\n\r\n");
+    };
+    // Nothing is known yet: a promise with when to come back.
+    std::string answer = ask(requestText("GET"));
+    CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 503"));
+    CPPUNIT_ASSERT(answer.find("Retry-After: 0.") != std::string::npos);
+    Route route = plainRoute(WorkKind::once);
+    route.open = false;
+    GatewaySettings settings = settingsWith(route);
+    GatewayOrganisation organisation;
+    organisation.name = OrganisationName("org");
+    organisation.keys = {"key1"};
+    organisation.rate = 1;
+    organisation.burst = 1;
+    settings.organisations = {organisation};
+    rig.setSettings(settings);
+    rig.setUpstreams({upstreamAt("i-1", upstream.address())});
+    const std::string key = "Authorization: Bearer key1\r\n";
+    answer = ask("GET /other HTTP/1.1\r\nHost: h.example\r\n\r\n");
+    CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 404"));
+    answer = ask(requestText("GET", "Authorization: Bearer nobody\r\n"));
+    CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 401"));
+    answer = ask(requestText("GET", key));
+    CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 200"));
+    answer = ask(requestText("GET", key));
+    CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 429"));
+    CPPUNIT_ASSERT(answer.find("Retry-After: ") != std::string::npos);
+    // Settings that may be old must not deny what newer ones may allow.
+    rig.loop().call([&] { rig.engine().setSettingsMayBeOld(true); });
+    answer = ask(requestText("GET", "Authorization: Bearer nobody\r\n"));
+    CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 503"));
+    rig.loop().call([&] { rig.engine().refuseNew(); });
+    answer = ask(requestText("GET", key));
+    CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 503"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, upstream.requests().size());
+  }
+
+  void callerLeavingStopsTheUpstream() {
+    ScriptedUpstream upstream({{"", Then::hang}});
+    GatewayRig rig;
+    rig.setSettings(settingsWith(plainRoute(WorkKind::once)));
+    rig.setUpstreams({upstreamAt("i-1", upstream.address())});
+    RawCaller caller(rig.address());
+    caller.send(requestText("GET"));
+    waitUntil([&] { return upstream.requests().size() == 1; });
+    caller.close();
+    waitUntil([&] { return upstream.cancelled() == 1; });
+  }
+
+  void surplusAnswerIsNeverTakenForTheNext() {
+    const std::string late =
+        whole(200, "late", "Hallchute-Attempt-Id: other\r\nHallchute-Replica-Signature: sig\r\n");
+    ScriptedUpstream upstream(
+        {{whole(200, "one"), Then::keep}, {late + whole(200, "two"), Then::keep}});
+    GatewayRig rig;
+    rig.setSettings(settingsWith(plainRoute(WorkKind::once)));
+    rig.setUpstreams({upstreamAt("i-1", upstream.address())});
+    RawCaller caller(rig.address());
+    caller.send(requestText("GET"));
+    CPPUNIT_ASSERT(caller.read("one").find("one") != std::string::npos);
+    caller.send(requestText("GET"));
+    const std::string both = caller.read("two");
+    CPPUNIT_ASSERT_MESSAGE(both, both.find("two") != std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(both, both.find("late") == std::string::npos);
+  }
+
+ private:
+  template <typename Condition>
+  static void waitUntil(const Condition& condition) {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (!condition()) {
+      CPPUNIT_ASSERT_MESSAGE("the condition never held", std::chrono::steady_clock::now() < end);
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+  }
+
+  static void check(const Row& row) {
+    ScriptedUpstream first({row.first});
+    ScriptedUpstream second({row.second});
+    GatewayRig rig;
+    Route route = plainRoute(row.kind);
+    route.resumable = row.resumable;
+    rig.setSettings(settingsWith(route));
+    // The own failure domain goes first, so that the first script is asked first.
+    UpstreamRecord farther = upstreamAt("i-2", second.address());
+    farther.domain = DomainName("d2");
+    rig.setUpstreams({upstreamAt("i-1", first.address()), farther});
+    RawCaller caller(rig.address());
+    caller.send(requestText("POST", "Connection: close\r\n", "body"));
+    const std::string answer = caller.readAll();
+    const std::string told = row.name + ": " + answer;
+    CPPUNIT_ASSERT_MESSAGE(told, caller.ended());
+    CPPUNIT_ASSERT_MESSAGE(told, answer.starts_with(row.expectedStart));
+    CPPUNIT_ASSERT_MESSAGE(told, answer.find(row.expectedPart) != std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(
+        told, row.forbidden.empty() || answer.find(row.forbidden) == std::string::npos);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(told, row.arrivals,
+                                 first.requests().size() + second.requests().size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TrafficContractTest);
+
+}  // namespace
