--- a/Hallchute/src/Relay/RelayCourse.cpp
+++ b/Hallchute/src/Relay/RelayCourse.cpp
@@ -42,7 +42,8 @@
 
 RelayCourse::Actions RelayCourse::afterRejection() {
   ++rejections_;
-  if (rejections_ >= kMaxRejections) return giveUp(false);
+  const bool mayGoOn = !started_ || terms_.resumable;
+  if (rejections_ >= kMaxRejections || !mayGoOn) return giveUp(false);
   return {dispatchAgain()};
 }
 
--- a/test/GatewayRig.cpp
+++ b/test/GatewayRig.cpp
@@ -38,6 +38,10 @@
   loop_.call([&] { server_->setLimits(limits); });
 }
 
+void GatewayRig::drain() {
+  loop_.call([&] { server_->drain(); });
+}
+
 RawCaller::RawCaller(const std::string& address) : socket_(Poco::Net::SocketAddress(address)) {}
 
 void RawCaller::send(const std::string& bytes) {
--- a/test/GatewayRig.h
+++ b/test/GatewayRig.h
@@ -31,6 +31,7 @@
   void setSettings(GatewaySettings settings);
   void setUpstreams(std::vector<UpstreamRecord> records);
   void setLimits(const FrontLimits& limits);
+  void drain();
   std::string address() const { return address_; }
   EventLoop& loop() { return loop_; }
   TrafficEngine& engine() { return *engine_; }
