--- a/Hallchute/src/Duty/DutyKeeper.cpp
+++ b/Hallchute/src/Duty/DutyKeeper.cpp
@@ -176,6 +176,7 @@
       // The record may have changed under us: it is read before anything else is done.
       if (pending) {
         holds_ = false;
+        absent_ = false;
         known_.reset();
       }
       return;
--- a/test/FrontContractTest.cpp
+++ b/test/FrontContractTest.cpp
@@ -87,8 +87,8 @@
         {"a head too large",
          "GET /s/x HTTP/1.1\r\n" + host + "A: " + std::string(2'000, 'a') + "\r\n\r\n", "431", "",
          true},
-        {"a body too large", post + "Content-Length: 5000\r\n\r\n" + std::string(5'000, 'b'),
-         "413", "", true},
+        {"a body too large", post + "Content-Length: 5000\r\n\r\n" + std::string(5'000, 'b'), "413",
+         "", true},
         {"chunks too large together",
          post + "Transfer-Encoding: chunked\r\n\r\n1388\r\n" + std::string(5'000, 'b') +
              "\r\n0\r\n\r\n",
--- a/test/RelayTest.cpp
+++ b/test/RelayTest.cpp
@@ -19,10 +19,9 @@
 
 /// Every event that can follow a dispatch, in each form.
 const std::array<RelayEvent, 10> kEvents{
-    Events::NobodyToAsk{}, Events::NotSent{},    Events::NotExecuted{},
-    Events::Piece{},       Events::Whole{true},  Events::Whole{false},
-    Events::Broken{},      Events::Silent{},     Events::CallerLeft{},
-    Events::TimeUp{}};
+    Events::NobodyToAsk{}, Events::NotSent{},    Events::NotExecuted{}, Events::Piece{},
+    Events::Whole{true},   Events::Whole{false}, Events::Broken{},      Events::Silent{},
+    Events::CallerLeft{},  Events::TimeUp{}};
 
 /// Checks one course against the promises while events come in any order.
 class Witness {
@@ -54,18 +53,18 @@
       if (std::holds_alternative<Events::CallerLeft>(event)) callerLeft_ = true;
       return;
     }
-    std::visit(Overloaded{[&](const Events::NotSent&) { endRun(false); },
-                          [&](const Events::NotExecuted&) { endRun(false); },
-                          [&](const Events::NobodyToAsk&) { endRun(false); },
-                          [&](const Events::Whole& whole) {
-                            lastWhole_ = true;
-                            lastSuccess_ = whole.success;
-                            endRun(true);
-                          },
-                          [&](const Events::Broken&) { endRun(true); },
-                          [&](const Events::CallerLeft&) { callerLeft_ = true; },
-                          [&](const auto&) {}},
-               event);
+    std::visit(
+        Overloaded{[&](const Events::NotSent&) { endRun(false); },
+                   [&](const Events::NotExecuted&) { endRun(false); },
+                   [&](const Events::NobodyToAsk&) { endRun(false); },
+                   [&](const Events::Whole& whole) {
+                     lastWhole_ = true;
+                     lastSuccess_ = whole.success;
+                     endRun(true);
+                   },
+                   [&](const Events::Broken&) { endRun(true); },
+                   [&](const Events::CallerLeft&) { callerLeft_ = true; }, [&](const auto&) {}},
+        event);
   }
   void endRun(bool mayHaveRun) {
     atWork_ = false;
