A channel that failed is reset, not closed

Ruled out: the choice of the replica (it was sound when chosen), the draining word (it came within 60 ms). Change: an abort resets whatever ended before.

--- a/Hallchute/src/Http/TcpChannel.cpp
+++ b/Hallchute/src/Http/TcpChannel.cpp
@@ -88,8 +88,8 @@
 }
 
 void TcpChannel::abort() {
-  if (ended_ || fd_ < 0) return;
   ended_ = true;
+  if (fd_ < 0) return;
   loop_.unwatch(fd_);
   const linger noLinger{1, 0};
   ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &noLinger, sizeof noLinger);
--- a/Hallchute/src/Http/TcpChannel.h
+++ b/Hallchute/src/Http/TcpChannel.h
@@ -70,7 +70,8 @@
   std::uint64_t sentBytes() const { return sentBytes_; }
   /// \brief Whether the other side has neither closed nor sent anything, by a look at the socket.
   bool quiet() const;
-  /// \brief Ends the connection at once with a reset; no callback follows.
+  /// \brief Ends the connection at once with a reset; no callback follows. Bytes that a cut holds
+  /// up are dropped: after a plain close the kernel would deliver them when the cut has healed.
   void abort();
 
  private:
