Requests under way are ended by their own timers, with a reset

Change: probes are on between exchanges only; a started stream that falls silent for three pause objectives goes on elsewhere, so that a dead path is still noticed.

--- a/Hallchute/src/Http/TcpChannel.cpp
+++ b/Hallchute/src/Http/TcpChannel.cpp
@@ -80,6 +80,10 @@
   ::shutdown(fd_, SHUT_WR);
 }
 
+void TcpChannel::setIdle(bool idle) {
+  if (fd_ >= 0 && !ended_) probeWhileIdle(socket_, idle);
+}
+
 bool TcpChannel::quiet() const {
   if (ended_ || connecting_) return false;
   char byte = 0;
--- a/Hallchute/src/Http/TcpChannel.h
+++ b/Hallchute/src/Http/TcpChannel.h
@@ -65,6 +65,8 @@
   void send(std::string_view bytes);
   /// \brief Says that no more bytes come from this side once all are sent.
   void finishSending();
+  /// \brief Whether the kernel may end the connection by itself when the other side is silent.
+  void setIdle(bool idle);
   std::size_t unsent() const { return out_.size(); }
   /// \brief Bytes that the kernel has taken since the connection began.
   std::uint64_t sentBytes() const { return sentBytes_; }
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -27,6 +27,10 @@
 /// How many latency objectives an upstream may be silent before a request that may repeat goes
 /// elsewhere: beyond twice the objective the answer is late whatever comes.
 constexpr double kSilentObjectives = 2.0;
+/// How many pause objectives a started stream may be silent before it goes on elsewhere, and the
+/// least time: an engine that sets a request aside for a while must not lose it.
+constexpr double kSilentPauses = 3.0;
+constexpr Millis kLeastPause{1'200};
 /// The most of the remaining time that is given to a silent upstream.
 constexpr double kSilentPart = 0.4;
 constexpr int kServerError = 500;
@@ -156,10 +160,12 @@
 void TrafficSession::startSilenceTimer() {
   engine_.loop().cancel(std::exchange(silenceTimer_, 0));
   if (!admission_.route->mayRepeat()) return;
-  const auto objective =
-      std::chrono::duration<double, std::milli>(admission_.route->latencyObjective) *
-      kSilentObjectives;
-  const auto part = std::chrono::duration<double, std::milli>(remaining()) * kSilentPart;
+  using Real = std::chrono::duration<double, std::milli>;
+  const Route& route = *admission_.route;
+  const Real first = Real(route.latencyObjective) * kSilentObjectives;
+  const Real pause = std::max(Real(kLeastPause), Real(route.pauseObjective) * kSilentPauses);
+  const Real objective = course_.started() ? pause : first;
+  const Real part = Real(remaining()) * kSilentPart;
   const auto patience = std::chrono::duration_cast<Millis>(std::min(objective, part));
   silenceTimer_ = engine_.loop().after(patience, [this] {
     silenceTimer_ = 0;
@@ -202,10 +208,10 @@
     std::optional<StreamEvent> event = splitter_.next();
     if (!event) return;
     noteRunBegan();
-    engine_.loop().cancel(std::exchange(silenceTimer_, 0));
     if (alreadyPassed(*event)) continue;
     piece_ = std::move(*event);
     take(RelayEvents::Piece{});
+    if (!course_.ended()) startSilenceTimer();
   }
 }
 
--- a/Hallchute/src/Upstream/UpstreamChannel.cpp
+++ b/Hallchute/src/Upstream/UpstreamChannel.cpp
@@ -48,6 +48,7 @@
   headTaken_ = false;
   discarding_ = false;
   sentBefore_ = channel_.sentBytes();
+  channel_.setIdle(false);
   channel_.send(request);
 }
 
@@ -116,6 +117,7 @@
     return;
   }
   UpstreamListener* listener = std::exchange(listener_, nullptr);
+  channel_.setIdle(true);
   // Surplus bytes belong to no request.
   if (!in_.empty()) sound_ = false;
   if (listener != nullptr) listener->upstreamDone();
