Relays carry the reports of a large fleet; a first contact is no debt

And a daemon that first heard of another took all that it had ever spent off its quota. Ruled out: the engines (they were idle). Change: above twelve daemons the strongest of each failure domain relays sums, split so that nothing counts twice; silent relays are replaced; first contacts are a base line.

--- a/Hallchute/src/Fleet/FleetReport.h
+++ b/Hallchute/src/Fleet/FleetReport.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Hallchute/src/Core/Id.h"
@@ -17,14 +18,38 @@
 
 /// \brief Where a daemon is reached. \ingroup Fleet
 struct FleetMember {
+  FleetMember() = default;
+  FleetMember(DaemonId id, std::string where, std::uint64_t life, DomainName place = {},
+              std::uint32_t power = 0)
+      : daemon(std::move(id)),
+        address(std::move(where)),
+        incarnation(life),
+        domain(std::move(place)),
+        capacity(power) {}
+
   DaemonId daemon;
   /// Its peers' address, `ip:port`.
   std::string address;
   /// Rises with each start of the daemon's process.
   std::uint64_t incarnation = 0;
+  DomainName domain;
+  /// Thousandths of a processor that its host gives: who has most carries reports for others.
+  std::uint32_t capacity = 0;
   bool operator==(const FleetMember&) const = default;
 };
 
+/// \brief For whom a report speaks. \ingroup Fleet
+enum class ReportScope : std::uint8_t {
+  /// Its sender alone; the sender reports to every daemon.
+  everybody,
+  /// Its sender alone; a relay passes it on.
+  member,
+  /// The sender and the daemons of its failure domain; goes to other relays.
+  domain,
+  /// All daemons but the receiver.
+  fleet,
+};
+
 /// \brief Who holds the fleet's duties, as far as a daemon knows. \ingroup Fleet
 struct DutyHolder {
   DaemonId daemon;
@@ -34,12 +59,12 @@
   bool operator==(const DutyHolder&) const = default;
 };
 
-/// \brief What a daemon tells all others several times a second. \ingroup Fleet
+/// \brief What a daemon tells others several times a second. \ingroup Fleet
 ///
 /// All numbers are totals since its incarnation began: a lost report loses nothing.
 struct FleetReport {
   FleetMember self;
-  DomainName domain;
+  ReportScope scope = ReportScope::everybody;
   std::uint64_t settingsVersion = 0;
   SpentQuota spent;
   UpstreamLoads loads;
@@ -47,7 +72,10 @@
   /// Upstreams that it knows to take no new work.
   std::vector<UpstreamId> draining;
   DutyHolder duties;
+  /// Daemons in the scope that the sender hears; with `everybody`, all addresses it knows.
   std::vector<FleetMember> members;
+  /// `members` is left out as it is what the last report held.
+  bool membersUnchanged = false;
   /// It is about to stop.
   bool leaving = false;
 };
--- a/Hallchute/src/Fleet/FleetView.cpp
+++ b/Hallchute/src/Fleet/FleetView.cpp
@@ -12,8 +12,24 @@
 constexpr Millis kHeardFor{1'000};
 /// How long a silent daemon may still be running behind a cut and spending its part of quotas.
 constexpr Millis kKnownFor{15'000};
-/// How long an address is reported to after its daemon was last heard.
+/// How long an address is reported to after anything was last learned of its daemon.
 constexpr Millis kTriedFor{60'000};
+/// How often unchanged members are told again, for receivers that missed them.
+constexpr Millis kMembersEvery{2'000};
+
+/// Daemons of an unheard domain that a relay tries at a time: the strongest may be down.
+constexpr std::size_t kTriedOfDomain = 3;
+
+/// How long each further one is tried: a few report periods.
+constexpr Millis kTryTurn{600};
+
+void addSpent(SpentQuota& total, const SpentQuota& more) {
+  for (const auto& [organisation, amount] : more) total[organisation] += amount;
+}
+
+void addLoads(UpstreamLoads& total, const UpstreamLoads& more) {
+  for (const auto& [upstream, load] : more) total[upstream] += load;
+}
 
 }  // namespace
 
@@ -29,12 +45,69 @@
   }
 }
 
-void FleetView::learnMember(const FleetMember& member, Instant now) {
-  if (member.daemon == self_.daemon || daemons_.contains(member.daemon)) return;
-  Known& known = daemons_[member.daemon];
-  known.report.self = member;
-  known.heard = now;
-  known.hearsay = true;
+bool FleetView::alive(const Known& known, Instant now) const {
+  if (known.report.leaving) return false;
+  return within(known.reported, now, kHeardFor) || within(known.told, now, kHeardFor);
+}
+
+bool FleetView::isSmall(Instant now) const {
+  std::size_t seen = 1;
+  for (const auto& [daemon, known] : daemons_) {
+    if (within(known.seen, now, kKnownFor)) ++seen;
+  }
+  return seen <= kSmallFleet;
+}
+
+DaemonId FleetView::relayOf(const DomainName& domain, Instant now) const {
+  DaemonId best;
+  std::uint32_t capacity = 0;
+  const auto offer = [&](const FleetMember& member) {
+    if (member.domain != domain) return;
+    const bool stronger = member.capacity > capacity;
+    const bool first = member.capacity == capacity && member.daemon < best;
+    if (!best.empty() && !stronger && !first) return;
+    best = member.daemon;
+    capacity = member.capacity;
+  };
+  offer(self_);
+  for (const auto& [daemon, known] : daemons_) {
+    if (alive(known, now)) offer(known.report.self);
+  }
+  return best;
+}
+
+bool FleetView::isRelay(Instant now) const {
+  return relayOf(self_.domain, now) == self_.daemon;
+}
+
+bool FleetView::counts(const FleetReport& report, Instant now) const {
+  const bool ownDomain = report.self.domain == self_.domain;
+  switch (report.scope) {
+    case ReportScope::everybody:
+      return isSmall(now);
+    case ReportScope::member:
+      return ownDomain && isRelay(now);
+    case ReportScope::domain:
+      return !ownDomain && isRelay(now) && relayOf(report.self.domain, now) == report.self.daemon;
+    case ReportScope::fleet:
+      return ownDomain && relayOf(self_.domain, now) == report.self.daemon;
+  }
+  return false;
+}
+
+void FleetView::learnMembers(const FleetReport& report, Instant now) {
+  const bool vouched = report.scope == ReportScope::domain || report.scope == ReportScope::fleet;
+  for (const FleetMember& member : report.members) {
+    if (member.daemon == self_.daemon) continue;
+    Known& known = daemons_[member.daemon];
+    if (member.incarnation > known.report.self.incarnation) {
+      known.report = FleetReport{};
+      known.report.self = member;
+      known.reported = Instant{};
+    }
+    if (vouched || known.seen == Instant{}) known.seen = now;
+    if (vouched && member.incarnation == known.report.self.incarnation) known.told = now;
+  }
 }
 
 FleetNews FleetView::receive(const FleetReport& report, Instant now) {
@@ -43,15 +116,24 @@
   Known& known = daemons_[report.self.daemon];
   FleetReport& last = known.report;
   if (report.self.incarnation < last.self.incarnation) return news;
-  news.newIncarnation = known.hearsay || report.self.incarnation > last.self.incarnation;
-  if (report.self.incarnation > last.self.incarnation && !last.usage.empty()) {
+  const bool heardBefore = known.reported != Instant{};
+  const bool sameLife = report.self.incarnation == last.self.incarnation;
+  news.newIncarnation = !heardBefore || !sameLife;
+  if (!sameLife && !last.usage.empty()) {
     pastUsage_[{last.self.daemon, last.self.incarnation}] = last.usage;
   }
-  const bool sameLife = report.self.incarnation == last.self.incarnation;
-  for (const auto& [organisation, spent] : report.spent) {
-    const auto before = last.spent.find(organisation);
-    const double more = spent - (sameLife && before != last.spent.end() ? before->second : 0);
-    if (more > 0) news.spentMore[organisation] = more;
+  // What a daemon spent before it was first heard of, or summed over another scope, was not spent
+  // just now; what one spent since its restart was.
+  const bool comparable = heardBefore && sameLife && report.scope == last.scope;
+  const bool fresh = heardBefore && !sameLife;
+  if ((comparable || fresh) && counts(report, now)) {
+    for (const auto& [organisation, spent] : report.spent) {
+      const auto before = last.spent.find(organisation);
+      const bool from = comparable && before != last.spent.end();
+      const double more = spent - (from ? before->second : 0);
+      if (more > 0) news.spentMore[organisation] = more;
+    }
+    addSpent(known.accumulated, news.spentMore);
   }
   for (const UpstreamId& upstream : report.draining) {
     const auto& seen = last.draining;
@@ -59,55 +141,194 @@
       news.draining.push_back(upstream);
     }
   }
+  std::vector<FleetMember> members =
+      report.membersUnchanged ? std::move(last.members) : report.members;
   known.report = report;
-  known.heard = now;
-  known.hearsay = false;
-  for (const FleetMember& member : report.members) learnMember(member, now);
+  known.report.members = std::move(members);
+  known.reported = now;
+  known.seen = now;
+  learnMembers(FleetReport(known.report), now);
   return news;
 }
 
-std::vector<std::string> FleetView::targets(Instant now) const {
-  std::set<std::string> wanted = addresses_;
+std::set<std::string> FleetView::targets(Instant now) const {
+  const bool small = isSmall(now);
+  const bool relay = !small && isRelay(now);
+  const DaemonId ownRelay = relayOf(self_.domain, now);
+  std::set<std::string> wanted;
+  std::size_t heardDirectly = 0;
   for (const auto& [daemon, known] : daemons_) {
-    const std::string& address = known.report.self.address;
-    if (now - known.heard <= kTriedFor) {
-      wanted.insert(address);
-    } else {
-      wanted.erase(address);
+    const bool direct = within(known.reported, now, kHeardFor);
+    if (direct) ++heardDirectly;
+    // One that reports to everybody doesn't know yet that there are relays.
+    const bool newcomer = known.report.scope == ReportScope::everybody;
+    const bool ward = relay && known.report.self.domain == self_.domain;
+    bool chosen = (direct && (newcomer || ward)) || daemon == ownRelay;
+    if (small) chosen = within(known.seen, now, kTriedFor);
+    if (relay && relayOf(known.report.self.domain, now) == daemon) chosen = true;
+    if (chosen) wanted.insert(known.report.self.address);
+  }
+  if (relay) addLostDomains(wanted, now);
+  // A daemon that hears nobody, and a relay, keep in touch with where newcomers turn to.
+  if (small || relay || heardDirectly == 0) {
+    wanted.insert(addresses_.begin(), addresses_.end());
+  }
+  if (small) {
+    for (const auto& [daemon, known] : daemons_) {
+      if (!within(known.seen, now, kTriedFor)) wanted.erase(known.report.self.address);
     }
   }
   wanted.erase(self_.address);
-  return {wanted.begin(), wanted.end()};
+  return wanted;
 }
 
-std::size_t FleetView::heard(Instant now) const {
-  std::size_t count = 1;
+/// A relay turns to daemons it once knew of each domain that it doesn't hear, and of its own: after
+/// a relay's end each of its daemons takes itself for the next one until it hears a stronger one.
+void FleetView::addLostDomains(std::set<std::string>& wanted, Instant now) const {
+  std::map<DomainName, std::vector<const FleetMember*>> lost;
   for (const auto& [daemon, known] : daemons_) {
-    if (!known.hearsay && !known.report.leaving && now - known.heard <= kHeardFor) ++count;
+    const FleetMember& member = known.report.self;
+    if (!within(known.seen, now, kTriedFor) || alive(known, now)) continue;
+    const bool own = member.domain == self_.domain;
+    if (own || relayOf(member.domain, now).empty()) lost[member.domain].push_back(&member);
+  }
+  for (auto& [domain, members] : lost) {
+    std::sort(members.begin(), members.end(), [](const auto* a, const auto* b) {
+      return a->capacity != b->capacity ? a->capacity > b->capacity : a->daemon < b->daemon;
+    });
+    const std::size_t strongest = std::min(members.size(), kTriedOfDomain);
+    for (std::size_t i = 0; i < strongest; ++i) wanted.insert(members[i]->address);
+    // All of them may be down: the others are tried by turns.
+    const auto turn = static_cast<std::size_t>(now.time_since_epoch() / kTryTurn);
+    wanted.insert(members[turn % members.size()]->address);
   }
-  return count;
 }
 
-std::size_t FleetView::known(Instant now) const {
-  std::size_t count = 1;
+std::vector<AddressedReport> FleetView::compose(const FleetReport& own, Instant now) {
+  std::map<std::string, Known*> byAddress;
+  for (auto& [daemon, known] : daemons_) byAddress[known.report.self.address] = &known;
+  std::vector<AddressedReport> reports;
+  for (const std::string& address : targets(now)) {
+    const auto it = byAddress.find(address);
+    reports.push_back({address, reportFor(own, it == byAddress.end() ? nullptr : it->second, now)});
+  }
+  return reports;
+}
+
+FleetReport FleetView::reportFor(const FleetReport& own, Known* target, Instant now) {
+  FleetReport report = own;
+  report.self = self_;
+  if (isSmall(now)) {
+    for (const auto& [daemon, known] : daemons_) {
+      if (within(known.seen, now, kKnownFor)) report.members.push_back(known.report.self);
+    }
+  } else if (!isRelay(now)) {
+    report.scope = ReportScope::member;
+    report.members = {self_};
+    for (const auto& [daemon, known] : daemons_) {
+      // Whoever asks a daemon that is no relay learns whom to turn to.
+      if (relayOf(known.report.self.domain, now) == daemon)
+        report.members.push_back(known.report.self);
+    }
+  } else if (target != nullptr && target->report.self.domain == self_.domain) {
+    addFleet(report, target->report.self.daemon, now);
+  } else {
+    addDomain(report, now);
+  }
+  if (target == nullptr) return report;
+  if (report.members == target->sentMembers && within(target->membersSent, now, kMembersEvery)) {
+    report.members.clear();
+    report.membersUnchanged = true;
+  } else {
+    target->sentMembers = report.members;
+    target->membersSent = now;
+  }
+  return report;
+}
+
+void FleetView::addSums(FleetReport& report, const Known& source) const {
+  addSpent(report.spent, source.accumulated);
+  addLoads(report.loads, source.report.loads);
+  addUsage(report.usage, source.report.usage);
+  for (const UpstreamId& upstream : source.report.draining) {
+    if (std::find(report.draining.begin(), report.draining.end(), upstream) ==
+        report.draining.end()) {
+      report.draining.push_back(upstream);
+    }
+  }
+}
+
+void FleetView::addDomain(FleetReport& report, Instant now) const {
+  report.scope = ReportScope::domain;
+  report.members = {self_};
+  for (const auto& [daemon, known] : daemons_) {
+    if (known.report.self.domain != self_.domain) continue;
+    if (known.report.scope != ReportScope::member) continue;
+    addUsage(report.usage, pastUsageOf(daemon));
+    if (!within(known.reported, now, kHeardFor)) {
+      addUsage(report.usage, known.report.usage);
+      addSpent(report.spent, known.accumulated);
+      continue;
+    }
+    report.members.push_back(known.report.self);
+    addSums(report, known);
+  }
+}
+
+void FleetView::addFleet(FleetReport& report, const DaemonId& receiver, Instant now) const {
+  report.scope = ReportScope::fleet;
+  report.members = {self_};
   for (const auto& [daemon, known] : daemons_) {
-    if (!known.report.leaving && now - known.heard <= kKnownFor) ++count;
+    if (alive(known, now)) report.members.push_back(known.report.self);
+    if (daemon == receiver || known.reported == Instant{}) continue;
+    addUsage(report.usage, pastUsageOf(daemon));
+    if (!counts(known.report, now)) continue;
+    addSums(report, known);
+  }
+}
+
+UsageByWindow FleetView::pastUsageOf(const DaemonId& daemon) const {
+  UsageByWindow usage;
+  for (const auto& [life, past] : pastUsage_) {
+    if (life.first == daemon) addUsage(usage, past);
   }
-  return count;
+  return usage;
+}
+
+std::size_t FleetView::heard(Instant now) const {
+  return 1 + static_cast<std::size_t>(
+                 std::count_if(daemons_.begin(), daemons_.end(),
+                               [&](const auto& entry) { return alive(entry.second, now); }));
+}
+
+std::size_t FleetView::known(Instant now) const {
+  return 1 + static_cast<std::size_t>(
+                 std::count_if(daemons_.begin(), daemons_.end(), [&](const auto& entry) {
+                   return !entry.second.report.leaving && within(entry.second.seen, now, kKnownFor);
+                 }));
 }
 
 UpstreamLoads FleetView::loadsElsewhere(Instant now) const {
   UpstreamLoads loads;
-  for (const FleetReport* report : reports(now)) {
-    for (const auto& [upstream, load] : report->loads) loads[upstream] += load;
+  for (const auto& [daemon, known] : daemons_) {
+    if (within(known.reported, now, kHeardFor) && counts(known.report, now)) {
+      addLoads(loads, known.report.loads);
+    }
   }
   return loads;
 }
 
-UsageByWindow FleetView::usageElsewhere() const {
+UsageByWindow FleetView::usageElsewhere(Instant now) const {
   UsageByWindow total;
   for (const auto& [life, usage] : pastUsage_) addUsage(total, usage);
-  for (const auto& [daemon, known] : daemons_) addUsage(total, known.report.usage);
+  for (const auto& [daemon, known] : daemons_) {
+    // The sums of a relay that fell silent stand until another one tells its own.
+    const bool sums =
+        known.report.scope == ReportScope::domain || known.report.scope == ReportScope::fleet;
+    if (sums && !counts(known.report, now)) continue;
+    if (known.report.scope == ReportScope::member && !counts(known.report, now)) continue;
+    addUsage(total, known.report.usage);
+  }
   return total;
 }
 
@@ -118,26 +339,24 @@
   std::erase_if(pastUsage_, [](const auto& entry) { return entry.second.empty(); });
 }
 
-std::vector<FleetMember> FleetView::members(Instant now) const {
-  std::vector<FleetMember> members;
-  for (const auto& [daemon, known] : daemons_) {
-    if (now - known.heard <= kKnownFor) members.push_back(known.report.self);
-  }
-  return members;
+std::uint64_t FleetView::heardIncarnation(const DaemonId& daemon, Instant now) const {
+  const auto it = daemons_.find(daemon);
+  if (it == daemons_.end() || !alive(it->second, now)) return 0;
+  return it->second.report.self.incarnation;
 }
 
-const FleetReport* FleetView::find(const DaemonId& daemon, Instant now) const {
-  const auto it = daemons_.find(daemon);
-  if (it == daemons_.end() || it->second.hearsay || now - it->second.heard > kHeardFor) {
-    return nullptr;
+std::map<DaemonId, std::uint64_t> FleetView::heardOthers(Instant now) const {
+  std::map<DaemonId, std::uint64_t> heard;
+  for (const auto& [daemon, known] : daemons_) {
+    if (alive(known, now)) heard[daemon] = known.report.self.incarnation;
   }
-  return &it->second.report;
+  return heard;
 }
 
 std::vector<const FleetReport*> FleetView::reports(Instant now) const {
   std::vector<const FleetReport*> reports;
   for (const auto& [daemon, known] : daemons_) {
-    if (!known.hearsay && now - known.heard <= kHeardFor) reports.push_back(&known.report);
+    if (within(known.reported, now, kHeardFor)) reports.push_back(&known.report);
   }
   return reports;
 }
--- a/Hallchute/src/Fleet/FleetView.h
+++ b/Hallchute/src/Fleet/FleetView.h
@@ -23,43 +23,83 @@
   bool newIncarnation = false;
 };
 
+/// \brief A report and where it goes. \ingroup Fleet
+struct AddressedReport {
+  std::string address;
+  FleetReport report;
+};
+
 /// \brief The other daemons by their reports. One thread; no I/O, no clock.
 /// \ingroup Fleet
 ///
-/// Every daemon reports to every other one. That suits fleets of some dozens; for more, docs/
-/// CAPACITY.md names what takes its place.
+/// In a small fleet every daemon reports to every other one. In a larger one the strongest daemon
+/// of each failure domain is its relay: its domain's daemons report to it, relays report their
+/// domains' sums to each other, and each relay tells its domain's daemons the sums of all others.
+/// A silent relay is replaced by the next strongest. Cost for a daemon: one report each way a
+/// period; for a relay: one each way for each daemon of its domain and each other domain.
 class FleetView {
  public:
+  /// Above it, relays carry the reports: with twelve daemons the reports to all cost each about
+  /// half a hundredth of a processor, and the cost grows with the square.
+  static constexpr std::size_t kSmallFleet = 12;
+
   explicit FleetView(FleetMember self) : self_(std::move(self)) {}
 
   /// \brief Addresses to report to until their daemons are known.
   void addAddresses(std::span<const std::string> addresses);
   FleetNews receive(const FleetReport& report, Instant now);
-  /// \brief Where to report now.
-  std::vector<std::string> targets(Instant now) const;
-  /// \brief Daemons heard of lately, this one included.
+  /// \brief The reports to send now. \param own what this daemon tells of itself.
+  std::vector<AddressedReport> compose(const FleetReport& own, Instant now);
+  /// \brief Daemons that are heard of, directly or by a relay, this one included.
   std::size_t heard(Instant now) const;
   /// \brief Daemons that are likely to run, heard or not, this one included.
   std::size_t known(Instant now) const;
   UpstreamLoads loadsElsewhere(Instant now) const;
   /// \brief Usage of all daemons and their earlier incarnations, without this one's own.
-  UsageByWindow usageElsewhere() const;
+  UsageByWindow usageElsewhere(Instant now) const;
   void forgetUsageBefore(std::int64_t firstWindow);
-  std::vector<FleetMember> members(Instant now) const;
-  /// \brief The last report of \p daemon if it was heard lately; else null.
-  const FleetReport* find(const DaemonId& daemon, Instant now) const;
-  /// \brief Reports of all daemons heard lately, by name.
+  /// \brief Whether \p daemon was heard of lately, directly or by a relay; 0 if not, else its
+  /// incarnation.
+  std::uint64_t heardIncarnation(const DaemonId& daemon, Instant now) const;
+  /// \brief All daemons heard of lately with their incarnations, but this one.
+  std::map<DaemonId, std::uint64_t> heardOthers(Instant now) const;
+  /// \brief Reports of daemons that were heard directly lately, by name.
   std::vector<const FleetReport*> reports(Instant now) const;
+  bool isRelay(Instant now) const;
 
  private:
   struct Known {
+    /// The last report of its own; only `self` is set before the first.
     FleetReport report;
-    Instant heard{};
-    /// Known by what others say, not yet by a report of its own.
-    bool hearsay = false;
+    /// When a report of its own came, and when a relay last told of it.
+    Instant reported{};
+    Instant told{};
+    /// When anything was learned of it, hearsay too.
+    Instant seen{};
+    /// What its reports added up to in this daemon's life.
+    SpentQuota accumulated;
+    /// When it was last sent a report with members, and which.
+    Instant membersSent{};
+    std::vector<FleetMember> sentMembers;
   };
 
-  void learnMember(const FleetMember& member, Instant now);
+  static bool within(Instant then, Instant now, Millis limit) {
+    return then != Instant{} && now - then <= limit;
+  }
+  bool alive(const Known& known, Instant now) const;
+  bool isSmall(Instant now) const;
+  /// The strongest daemon of a domain that is heard of; empty if none is.
+  DaemonId relayOf(const DomainName& domain, Instant now) const;
+  /// Whether a report of \p sender counts for sums here, so that nothing counts twice.
+  bool counts(const FleetReport& report, Instant now) const;
+  void learnMembers(const FleetReport& report, Instant now);
+  std::set<std::string> targets(Instant now) const;
+  void addLostDomains(std::set<std::string>& wanted, Instant now) const;
+  FleetReport reportFor(const FleetReport& own, Known* target, Instant now);
+  void addDomain(FleetReport& report, Instant now) const;
+  void addFleet(FleetReport& report, const DaemonId& receiver, Instant now) const;
+  void addSums(FleetReport& report, const Known& source) const;
+  UsageByWindow pastUsageOf(const DaemonId& daemon) const;
 
   FleetMember self_;
   std::map<DaemonId, Known> daemons_;
--- a/Hallchute/src/Node/FleetLink.cpp
+++ b/Hallchute/src/Node/FleetLink.cpp
@@ -3,7 +3,6 @@
 
 #include "Hallchute/src/Node/FleetLink.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "Hallchute/src/Net/EventLoop.h"
@@ -45,21 +44,23 @@
 
 FleetLink::~FleetLink() = default;
 
-void FleetLink::push(const FleetReport& report, const std::vector<std::string>& addresses) {
-  std::erase_if(streams_, [&](const auto& entry) {
-    const bool wanted = std::binary_search(addresses.begin(), addresses.end(), entry.first);
-    if (!wanted) entry.second->close();
-    return !wanted || !entry.second->isOpen();
-  });
-  const std::string message = pack(report);
-  for (const std::string& address : addresses) {
-    PeerStreamPtr& stream = streams_[address];
-    if (stream) {
+void FleetLink::push(const std::vector<AddressedReport>& reports) {
+  std::map<std::string, PeerStreamPtr> kept;
+  for (const AddressedReport& addressed : reports) {
+    const std::string message = pack(addressed.report);
+    const auto it = streams_.find(addressed.address);
+    PeerStreamPtr stream = it == streams_.end() ? nullptr : it->second;
+    if (stream && stream->isOpen()) {
       stream->send(message);
     } else {
-      stream = transport_.open(address, kReportPath, message);
+      stream = transport_.open(addressed.address, kReportPath, message);
     }
+    kept[addressed.address] = stream;
+  }
+  for (const auto& [address, stream] : streams_) {
+    if (!kept.contains(address)) stream->close();
   }
+  streams_ = std::move(kept);
 }
 
 void FleetLink::askSnapshot(const std::string& address,
--- a/Hallchute/src/Node/FleetLink.h
+++ b/Hallchute/src/Node/FleetLink.h
@@ -44,8 +44,8 @@
   FleetLink(const FleetLink&) = delete;
   FleetLink& operator=(const FleetLink&) = delete;
 
-  /// \brief Pushes a report to each address; streams to others are closed.
-  void push(const FleetReport& report, const std::vector<std::string>& addresses);
+  /// \brief Pushes each report to its address; streams to others are closed.
+  void push(const std::vector<AddressedReport>& reports);
   /// \brief Asks a peer for its snapshot; nothing comes if it can't be reached.
   void askSnapshot(const std::string& address,
                    std::function<void(const FleetSnapshot&)> onSnapshot);
--- a/Hallchute/src/Node/FleetWire.h
+++ b/Hallchute/src/Node/FleetWire.h
@@ -16,14 +16,14 @@
 namespace Hallchute {
 
 inline auto wireFields(FleetMember& m) {
-  return std::tie(m.daemon, m.address, m.incarnation);
+  return std::tie(m.daemon, m.address, m.incarnation, m.domain, m.capacity);
 }
 inline auto wireFields(DutyHolder& m) {
   return std::tie(m.daemon, m.incarnation, m.epoch);
 }
 inline auto wireFields(FleetReport& m) {
-  return std::tie(m.self, m.domain, m.settingsVersion, m.spent, m.loads, m.usage, m.draining,
-                  m.duties, m.members, m.leaving);
+  return std::tie(m.self, m.scope, m.settingsVersion, m.spent, m.loads, m.usage, m.draining,
+                  m.duties, m.members, m.membersUnchanged, m.leaving);
 }
 inline auto wireFields(UpstreamRecord& m) {
   return std::tie(m.id, m.service, m.address, m.domain, m.slots, m.state, m.reclaimable, m.coldFor);
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -34,7 +34,8 @@
 }
 
 FleetMember memberOf(const NodeStartup& startup) {
-  return {startup.daemon, startup.peerListen, static_cast<std::uint64_t>(wallClockMs())};
+  return {startup.daemon, startup.peerListen, static_cast<std::uint64_t>(wallClockMs()),
+          startup.domain, startup.capacity};
 }
 
 }  // namespace
@@ -111,8 +112,9 @@
     input.upstreams = upstreams_;
     DutyFacts& facts = input.facts;
     facts.wallClock = Millis(wallClockMs());
-    facts.usage = fleet_.usageElsewhere();
+    facts.usage = fleet_.usageElsewhere(now);
     addUsage(facts.usage, local_.usage);
+    facts.heard = fleet_.heardOthers(now);
     if (!leaving_) facts.heard[self_.daemon] = self_.incarnation;
     UpstreamLoads loads = fleet_.loadsElsewhere(now);
     for (const auto& [upstream, load] : local_.loads) loads[upstream] += load;
@@ -121,7 +123,6 @@
       if (load != loads.end()) input.load[record.service] += load->second;
     }
     for (const FleetReport* report : fleet_.reports(now)) {
-      if (!report->leaving) facts.heard[report->self.daemon] = report->self.incarnation;
       if (report->duties.epoch > facts.named.epoch) facts.named = report->duties;
     }
   });
@@ -198,16 +199,18 @@
   local_ = local;
   FleetReport report;
   report.self = self_;
-  report.domain = startup_.domain;
   report.settingsVersion = settingsVersion_;
   report.spent = local.spent;
   report.loads = local.loads;
   report.usage = local.usage;
   report.draining = local.draining;
-  report.members = fleet_.members(now);
   report.leaving = leaving_;
   if (duties_) report.duties = duties_->holder();
-  link_.push(report, fleet_.targets(now));
+  // What others named is passed on: not everyone hears the holder itself.
+  for (const FleetReport* heard : fleet_.reports(now)) {
+    if (heard->duties.epoch > report.duties.epoch) report.duties = heard->duties;
+  }
+  link_.push(fleet_.compose(report, now));
   FleetTold told{fleet_.heard(now), fleet_.known(now), fleet_.loadsElsewhere(now)};
   trafficLoop_.post([this, told = std::move(told)] { engine_.setFleet(told); });
   catchUpFromPeers();
--- a/Hallchute/src/Node/NodeStartup.cpp
+++ b/Hallchute/src/Node/NodeStartup.cpp
@@ -17,6 +17,7 @@
 constexpr double kMostSeconds = 3'600;
 constexpr double kMostMs = kMostSeconds * 1'000;
 constexpr std::int64_t kMostDescriptors = 1'048'576;
+constexpr double kMostProcessors = 1'024;
 constexpr double kMostRetries = 1'000'000;
 /// Descriptors for the log, the loops, the store and peers.
 constexpr std::int64_t kLeastDescriptors = 64;
@@ -83,6 +84,8 @@
   startup.ownIp = root.text("ip", true);
   startup.logLevel = root.oneOf("logLevel", kLogLevels);
   startup.seeds = root.texts("seeds");
+  const double processors = root.number("processors", 0, kMostProcessors, 1);
+  startup.capacity = static_cast<std::uint32_t>(processors * 1'000);
   for (const std::string& name : root.texts("failureDomains")) startup.domains.emplace_back(name);
   startup.descriptors = static_cast<std::size_t>(
       root.integer("descriptors", kLeastDescriptors, kMostDescriptors, 1'024));
--- a/Hallchute/src/Node/NodeStartup.h
+++ b/Hallchute/src/Node/NodeStartup.h
@@ -5,6 +5,7 @@
 #define HALLCHUTE_NODE_NODESTARTUP_H
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -56,6 +57,8 @@
   /// Descriptors that the process may have open.
   std::size_t descriptors = 1'024;
   NodeBounds bounds;
+  /// Thousandths of a processor that the host gives.
+  std::uint32_t capacity = 1'000;
   std::string logLevel = "info";
 };
 
