Capacity before the first load, and orders that never came

Cause: on the grown site the planner gave up 54 of 60 replicas before the traffic began, as it saw no load; and a group whose replicas were taken away was never ordered again, as its order stood. Ruled out: the platform (it takes a repeated order). Change: until load is seen the organisations' quotas tell how many replicas are needed; a group that lacks what was ordered for 8 s is ordered again.

--- a/Hallchute/src/Capacity/ReplicaPlanner.cpp
+++ b/Hallchute/src/Capacity/ReplicaPlanner.cpp
@@ -33,12 +33,28 @@
   refusedUntil_[group] = now + policy_.refusedFor;
 }
 
-std::uint32_t ReplicaPlanner::needed(const GatewayService& service, std::uint32_t load,
-                                     Instant now) {
-  const auto forLoad = static_cast<std::uint32_t>(std::ceil(load / policy_.runsPerReplica));
-  const std::uint32_t need = std::max(policy_.least, forLoad + policy_.spare);
+/// Before the first load there is nothing to go by but what the quotas allow, or what is there.
+std::uint32_t ReplicaPlanner::neededBeforeLoad(const CapacityView& view,
+                                               std::uint32_t initial) const {
+  if (view.quotaTokens <= 0) return initial;
+  const double replicas = std::ceil(view.quotaTokens / policy_.quotaTokensPerReplica);
+  return std::min(initial, static_cast<std::uint32_t>(replicas));
+}
+
+std::uint32_t ReplicaPlanner::needed(const GatewayService& service, const CapacityView& view,
+                                     std::uint32_t present, Instant now) {
+  const auto found = view.load.find(service.name);
+  const std::uint32_t load = found == view.load.end() ? 0 : found->second;
   Peak& peak = peaks_[service.name];
-  if (need >= peak.need || now >= peak.until) peak = {need, now + policy_.holdFor};
+  if (peak.initial == 0) peak.initial = present;
+  peak.loadSeen = peak.loadSeen || load > 0;
+  const auto forLoad = static_cast<std::uint32_t>(std::ceil(load / policy_.runsPerReplica));
+  std::uint32_t need = std::max(policy_.least, forLoad + policy_.spare);
+  if (!peak.loadSeen) need = std::max(need, neededBeforeLoad(view, peak.initial));
+  if (need >= peak.need || now >= peak.until) {
+    peak.need = need;
+    peak.until = now + policy_.holdFor;
+  }
   return peak.need;
 }
 
@@ -57,8 +73,9 @@
     }
     for (const DomainName& domain : seen) domains.try_emplace(domain);
     if (domains.empty()) continue;
-    const auto load = view.load.find(service.name);
-    const std::uint32_t need = needed(service, load == view.load.end() ? 0 : load->second, now);
+    std::uint32_t present = 0;
+    for (const auto& [domain, there] : domains) present += there.onDemand + there.reclaimable;
+    const std::uint32_t need = needed(service, view, present, now);
     planService(service, domains, need, now, orders);
   }
   return orders;
@@ -92,7 +109,7 @@
   for (const auto& [domain, present] : domains) ready += present.reclaimable;
   for (const auto& [domain, count] : wanted) {
     const ReplicaGroup group{service.name, domain, true};
-    if (!refused(group, now)) add({group, count}, domains.at(domain).reclaimable, orders);
+    if (!refused(group, now)) add({group, count}, domains.at(domain).reclaimable, now, orders);
   }
   // On-demand replicas make up for what reclaimable ones don't carry yet.
   std::uint32_t left = std::max(policy_.onDemandFloor, need > ready ? need - ready : 0);
@@ -120,14 +137,21 @@
         limits.least > present.reclaimable ? limits.least - present.reclaimable : 0;
     count = std::max(count, floor);
     const ReplicaGroup group{service.name, domain, false};
-    if (!refused(group, now)) add({group, count}, present.onDemand, orders);
+    if (!refused(group, now)) add({group, count}, present.onDemand, now, orders);
   }
 }
 
-void ReplicaPlanner::add(const ReplicaOrder& order, std::uint32_t present,
+void ReplicaPlanner::add(const ReplicaOrder& order, std::uint32_t present, Instant now,
                          std::vector<ReplicaOrder>& orders) {
   const auto last = ordered_.find(order.group);
-  const std::uint32_t standing = last == ordered_.end() ? present : last->second;
+  std::uint32_t standing = last == ordered_.end() ? present : last->second;
+  if (present >= standing) {
+    shortSince_.erase(order.group);
+  } else if (now - shortSince_.try_emplace(order.group, now).first->second > policy_.shortFor) {
+    // They were taken away, or never came: the order is given again.
+    shortSince_.erase(order.group);
+    standing = present;
+  }
   if (standing != order.count) orders.push_back(order);
 }
 
--- a/Hallchute/src/Capacity/ReplicaPlanner.h
+++ b/Hallchute/src/Capacity/ReplicaPlanner.h
@@ -30,6 +30,12 @@
   std::uint32_t onDemandFloor = 1;
   /// How long a group that had none to give is not asked again.
   Millis refusedFor{6'000};
+  /// How long a group may lack what was ordered before it is ordered again: a boot and a half.
+  Millis shortFor{8'000};
+  /// Tokens a second of the organisations' quotas that one replica is taken to serve while no load
+  /// has been seen yet: an engine reads some 32,000 prompt tokens a second, and about half of what
+  /// quotas count is read from its cache.
+  double quotaTokensPerReplica = 64'000;
   /// How long capacity stays after the load that asked for it fell.
   Millis holdFor{10'000};
 };
@@ -40,6 +46,8 @@
   std::span<const UpstreamRecord> upstreams;
   /// Requests under way by service, over all daemons.
   std::map<ServiceName, std::uint32_t> load;
+  /// Tokens a second that the organisations' quotas allow together; 0 if any has no limit.
+  double quotaTokens = 0;
 };
 
 /// \brief Decides how many replicas to order. No I/O, no clock. \ingroup Capacity
@@ -67,23 +75,31 @@
   };
   using Domains = std::map<DomainName, Present>;
 
-  std::uint32_t needed(const GatewayService& service, std::uint32_t load, Instant now);
+  std::uint32_t needed(const GatewayService& service, const CapacityView& view,
+                       std::uint32_t present, Instant now);
+  std::uint32_t neededBeforeLoad(const CapacityView& view, std::uint32_t initial) const;
   void planService(const GatewayService& service, const Domains& domains, std::uint32_t need,
                    Instant now, std::vector<ReplicaOrder>& orders);
   std::map<DomainName, std::uint32_t> reclaimableWanted(const GatewayService& service,
                                                         const Domains& domains, std::uint32_t need,
                                                         Instant now) const;
-  void add(const ReplicaOrder& order, std::uint32_t present, std::vector<ReplicaOrder>& orders);
+  void add(const ReplicaOrder& order, std::uint32_t present, Instant now,
+           std::vector<ReplicaOrder>& orders);
   bool refused(const ReplicaGroup& group, Instant now) const;
 
   struct Peak {
     std::uint32_t need = 0;
     Instant until{};
+    bool loadSeen = false;
+    /// Replicas that were there when the planner first looked.
+    std::uint32_t initial = 0;
   };
 
   CapacityPolicy policy_;
   std::map<ReplicaGroup, std::uint32_t> ordered_;
   std::map<ReplicaGroup, Instant> refusedUntil_;
+  /// Since when a group has had fewer than ordered.
+  std::map<ReplicaGroup, Instant> shortSince_;
   std::map<ServiceName, Peak> peaks_;
   /// Where a service was ever seen: its groups exist there though all may be gone.
   std::map<ServiceName, std::set<DomainName>> seen_;
--- a/Hallchute/src/Node/DutyRunner.cpp
+++ b/Hallchute/src/Node/DutyRunner.cpp
@@ -134,7 +134,7 @@
 }
 
 void DutyRunner::orderReplicas(const DutyInput& input) {
-  CapacityView view{input.services, input.upstreams, input.load};
+  const CapacityView view{input.services, input.upstreams, input.load, input.quotaTokens};
   for (const ReplicaOrder& order : planner_.plan(view, clockNow())) {
     // A holder that slept must not order by what it knew before.
     if (!keeper_.renewedWithin(options_.policy.window + options_.policy.lease, clockNow())) {
--- a/Hallchute/src/Node/DutyRunner.h
+++ b/Hallchute/src/Node/DutyRunner.h
@@ -27,6 +27,7 @@
   std::vector<GatewayService> services;
   std::vector<UpstreamRecord> upstreams;
   std::map<ServiceName, std::uint32_t> load;
+  double quotaTokens = 0;
   bool leaving = false;
 };
 
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -33,6 +33,16 @@
   return std::clamp(bounds.contact - kWatchMargin, kWatchMargin, kLongestWatch);
 }
 
+/// 0 if an organisation has no limit, or one that doesn't count tokens.
+double quotaTokensOf(const GatewaySettings& settings) {
+  double sum = 0;
+  for (const GatewayOrganisation& organisation : settings.organisations) {
+    if (organisation.rate <= 0 || !organisation.countsTokens) return 0;
+    sum += organisation.rate;
+  }
+  return sum;
+}
+
 FleetMember memberOf(const NodeStartup& startup) {
   return {startup.daemon, startup.peerListen, static_cast<std::uint64_t>(wallClockMs()),
           startup.domain, startup.capacity};
@@ -110,6 +120,7 @@
     input.leaving = leaving_;
     input.services = services_;
     input.upstreams = upstreams_;
+    input.quotaTokens = quotaTokens_;
     DutyFacts& facts = input.facts;
     facts.wallClock = Millis(wallClockMs());
     facts.usage = fleet_.usageElsewhere(now);
@@ -153,14 +164,16 @@
   const std::uint64_t version = settings->version;
   const FrontLimits limits = settings->limits;
   const std::vector<GatewayService> services = settings->services;
+  const double quotaTokens = quotaTokensOf(*settings);
   const auto routes = std::make_shared<const RouteTable>(std::move(*settings));
   trafficLoop_.post([this, routes, limits] {
     engine_.setSettings(routes);
     callers_.setLimits(limits);
   });
-  controlLoop_.post([this, version, services, text = jsonText(content)] {
+  controlLoop_.post([this, version, services, quotaTokens, text = jsonText(content)] {
     if (version <= settingsVersion_) return;
     services_ = services;
+    quotaTokens_ = quotaTokens;
     settingsVersion_ = version;
     settingsText_ = text;
   });
--- a/Hallchute/src/Node/GatewayNode.h
+++ b/Hallchute/src/Node/GatewayNode.h
@@ -94,6 +94,7 @@
   std::string settingsText_;
   std::vector<UpstreamRecord> upstreams_;
   std::vector<GatewayService> services_;
+  double quotaTokens_ = 0;
   LocalReport local_;
   bool leaving_ = false;
 
