A holder that lost a write goes on; domains out of reach are passed over; lost runs are counted

Ruled out: the store (it answered again after 7 s). Second: a request in a domain that is cut off tried three upstreams for 250 ms each. Third: runs whose answer was lost were missing from usage. Change: who is named as holder reads the record; two unreachable upstreams of a domain within a second shun all of them for 0.6 s, and a connection has 120 ms; runs that had time to begin are counted. The start-up file, its faults and signals are read in one place for both commands. Tests for holder and domains failed first.

--- /dev/null
+++ b/Hallchute/src/Cli/ConfigFile.h
@@ -0,0 +1,34 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_CLI_CONFIGFILE_H
+#define HALLCHUTE_CLI_CONFIGFILE_H
+
+#include <signal.h>
+
+#include <functional>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "Hallchute/src/Cli/ExitCode.h"
+#include "Hallchute/src/Core/Finding.h"
+
+namespace Hallchute {
+
+/// \brief The path that `--config` gives. \ingroup Cli
+std::string configPath();
+
+/// \brief Reads the file that `--config` names and tells all its faults on standard error.
+/// \ingroup Cli
+/// \param read takes the text and adds what is wrong with it.
+/// \returns `ok`, `usage` if the file can't be read, `invalid` if it has faults.
+ExitCode readConfigFile(const std::function<void(std::string_view text, Findings&)>& read);
+
+/// \brief Blocks \p numbers in this thread and all it starts, so that one thread can wait for
+/// them, and ignores SIGPIPE. \ingroup Cli
+sigset_t blockSignals(std::span<const int> numbers);
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_CLI_CONFIGFILE_H
--- a/Hallchute/src/Cli/ServeCommand.cpp
+++ b/Hallchute/src/Cli/ServeCommand.cpp
@@ -3,54 +3,33 @@
 
 #include "Hallchute/src/Cli/ServeCommand.h"
 
-#include <absl/flags/flag.h>
 #include <pthread.h>
 #include <signal.h>
 
+#include <array>
 #include <atomic>
-#include <fstream>
 #include <iostream>
-#include <sstream>
-#include <string>
+#include <string_view>
 #include <thread>
 
+#include "Hallchute/src/Cli/ConfigFile.h"
 #include "Hallchute/src/Daemon/Daemon.h"
 #include "Hallchute/src/Observability/Log.h"
 
-ABSL_FLAG(std::string, config, "", "the daemon's start-up file");
-
 namespace Hallchute {
 namespace {
 
-sigset_t stopSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  return signals;
-}
+constexpr std::array kStopSignals{SIGTERM, SIGINT};
 
 }  // namespace
 
 ExitCode serveCommand() {
-  const std::string path = absl::GetFlag(FLAGS_config);
-  std::ifstream file(path);
-  if (!file) {
-    std::cerr << "--config: can't read '" << path << "'\n";
-    return ExitCode::usage;
-  }
-  std::stringstream text;
-  text << file.rdbuf();
-  Findings findings;
-  StartupFile startup = readStartupFile(text.str(), findings);
-  if (!findings.empty()) {
-    std::cerr << path << " has faults:\n" << describe(findings);
-    return ExitCode::invalid;
-  }
-  // Every thread inherits the mask: only the waiter below takes the signals.
-  const sigset_t signals = stopSignals();
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  signal(SIGPIPE, SIG_IGN);
+  StartupFile startup;
+  const ExitCode read = readConfigFile([&](std::string_view text, Findings& findings) {
+    startup = readStartupFile(text, findings);
+  });
+  if (read != ExitCode::ok) return read;
+  const sigset_t signals = blockSignals(kStopSignals);
   startLogging(logLevelNamed(startup.logLevel), startup.daemon.str(), startup.domain.str());
   try {
     Daemon daemon(std::move(startup));
--- a/Hallchute/src/Daemon/StartupFile.cpp
+++ b/Hallchute/src/Daemon/StartupFile.cpp
@@ -7,6 +7,7 @@
 
 #include <array>
 
+#include "Hallchute/src/Net/AddressMember.h"
 #include "Hallchute/src/Settings/JsonReader.h"
 
 namespace Hallchute {
@@ -17,18 +18,6 @@
 constexpr std::int64_t kLeastLimitMs = 10;
 constexpr std::int64_t kMostLimitMs = 60'000;
 
-std::string address(JsonReader& reader, const std::string& name, bool required) {
-  std::string text = reader.text(name, required);
-  if (text.empty()) return text;
-  try {
-    const Poco::Net::SocketAddress parsed(text);
-    if (text.find(':') == std::string::npos) reader.report(name, "must be ip:port");
-  } catch (const Poco::Exception&) {
-    reader.report(name, "must be ip:port");
-  }
-  return text;
-}
-
 }  // namespace
 
 std::string StartupFile::ownIp() const {
@@ -47,22 +36,22 @@
     if (!root.has(section)) root.report(section, "is missing");
   }
   root.object("callers", [&](JsonReader& reader) {
-    file.callerListen = address(reader, "listen", true);
+    file.callerListen = addressMember(reader, "listen", true);
     file.maxCallers = static_cast<int>(reader.integer("maxConnections", 1, kMaxCallers, 512));
   });
   root.object("operators", [&](JsonReader& reader) {
-    file.operatorListen = address(reader, "listen", true);
+    file.operatorListen = addressMember(reader, "listen", true);
     file.operatorToken = reader.text("token", true);
   });
   root.object("peers", [&](JsonReader& reader) {
-    file.peerListen = address(reader, "listen", true);
-    file.peerAdvertise = address(reader, "advertise", false);
+    file.peerListen = addressMember(reader, "listen", true);
+    file.peerAdvertise = addressMember(reader, "advertise", false);
     if (file.peerAdvertise.empty()) file.peerAdvertise = file.peerListen;
     file.peerSecret = reader.text("secret", true);
     file.seeds = reader.texts("seeds");
   });
   root.object("platform", [&](JsonReader& reader) {
-    file.platformAddress = address(reader, "address", true);
+    file.platformAddress = addressMember(reader, "address", true);
     file.platformToken = reader.text("token", true);
     file.platformLimit = Millis(reader.integer("limitMs", kLeastLimitMs, kMostLimitMs, 1'000));
   });
--- a/Hallchute/src/Duty/DutyKeeper.cpp
+++ b/Hallchute/src/Duty/DutyKeeper.cpp
@@ -70,7 +70,10 @@
 }
 
 DutyStep DutyKeeper::nextAsOther(const DutyFacts& facts, Instant now) {
-  if (!isFirst(facts)) {
+  // A holder that no longer knows whether it holds is waited for by all others.
+  const bool namedSelf =
+      facts.named.daemon == self_.daemon && facts.named.incarnation == self_.incarnation;
+  if (!isFirst(facts) && !namedSelf) {
     // What was read may change unseen while another daemon is first.
     known_.reset();
     absent_ = false;
--- a/Hallchute/src/Gateway/UpstreamPick.cpp
+++ b/Hallchute/src/Gateway/UpstreamPick.cpp
@@ -23,14 +23,17 @@
 
 enum class Tier { sound, shunned, gone, unfit };
 
-Tier tierOf(const UpstreamEntry& entry, const UpstreamWish& wish, Instant now) {
+Tier tierOf(const UpstreamTable& table, const UpstreamEntry& entry, const UpstreamWish& wish,
+            Instant now) {
   if (entry.record.service != wish.service) return Tier::unfit;
   if (entry.record.state == UpstreamState::draining) return Tier::unfit;
   if (wish.tried.contains(entry.record.id)) return Tier::unfit;
   if (entry.goneSince) {
     return now - *entry.goneSince <= kUseAfterGone ? Tier::gone : Tier::unfit;
   }
-  return now < entry.shunnedUntil ? Tier::shunned : Tier::sound;
+  const bool shunned =
+      now < entry.shunnedUntil || table.domainUnreachable(entry.record.domain, now);
+  return shunned ? Tier::shunned : Tier::sound;
 }
 
 /// A number in [0, 1) that differs by upstream and key.
@@ -79,7 +82,7 @@
   std::vector<const UpstreamEntry*> fit;
   Tier best = Tier::unfit;
   for (const auto& [id, entry] : table.entries()) {
-    const Tier tier = tierOf(entry, wish, now);
+    const Tier tier = tierOf(table, entry, wish, now);
     if (tier == Tier::unfit || tier > best) continue;
     if (tier < best) fit.clear();
     best = tier;
--- a/Hallchute/src/Gateway/UpstreamTable.cpp
+++ b/Hallchute/src/Gateway/UpstreamTable.cpp
@@ -16,6 +16,10 @@
 constexpr Millis kLongestShun{3'200};
 /// How long a refused connection keeps work away: the process is likely to be restarting.
 constexpr Millis kUnreachableShun{600};
+/// Two different upstreams of a domain out of reach within this time: the domain is cut off.
+constexpr Millis kSameCut{1'000};
+/// How long a domain that is cut off is passed over before one request tries it again.
+constexpr Millis kDomainShun{600};
 /// A full upstream gets a short rest.
 constexpr Millis kRejectedShun{50};
 /// How long an upstream that left the directory is remembered.
@@ -71,6 +75,7 @@
   if (entry.inFlight > 0) --entry.inFlight;
   switch (result) {
     case DispatchResult::answered:
+      troubles_.erase(entry.record.domain);
       entry.failuresInARow = 0;
       entry.shunnedUntil = {};
       return;
@@ -80,6 +85,7 @@
     case DispatchResult::unreachable:
       entry.shunnedUntil = std::max(entry.shunnedUntil, now + kUnreachableShun);
       noteFailure(entry, now);
+      noteUnreachable(entry, now);
       return;
     case DispatchResult::broken:
     case DispatchResult::silent:
@@ -91,6 +97,19 @@
   }
 }
 
+void UpstreamTable::noteUnreachable(const UpstreamEntry& entry, Instant now) {
+  DomainTrouble& trouble = troubles_[entry.record.domain];
+  const bool another = !trouble.last.empty() && trouble.last != entry.record.id;
+  if (another && now - trouble.at <= kSameCut) trouble.until = now + kDomainShun;
+  trouble.last = entry.record.id;
+  trouble.at = now;
+}
+
+bool UpstreamTable::domainUnreachable(const DomainName& domain, Instant now) const {
+  const auto it = troubles_.find(domain);
+  return it != troubles_.end() && now < it->second.until;
+}
+
 void UpstreamTable::noteReplaced(const UpstreamId& upstream, Instant now) {
   const auto it = entries_.find(upstream);
   if (it != entries_.end() && !it->second.goneSince) it->second.goneSince = now - kForgetAfter;
--- a/Hallchute/src/Gateway/UpstreamTable.h
+++ b/Hallchute/src/Gateway/UpstreamTable.h
@@ -68,14 +68,25 @@
   /// \brief Forgets upstreams that are gone and have no work left.
   void sweep(Instant now);
 
+  /// \brief Whether a failure domain seems to be out of reach as a whole.
+  bool domainUnreachable(const DomainName& domain, Instant now) const;
   const std::map<UpstreamId, UpstreamEntry>& entries() const { return entries_; }
   const UpstreamEntry* find(const UpstreamId& upstream) const;
   UpstreamLoads ownLoads() const;
 
  private:
+  /// Which upstream of a domain couldn't be reached last, and until when all of them are shunned.
+  struct DomainTrouble {
+    UpstreamId last;
+    Instant at{};
+    Instant until{};
+  };
+
   void noteFailure(UpstreamEntry& entry, Instant now);
+  void noteUnreachable(const UpstreamEntry& entry, Instant now);
 
   std::map<UpstreamId, UpstreamEntry> entries_;
+  std::map<DomainName, DomainTrouble> troubles_;
 };
 
 }  // namespace Hallchute
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -136,6 +136,8 @@
     for (const FleetReport* report : fleet_.reports(now)) {
       if (report->duties.epoch > facts.named.epoch) facts.named = report->duties;
     }
+    const DutyHolder own = duties_->holder();
+    if (own.epoch > facts.named.epoch) facts.named = own;
   });
   return input;
 }
--- a/Hallchute/src/Node/NodeStartup.cpp
+++ b/Hallchute/src/Node/NodeStartup.cpp
@@ -3,11 +3,9 @@
 
 #include "Hallchute/src/Node/NodeStartup.h"
 
-#include <Poco/Net/SocketAddress.h>
-
-#include <algorithm>
 #include <array>
 
+#include "Hallchute/src/Net/AddressMember.h"
 #include "Hallchute/src/Settings/JsonReader.h"
 
 namespace Hallchute {
@@ -22,18 +20,6 @@
 /// Descriptors for the log, the loops, the store and peers.
 constexpr std::int64_t kLeastDescriptors = 64;
 
-std::string address(JsonReader& reader, const std::string& name, bool required) {
-  std::string text = reader.text(name, required);
-  if (text.empty()) return text;
-  try {
-    const Poco::Net::SocketAddress parsed(text);
-    if (text.find(':') == std::string::npos) reader.report(name, "must be ip:port");
-  } catch (const Poco::Exception&) {
-    reader.report(name, "must be ip:port");
-  }
-  return text;
-}
-
 Millis millis(JsonReader& reader, const std::string& name, Millis fallback) {
   const auto start = static_cast<double>(fallback.count());
   return Millis(static_cast<Millis::rep>(reader.number(name, 0, kMostMs, start)));
@@ -60,14 +46,14 @@
 }
 
 void readListen(JsonReader& reader, NodeStartup& startup) {
-  startup.callerListen = address(reader, "callers", true);
-  startup.readinessListen = address(reader, "readiness", true);
-  startup.peerListen = address(reader, "peers", true);
-  startup.metricsListen = address(reader, "metrics", false);
+  startup.callerListen = addressMember(reader, "callers", true);
+  startup.readinessListen = addressMember(reader, "readiness", true);
+  startup.peerListen = addressMember(reader, "peers", true);
+  startup.metricsListen = addressMember(reader, "metrics", false);
 }
 
 void readDuties(JsonReader& reader, NodeStartup& startup) {
-  startup.dutyAddress = address(reader, "address", false);
+  startup.dutyAddress = addressMember(reader, "address", false);
   startup.reportsUsage = reader.boolean("usage", false);
   startup.ordersReplicas = reader.boolean("replicas", false);
 }
@@ -93,8 +79,9 @@
     if (!root.has(section)) root.report(section, "is missing");
   }
   root.object("listen", [&](JsonReader& reader) { readListen(reader, startup); });
-  root.object("store",
-              [&](JsonReader& reader) { startup.storeAddress = address(reader, "address", true); });
+  root.object("store", [&](JsonReader& reader) {
+    startup.storeAddress = addressMember(reader, "address", true);
+  });
   root.object("duties", [&](JsonReader& reader) { readDuties(reader, startup); });
   root.object("bounds", [&](JsonReader& reader) { readBounds(reader, startup.bounds); });
   root.finish();
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -31,6 +31,10 @@
 /// least time: an engine that sets a request aside for a while must not lose it.
 constexpr double kSilentPauses = 3.0;
 constexpr Millis kLeastPause{1'200};
+/// After this a request that was sent has usually begun to run: a stream with its first token,
+/// which engines make some 100 ms after they take it up, a plain one at once.
+constexpr Millis kStreamBegins{150};
+constexpr Millis kPlainBegins{3};
 /// The most of the remaining time that is given to a silent upstream.
 constexpr double kSilentPart = 0.4;
 constexpr int kServerError = 500;
@@ -276,7 +280,6 @@
       .with("sent", sent)
       .with("started", course_.started())
       .with("afterMs", std::chrono::duration_cast<Millis>(clockNow() - dispatchedAt_));
-  if (sent && admission_.route->kind != WorkKind::stream) noteRunBegan();
   endDispatch(sent ? DispatchResult::broken : DispatchResult::unreachable, false);
   if (sent) {
     take(RelayEvents::Broken{});
@@ -287,6 +290,7 @@
 
 void TrafficSession::endDispatch(DispatchResult result, bool keepChannel) {
   if (!std::exchange(dispatched_, false)) return;
+  noteLostRun(result);
   engine_.loop().cancel(std::exchange(silenceTimer_, 0));
   const Instant now = clockNow();
   engine_.table().noteEnded(upstream_, result, now);
@@ -299,6 +303,15 @@
   }
 }
 
+/// A run whose answer never came is counted too, if the upstream had the time to begin it.
+void TrafficSession::noteLostRun(DispatchResult result) {
+  if (result == DispatchResult::rejected || result == DispatchResult::unreachable) return;
+  const bool stream = admission_.route->kind == WorkKind::stream;
+  if (clockNow() - dispatchedAt_ < (stream ? kStreamBegins : kPlainBegins)) return;
+  if (std::exchange(runCounted_, true) || admission_.organisation == nullptr) return;
+  engine_.noteRun(admission_.organisation->name);
+}
+
 void TrafficSession::perform(const RelayActions::Cancel&) {
   const bool silent = !course_.ended();
   endDispatch(silent ? DispatchResult::silent : DispatchResult::abandoned, false);
--- a/Hallchute/src/Traffic/TrafficSession.h
+++ b/Hallchute/src/Traffic/TrafficSession.h
@@ -64,6 +64,7 @@
   bool sendTo(const UpstreamEntry& upstream, bool resume);
   void passEvents();
   void noteRunBegan();
+  void noteLostRun(DispatchResult result);
   void endDispatch(DispatchResult result, bool keepChannel);
   void startSilenceTimer();
   void stopTimers();
--- a/Hallchute/src/Upstream/UpstreamPool.cpp
+++ b/Hallchute/src/Upstream/UpstreamPool.cpp
@@ -15,7 +15,7 @@
 
 /// Within a failure domain a connection takes well under a millisecond, between domains a few;
 /// one that takes longer leads to a host that is gone or behind a cut.
-constexpr Millis kConnectLimit{250};
+constexpr Millis kConnectLimit{120};
 /// What is left of the announced idle time when a connection counts as no longer sure.
 constexpr Millis kIdleMargin{300};
 /// How long a connection counts as sure where the upstream announced no idle time.
--- a/test/DutyTest.cpp
+++ b/test/DutyTest.cpp
@@ -114,6 +114,7 @@
   CPPUNIT_TEST(aRestartedHolderIsReplacedAtOnce);
   CPPUNIT_TEST(aHolderThatWasReplacedActsNoMore);
   CPPUNIT_TEST(aLostWriteIsReadAgain);
+  CPPUNIT_TEST(aHolderThatLostAWriteGoesOnThoughItIsNotFirst);
   CPPUNIT_TEST(reportsStayTheSameThroughAnyTakeOver);
   CPPUNIT_TEST_SUITE_END();
 
@@ -191,6 +192,26 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, world.stored->record.holder.epoch);
   }
 
+  /// All others name it and wait for it: nobody else would read the record.
+  void aHolderThatLostAWriteGoesOnThoughItIsNotFirst() {
+    World world;
+    Daemon a("a", 1);
+    Daemon b("b", 1);
+    for (int ms = 0; ms < 1'000; ms += 100) b.turn(world, factsAt(ms, {{"b", 1}}), ms);
+    CPPUNIT_ASSERT(b.keeper().holds());
+    for (int ms = 1'000; ms <= 30'000; ms += 100) {
+      DutyFacts facts = factsAt(ms, {{"a", 1}, {"b", 1}});
+      facts.named = {DaemonId("b"), 1, 1};
+      // The write that fixes the first window is done, and its answer lost.
+      const bool spoil = ms >= 7'400 && ms <= 7'700;
+      b.turn(world, facts, ms, spoil ? Spoilt::lostAfter : Spoilt::no);
+      a.turn(world, facts, ms);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, world.highestEpoch);
+    CPPUNIT_ASSERT(world.reports.size() >= 5);
+    CPPUNIT_ASSERT(world.faults.empty());
+  }
+
   /// Three daemons that hear each other by turns, restart, and lose calls.
   void reportsStayTheSameThroughAnyTakeOver() {
     for (std::uint64_t seed = 1; seed <= 60; ++seed) {
--- a/test/GatewayTest.cpp
+++ b/test/GatewayTest.cpp
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(anUpstreamThatLeftIsALastResortForAShortWhile);
   CPPUNIT_TEST(drainingIsNeverTakenBack);
   CPPUNIT_TEST(failuresInARowShunAnUpstream);
+  CPPUNIT_TEST(aDomainOutOfReachIsPassedOver);
   CPPUNIT_TEST(usageIsCountedByWindow);
   CPPUNIT_TEST_SUITE_END();
 
@@ -264,6 +265,31 @@
     CPPUNIT_ASSERT_EQUAL(std::string("a"), pickedAt(table, 1'260));
   }
 
+  /// Two upstreams that can't be reached tell of the others in their domain.
+  void aDomainOutOfReachIsPassedOver() {
+    UpstreamTable table;
+    table.replace(
+        std::vector{record("a", "d1"), record("b", "d1"), record("c", "d1"), record("far", "d2")},
+        at(0));
+    const auto unreachable = [&](const char* id, int ms) {
+      table.noteDispatched(UpstreamId(id));
+      table.noteEnded(UpstreamId(id), DispatchResult::unreachable, at(ms));
+    };
+    unreachable("a", 0);
+    CPPUNIT_ASSERT(pickedAt(table, 10) != "far");
+    unreachable("b", 100);
+    CPPUNIT_ASSERT_EQUAL(std::string("far"), pickedAt(table, 110));
+    // It is tried again after a while, and taken back with the first answer.
+    const std::string tried = pickedAt(table, 705);
+    CPPUNIT_ASSERT(tried != "far");
+    unreachable(tried == "c" ? "c" : "b", 705);
+    unreachable("a", 706);
+    CPPUNIT_ASSERT_EQUAL(std::string("far"), pickedAt(table, 710));
+    table.noteDispatched(UpstreamId("a"));
+    table.noteEnded(UpstreamId("a"), DispatchResult::answered, at(800));
+    CPPUNIT_ASSERT(pickedAt(table, 810) != "far");
+  }
+
   void usageIsCountedByWindow() {
     UsageLedger ledger(Millis(5'000));
     const OrganisationName org("org");
