--- a/Hallchute/src/Net/EventLoop.cpp
+++ b/Hallchute/src/Net/EventLoop.cpp
@@ -182,7 +182,8 @@
     timerTimes_.erase(node.key().second);
     Timer timer = std::move(node.mapped());
     timer.task();
-    if (timer.period > Millis(0)) addTimer(now + timer.period, std::move(timer));
+    const Millis period = timer.period;
+    if (period > Millis(0)) addTimer(now + period, std::move(timer));
   }
 }
 
--- a/Hallchute/src/Upstream/UpstreamPool.cpp
+++ b/Hallchute/src/Upstream/UpstreamPool.cpp
@@ -71,7 +71,10 @@
     discard(upstream, std::move(channel));
     return;
   }
-  channel->onIdleEnd = [this, upstream, raw = channel.get()] { dropIdle(upstream, raw); };
+  channel->onIdleEnd = [this, upstream, raw = channel.get()] {
+    // A copy: the callback that holds the name is dropped within.
+    dropIdle(UpstreamId(upstream), raw);
+  };
   it->second.idle.push_back({std::move(channel), now});
 }
 
@@ -84,8 +87,7 @@
   eraseIfEmpty(upstream);
 }
 
-/// By value: the name stands in the callback that is dropped here.
-void UpstreamPool::dropIdle(UpstreamId upstream, const UpstreamChannel* channel) {
+void UpstreamPool::dropIdle(const UpstreamId& upstream, const UpstreamChannel* channel) {
   const auto it = entries_.find(upstream);
   if (it == entries_.end()) return;
   std::vector<Idle>& idle = it->second.idle;
--- a/Hallchute/src/Upstream/UpstreamPool.h
+++ b/Hallchute/src/Upstream/UpstreamPool.h
@@ -61,7 +61,7 @@
   };
 
   void destroy(std::unique_ptr<UpstreamChannel> channel);
-  void dropIdle(UpstreamId upstream, const UpstreamChannel* channel);
+  void dropIdle(const UpstreamId& upstream, const UpstreamChannel* channel);
   void eraseIfEmpty(const UpstreamId& upstream);
 
   EventLoop& loop_;
--- a/test/DutyTest.cpp
+++ b/test/DutyTest.cpp
@@ -41,7 +41,7 @@
     if (epoch < highestEpoch) return DutyOutcome::superseded;
     highestEpoch = epoch;
     const auto before = reports.find(window);
-    if (before != reports.end() && before->second != counts) faults.push_back("two reports");
+    if (before != reports.end() && before->second != counts) faults.emplace_back("two reports");
     reports[window] = counts;
     return DutyOutcome::done;
   }
--- a/test/GatewayTest.cpp
+++ b/test/GatewayTest.cpp
@@ -205,6 +205,7 @@
   void aSubjectHasOneHomeUntilItIsBusy() {
     UpstreamTable table;
     std::vector<UpstreamRecord> records;
+    records.reserve(6);
     for (int i = 0; i < 6; ++i) records.push_back(record("u" + std::to_string(i), "d1"));
     table.replace(records, at(0));
     const UpstreamEntry* home = pickUpstream(table, wishFor("subject"), at(0));
