--- a/test/RelayTest.cpp
+++ b/test/RelayTest.cpp
@@ -189,7 +189,9 @@
       here.append(" ").append(std::to_string(i));
       ++walked;
       const std::string broken = next.take(kEvents[i]);
-      CPPUNIT_ASSERT_MESSAGE(broken + " after events" + here, broken.empty());
+      std::string told = broken;
+      told.append(" after events").append(here);
+      CPPUNIT_ASSERT_MESSAGE(told, broken.empty());
       walk(next, here, depth - 1, walked);
     }
   }
