Capacity before the first load, and no on-demand replicas for ones that boot

Cause: on the grown Nairobi site the holder found a need of 3 replicas before the load (capacity.need, now logged with its inputs): it took the directory it first saw, which was still filling, for the whole fleet. Twelve seconds of overload followed, and with it a need of 99 from the load of a jammed fleet. Besides, on-demand replicas were ordered in place of reclaimable ones that were booting, though both boot alike. Ruled out: the load that the holder hears (34 after 0.47 s, 367 after 2 s: as the callers send). Change: before the first load the largest directory seen counts, and 40,000 tokens a second of quota a replica; on-demand ones are ordered only for what no reclaimable one comes for within 1.5 boots. Two tests failed first (one by taking the wait out), a third holds the other side.

--- a/Hallchute/src/Capacity/ReplicaPlanner.cpp
+++ b/Hallchute/src/Capacity/ReplicaPlanner.cpp
@@ -9,6 +9,10 @@
 namespace Hallchute {
 namespace {
 
+/// How many boot times a reclaimable replica is waited for before an on-demand one is ordered in
+/// its place: one, and half of one for the order and the replica's entry in the directory.
+constexpr double kBootsWaitedFor = 1.5;
+
 double priceIn(const ReplicaLimits& limits, const DomainName& domain) {
   const auto it = limits.domainPrices.find(domain);
   return it == limits.domainPrices.end() ? 1.0 : it->second;
@@ -33,6 +37,11 @@
   refusedUntil_[group] = now + policy_.refusedFor;
 }
 
+std::uint32_t ReplicaPlanner::need(const ServiceName& service) const {
+  const auto it = peaks_.find(service);
+  return it == peaks_.end() ? 0 : it->second.need;
+}
+
 /// Before the first load there is nothing to go by but what the quotas allow, or what is there.
 std::uint32_t ReplicaPlanner::neededBeforeLoad(const CapacityView& view,
                                                std::uint32_t initial) const {
@@ -46,7 +55,8 @@
   const auto found = view.load.find(service.name);
   const std::uint32_t load = found == view.load.end() ? 0 : found->second;
   Peak& peak = peaks_[service.name];
-  if (peak.initial == 0) peak.initial = present;
+  // The directory of a fleet that starts fills entry by entry.
+  if (!peak.loadSeen) peak.initial = std::max(peak.initial, present);
   peak.loadSeen = peak.loadSeen || load > 0;
   const auto forLoad = static_cast<std::uint32_t>(std::ceil(load / policy_.runsPerReplica));
   std::uint32_t need = std::max(policy_.least, forLoad + policy_.spare);
@@ -100,44 +110,74 @@
   return wanted;
 }
 
-void ReplicaPlanner::planService(const GatewayService& service, const Domains& domains,
-                                 std::uint32_t need, Instant now,
-                                 std::vector<ReplicaOrder>& orders) {
-  const ReplicaLimits& limits = *service.replicas;
-  const auto wanted = reclaimableWanted(service, domains, need, now);
-  std::uint32_t ready = 0;
-  for (const auto& [domain, present] : domains) ready += present.reclaimable;
-  for (const auto& [domain, count] : wanted) {
-    const ReplicaGroup group{service.name, domain, true};
-    if (!refused(group, now)) add({group, count}, domains.at(domain).reclaimable, now, orders);
+std::uint32_t ReplicaPlanner::coming(const GatewayService& service,
+                                     const std::map<DomainName, std::uint32_t>& wanted,
+                                     std::uint32_t ready, Instant now) {
+  std::uint32_t expected = 0;
+  for (const auto& [domain, count] : wanted) expected += count;
+  if (expected <= ready) {
+    bootingSince_.erase(service.name);
+    return ready;
   }
-  // On-demand replicas make up for what reclaimable ones don't carry yet.
-  std::uint32_t left = std::max(policy_.onDemandFloor, need > ready ? need - ready : 0);
+  const Instant since = bootingSince_.try_emplace(service.name, now).first->second;
+  const auto patience =
+      std::chrono::duration<double, std::milli>(service.replicas->boot) * kBootsWaitedFor;
+  return now - since <= patience ? expected : ready;
+}
+
+std::map<DomainName, std::uint32_t> ReplicaPlanner::onDemandWanted(const GatewayService& service,
+                                                                   const Domains& domains,
+                                                                   std::uint32_t need,
+                                                                   Reclaimable reclaimable) const {
+  const ReplicaLimits& limits = *service.replicas;
   std::vector<DomainName> byPrice;
   for (const auto& [domain, present] : domains) byPrice.push_back(domain);
   std::stable_sort(byPrice.begin(), byPrice.end(), [&](const auto& a, const auto& b) {
     return priceIn(limits, a) < priceIn(limits, b);
   });
-  std::map<DomainName, std::uint32_t> onDemand;
-  // Those that are there are kept before others are ordered.
+  const auto open = [&](std::uint32_t carried) {
+    return std::max(policy_.onDemandFloor, need > carried ? need - carried : 0);
+  };
+  std::map<DomainName, std::uint32_t> wanted;
+  std::uint32_t total = 0;
+  // Those that are there stay until reclaimable ones are ready; more are ordered only for what no
+  // reclaimable one is coming for, as both take as long to boot.
   for (const bool keep : {true, false}) {
+    const std::uint32_t most = open(keep ? reclaimable.ready : reclaimable.coming);
     for (const DomainName& domain : byPrice) {
       const Present& present = domains.at(domain);
       const std::uint32_t room = limits.most - std::min(limits.most, present.reclaimable);
-      const std::uint32_t most = keep ? std::min(room, present.onDemand) : room;
-      const std::uint32_t have = onDemand[domain];
-      const std::uint32_t more = std::min(left, most > have ? most - have : 0);
-      onDemand[domain] += more;
-      left -= more;
+      const std::uint32_t bound = keep ? std::min(room, present.onDemand) : room;
+      std::uint32_t& have = wanted[domain];
+      const std::uint32_t left = most > total ? most - total : 0;
+      const std::uint32_t more = std::min(left, bound > have ? bound - have : 0);
+      have += more;
+      total += more;
     }
   }
-  for (auto& [domain, count] : onDemand) {
+  return wanted;
+}
+
+void ReplicaPlanner::planService(const GatewayService& service, const Domains& domains,
+                                 std::uint32_t need, Instant now,
+                                 std::vector<ReplicaOrder>& orders) {
+  const ReplicaLimits& limits = *service.replicas;
+  const auto wanted = reclaimableWanted(service, domains, need, now);
+  std::uint32_t ready = 0;
+  for (const auto& [domain, present] : domains) ready += present.reclaimable;
+  for (const auto& [domain, count] : wanted) {
+    const ReplicaGroup group{service.name, domain, true};
+    if (!refused(group, now)) add({group, count}, domains.at(domain).reclaimable, now, orders);
+  }
+  const Reclaimable reclaimable{ready, coming(service, wanted, ready, now)};
+  const auto onDemand = onDemandWanted(service, domains, need, reclaimable);
+  for (const auto& [domain, count] : onDemand) {
     const Present& present = domains.at(domain);
     const std::uint32_t floor =
         limits.least > present.reclaimable ? limits.least - present.reclaimable : 0;
-    count = std::max(count, floor);
     const ReplicaGroup group{service.name, domain, false};
-    if (!refused(group, now)) add({group, count}, present.onDemand, now, orders);
+    if (refused(group, now)) continue;
+    add({group, std::max(count, floor)}, present.onDemand, now, orders);
   }
 }
 
--- a/Hallchute/src/Capacity/ReplicaPlanner.h
+++ b/Hallchute/src/Capacity/ReplicaPlanner.h
@@ -33,9 +33,9 @@
   /// How long a group may lack what was ordered before it is ordered again: a boot and a half.
   Millis shortFor{8'000};
   /// Tokens a second of the organisations' quotas that one replica is taken to serve while no load
-  /// has been seen yet: an engine reads some 32,000 prompt tokens a second, and about half of what
-  /// quotas count is read from its cache.
-  double quotaTokensPerReplica = 64'000;
+  /// has been seen yet. On a grown fleet 45 replicas carried a demand whose quotas allow 1.8
+  /// million tokens a second.
+  double quotaTokensPerReplica = 40'000;
   /// How long capacity stays after the load that asked for it fell.
   Millis holdFor{10'000};
 };
@@ -66,6 +66,8 @@
   void noteRefused(const ReplicaGroup& group, Instant now);
   /// \brief Another daemon ordered meanwhile: what was ordered last is not known any more.
   void forget() { ordered_.clear(); }
+  /// \brief How many replicas a service was last found to need; 0 before the first plan.
+  std::uint32_t need(const ServiceName& service) const;
 
  private:
   /// What a service has in a failure domain, not counting what is leaving.
@@ -83,6 +85,17 @@
   std::map<DomainName, std::uint32_t> reclaimableWanted(const GatewayService& service,
                                                         const Domains& domains, std::uint32_t need,
                                                         Instant now) const;
+  /// What of the reclaimable ones is ready, and what will be if all that is ordered comes.
+  struct Reclaimable {
+    std::uint32_t ready = 0;
+    std::uint32_t coming = 0;
+  };
+  std::uint32_t coming(const GatewayService& service,
+                       const std::map<DomainName, std::uint32_t>& wanted, std::uint32_t ready,
+                       Instant now);
+  std::map<DomainName, std::uint32_t> onDemandWanted(const GatewayService& service,
+                                                     const Domains& domains, std::uint32_t need,
+                                                     Reclaimable reclaimable) const;
   void add(const ReplicaOrder& order, std::uint32_t present, Instant now,
            std::vector<ReplicaOrder>& orders);
   bool refused(const ReplicaGroup& group, Instant now) const;
@@ -91,7 +104,7 @@
     std::uint32_t need = 0;
     Instant until{};
     bool loadSeen = false;
-    /// Replicas that were there when the planner first looked.
+    /// The most replicas that were there before the first load.
     std::uint32_t initial = 0;
   };
 
@@ -101,6 +114,8 @@
   /// Since when a group has had fewer than ordered.
   std::map<ReplicaGroup, Instant> shortSince_;
   std::map<ServiceName, Peak> peaks_;
+  /// Since when a service has had fewer reclaimable replicas than wanted.
+  std::map<ServiceName, Instant> bootingSince_;
   /// Where a service was ever seen: its groups exist there though all may be gone.
   std::map<ServiceName, std::set<DomainName>> seen_;
 };
--- a/Hallchute/src/Node/DutyRunner.cpp
+++ b/Hallchute/src/Node/DutyRunner.cpp
@@ -133,9 +133,27 @@
   keeper_.noteOutcome(outcomeOf(status), 0, clockNow());
 }
 
+void DutyRunner::logNeeds(const CapacityView& view) {
+  for (const GatewayService& service : view.services) {
+    const std::uint32_t need = planner_.need(service.name);
+    std::uint32_t& logged = loggedNeeds_[service.name];
+    if (need == logged) continue;
+    const auto load = view.load.find(service.name);
+    LogLine(LogLevel::info, "capacity.need")
+        .with("service", service.name.str())
+        .with("replicas", static_cast<std::uint64_t>(need))
+        .with("before", static_cast<std::uint64_t>(logged))
+        .with("load", static_cast<std::uint64_t>(load == view.load.end() ? 0 : load->second))
+        .with("quotaTokens", static_cast<std::uint64_t>(view.quotaTokens));
+    logged = need;
+  }
+}
+
 void DutyRunner::orderReplicas(const DutyInput& input) {
   const CapacityView view{input.services, input.upstreams, input.load, input.quotaTokens};
-  for (const ReplicaOrder& order : planner_.plan(view, clockNow())) {
+  const std::vector<ReplicaOrder> orders = planner_.plan(view, clockNow());
+  logNeeds(view);
+  for (const ReplicaOrder& order : orders) {
     // A holder that slept must not order by what it knew before.
     if (!keeper_.renewedWithin(options_.policy.window + options_.policy.lease, clockNow())) {
       perform(std::get<DutySteps::Write>(keeper_.renewal()), input);
--- a/Hallchute/src/Node/DutyRunner.h
+++ b/Hallchute/src/Node/DutyRunner.h
@@ -62,6 +62,7 @@
   void perform(const DutySteps::Write& step, const DutyInput& input);
   void perform(const DutySteps::SendUsage& step, const DutyInput& input);
   void orderReplicas(const DutyInput& input);
+  void logNeeds(const CapacityView& view);
   void noteHolder();
 
   DutyPort& port_;
@@ -71,6 +72,8 @@
   Metrics& metrics_;
   DutyKeeper keeper_;
   ReplicaPlanner planner_;
+  /// What was last logged of each service's need.
+  std::map<ServiceName, std::uint32_t> loggedNeeds_;
   bool held_ = false;
   mutable std::mutex mutex_;
   DutyHolder holder_;
--- a/test/CapacityTest.cpp
+++ b/test/CapacityTest.cpp
@@ -40,6 +40,11 @@
 
   /// One turn of the planner. \returns how many orders it gave.
   std::size_t turn(std::uint32_t load, int ms) {
+    for (auto it = booting_.begin(); it != booting_.end();) {
+      const auto& [group, boot] = *it;
+      if (at(ms) >= boot.ready) count_[group] = boot.count;
+      it = at(ms) >= boot.ready ? booting_.erase(it) : std::next(it);
+    }
     std::vector<UpstreamRecord> upstreams;
     for (const auto& [group, count] : count_) {
       for (std::uint32_t i = 0; i < count; ++i) {
@@ -59,8 +64,14 @@
         continue;
       }
       CPPUNIT_ASSERT(order.count <= 6);
-      count_[order.group] = order.count;
       planner_.noteOrdered(order);
+      const bool more = order.count > count_[order.group];
+      if (more && boots(order.group)) {
+        booting_[order.group] = {order.count, at(ms) + boot_};
+      } else {
+        booting_.erase(order.group);
+        count_[order.group] = order.count;
+      }
     }
     return orders.size();
   }
@@ -78,11 +89,34 @@
     dry_.insert(domain);
   }
   void supply(const std::string& domain) { dry_.erase(domain); }
+  /// How long replicas boot from now on, at least. \param onDemandAtOnce only reclaimable ones.
+  void setBoot(Millis boot, bool onDemandAtOnce = false) {
+    boot_ = boot_ > boot ? boot_ : boot;
+    service_.replicas->boot = Millis(4'000);
+    onDemandAtOnce_ = onDemandAtOnce;
+  }
+  void appear(std::uint32_t onDemandEach) {
+    for (auto& [group, count] : count_) {
+      if (!group.reclaimable) count = onDemandEach;
+    }
+  }
   void setQuotaTokens(double tokens) { quotaTokens_ = tokens; }
 
  private:
+  struct Booting {
+    std::uint32_t count = 0;
+    Instant ready{};
+  };
+
+  bool boots(const ReplicaGroup& group) const {
+    return boot_ > Millis(0) && (group.reclaimable || !onDemandAtOnce_);
+  }
+
   GatewayService service_;
   std::map<ReplicaGroup, std::uint32_t> count_;
+  std::map<ReplicaGroup, Booting> booting_;
+  Millis boot_{0};
+  bool onDemandAtOnce_ = false;
   std::set<std::string> dry_;
   ReplicaPlanner planner_{CapacityPolicy{}};
   double quotaTokens_ = 0;
@@ -95,6 +129,9 @@
   CPPUNIT_TEST(ordersAreFewWhenNothingChanges);
   CPPUNIT_TEST(capacityFollowsTheLoadAndStaysAWhile);
   CPPUNIT_TEST(beforeTheFirstLoadTheQuotasTell);
+  CPPUNIT_TEST(aDirectoryThatFillsSlowlyIsNoSmallFleet);
+  CPPUNIT_TEST(onDemandOnesDoNotStandInForOnesThatBoot);
+  CPPUNIT_TEST(onDemandOnesStandInForOnesThatNeverCame);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -150,11 +187,42 @@
     market.settle(0, 0, 2'000);
     CPPUNIT_ASSERT(market.all(true) + market.all(false) >= 9);
     Market known(3);
-    known.setQuotaTokens(64'000 * 4);
+    known.setQuotaTokens(CapacityPolicy{}.quotaTokensPerReplica * 4);
     known.settle(0, 0, 2'000);
     CPPUNIT_ASSERT_EQUAL(6U, known.all(true));
     CPPUNIT_ASSERT_EQUAL(1U, known.all(false));
   }
+
+  /// Replicas write themselves into the directory one after the other.
+  void aDirectoryThatFillsSlowlyIsNoSmallFleet() {
+    Market market(1);
+    market.turn(0, 0);
+    market.appear(5);
+    market.settle(0, 250, 2'000);
+    CPPUNIT_ASSERT(market.all(true) + market.all(false) >= 15);
+  }
+
+  void onDemandOnesDoNotStandInForOnesThatBoot() {
+    Market market(1);
+    market.settle(20, 0, 2'000);
+    market.setBoot(Millis(4'000), true);
+    market.settle(80, 2'000, 6'000);
+    CPPUNIT_ASSERT_EQUAL(1U, market.all(false));
+    market.settle(80, 6'000, 7'000);
+    CPPUNIT_ASSERT(market.all(true) >= 9);
+    CPPUNIT_ASSERT_EQUAL(1U, market.all(false));
+  }
+
+  void onDemandOnesStandInForOnesThatNeverCame() {
+    Market market(1);
+    market.settle(20, 0, 2'000);
+    market.setBoot(Millis(60'000));
+    market.settle(50, 2'000, 3'000);
+    CPPUNIT_ASSERT_EQUAL(1U, market.all(false));
+    market.setBoot(Millis(0), true);
+    market.settle(50, 3'000, 10'000);
+    CPPUNIT_ASSERT(market.all(true) + market.all(false) >= 6);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CapacityTest);
