Two daemons of a domain watch the store for a large fleet

Ruled out: polling (the calls are watches that returned). A daemon whose peers have heard nothing for 2.5 s asks the store itself, every two seconds. Whether settings may be old now goes by the fleet's contact, not the daemon's alone. Tests: who watches, ages, whom to ask, a follower that rests; the fleet of sixty counts its watchers.

--- a/Hallchute/src/Fleet/FleetReport.h
+++ b/Hallchute/src/Fleet/FleetReport.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "Hallchute/src/Core/Id.h"
+#include "Hallchute/src/Core/Time.h"
 #include "Hallchute/src/Gateway/QuotaLedger.h"
 #include "Hallchute/src/Gateway/UpstreamTable.h"
 #include "Hallchute/src/Gateway/UsageLedger.h"
@@ -59,6 +60,10 @@
   bool operator==(const DutyHolder&) const = default;
 };
 
+/// \brief The age of what was never heard.
+/// \ingroup Fleet
+inline constexpr Millis kNeverHeard = std::chrono::hours(24);
+
 /// \brief What a daemon tells others several times a second. \ingroup Fleet
 ///
 /// All numbers are totals since its incarnation began: a lost report loses nothing.
@@ -66,6 +71,10 @@
   FleetMember self;
   ReportScope scope = ReportScope::everybody;
   std::uint64_t settingsVersion = 0;
+  /// The store's revision that its copy of the upstreams is complete to.
+  std::uint64_t upstreamsVersion = 0;
+  /// How long ago the store last answered anybody the sender hears of.
+  Millis storeAge{kNeverHeard};
   SpentQuota spent;
   UpstreamLoads loads;
   UsageByWindow usage;
--- a/Hallchute/src/Fleet/FleetView.cpp
+++ b/Hallchute/src/Fleet/FleetView.cpp
@@ -23,6 +23,13 @@
 /// How long each further one is tried: a few report periods.
 constexpr Millis kTryTurn{600};
 
+/// Daemons of a domain that watch the store in a large fleet: one may be cut off from it.
+constexpr std::size_t kFollowersOfDomain = 2;
+
+bool isStronger(const FleetMember* a, const FleetMember* b) {
+  return a->capacity != b->capacity ? a->capacity > b->capacity : a->daemon < b->daemon;
+}
+
 void addSpent(SpentQuota& total, const SpentQuota& more) {
   for (const auto& [organisation, amount] : more) total[organisation] += amount;
 }
@@ -58,22 +65,36 @@
   return seen <= kSmallFleet;
 }
 
+std::vector<DaemonId> FleetView::strongestOf(const DomainName& domain, std::size_t most,
+                                             Instant now) const {
+  std::vector<const FleetMember*> members;
+  if (self_.domain == domain) members.push_back(&self_);
+  for (const auto& [daemon, known] : daemons_) {
+    const FleetMember& member = known.report.self;
+    if (member.domain == domain && alive(known, now)) members.push_back(&member);
+  }
+  const std::size_t count = std::min(most, members.size());
+  const auto end = members.begin() + static_cast<std::ptrdiff_t>(count);
+  std::partial_sort(members.begin(), end, members.end(), isStronger);
+  std::vector<DaemonId> strongest;
+  for (std::size_t i = 0; i < count; ++i) strongest.push_back(members[i]->daemon);
+  return strongest;
+}
+
 DaemonId FleetView::relayOf(const DomainName& domain, Instant now) const {
-  DaemonId best;
-  std::uint32_t capacity = 0;
-  const auto offer = [&](const FleetMember& member) {
-    if (member.domain != domain) return;
-    const bool stronger = member.capacity > capacity;
-    const bool first = member.capacity == capacity && member.daemon < best;
-    if (!best.empty() && !stronger && !first) return;
-    best = member.daemon;
-    capacity = member.capacity;
-  };
-  offer(self_);
+  const FleetMember* best = self_.domain == domain ? &self_ : nullptr;
   for (const auto& [daemon, known] : daemons_) {
-    if (alive(known, now)) offer(known.report.self);
+    const FleetMember& member = known.report.self;
+    if (member.domain != domain || !alive(known, now)) continue;
+    if (best == nullptr || isStronger(&member, best)) best = &member;
   }
-  return best;
+  return best == nullptr ? DaemonId() : best->daemon;
+}
+
+bool FleetView::followsStore(Instant now) const {
+  if (isSmall(now)) return true;
+  const std::vector<DaemonId> followers = strongestOf(self_.domain, kFollowersOfDomain, now);
+  return std::find(followers.begin(), followers.end(), self_.daemon) != followers.end();
 }
 
 bool FleetView::isRelay(Instant now) const {
@@ -192,9 +213,7 @@
     if (own || relayOf(member.domain, now).empty()) lost[member.domain].push_back(&member);
   }
   for (auto& [domain, members] : lost) {
-    std::sort(members.begin(), members.end(), [](const auto* a, const auto* b) {
-      return a->capacity != b->capacity ? a->capacity > b->capacity : a->daemon < b->daemon;
-    });
+    std::sort(members.begin(), members.end(), isStronger);
     const std::size_t strongest = std::min(members.size(), kTriedOfDomain);
     for (std::size_t i = 0; i < strongest; ++i) wanted.insert(members[i]->address);
     // All of them may be down: the others are tried by turns.
--- a/Hallchute/src/Fleet/FleetView.h
+++ b/Hallchute/src/Fleet/FleetView.h
@@ -66,6 +66,9 @@
   /// \brief Reports of daemons that were heard directly lately, by name.
   std::vector<const FleetReport*> reports(Instant now) const;
   bool isRelay(Instant now) const;
+  /// \brief Whether the others count on this daemon's watching the store: everybody in a small
+  /// fleet, the two strongest of each failure domain in a larger one.
+  bool followsStore(Instant now) const;
 
  private:
   struct Known {
@@ -88,6 +91,8 @@
   }
   bool alive(const Known& known, Instant now) const;
   bool isSmall(Instant now) const;
+  /// The daemons of a domain that are heard of, strongest first; \p most of them.
+  std::vector<DaemonId> strongestOf(const DomainName& domain, std::size_t most, Instant now) const;
   /// The strongest daemon of a domain that is heard of; empty if none is.
   DaemonId relayOf(const DomainName& domain, Instant now) const;
   /// Whether a report of \p sender counts for sums here, so that nothing counts twice.
--- /dev/null
+++ b/Hallchute/src/Fleet/StoreNews.cpp
@@ -0,0 +1,76 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Fleet/StoreNews.h"
+
+#include <algorithm>
+
+#include "Hallchute/src/Fleet/FleetReport.h"
+
+namespace Hallchute {
+namespace {
+
+/// News passes two relays, a report period each: older than this it isn't just on its way.
+constexpr Millis kOldAfter{1'000};
+/// A daemon whose peers have heard nothing for so long asks the store itself. A new relay takes a
+/// heartbeat's silence and a list to be in contact; before that many calls would be for nothing.
+constexpr Millis kProbeAfter{2'500};
+/// Between two snapshots asked for, while changes come in series; what leaves is told at once by
+/// the reports themselves.
+constexpr Millis kAskPause{400};
+/// A daemon that watches hears the same as its peers at about the same time; one that is behind for
+/// longer has a watch that hangs.
+constexpr Millis kWatchLag{600};
+
+bool isAhead(const FleetReport& report, const StoreState& own) {
+  return report.settingsVersion > own.settingsVersion ||
+         report.upstreamsVersion > own.upstreamsVersion;
+}
+
+}  // namespace
+
+StoreNews::StoreNews(Instant started) : started_(started), heard_(started - kNeverHeard) {}
+
+void StoreNews::noteReport(const FleetReport& report, Instant now) {
+  heard_ = std::max(heard_, now - report.storeAge);
+}
+
+Millis StoreNews::age(const StoreState& own, Instant now) const {
+  if (own.inContact) return Millis(0);
+  return std::max(Millis(0), std::chrono::duration_cast<Millis>(now - heard_));
+}
+
+bool StoreNews::mayBeOld(const StoreState& own, Instant now) const {
+  return age(own, now) > kOldAfter;
+}
+
+FollowMode StoreNews::mode(bool follows, const StoreState& own, Instant now) const {
+  if (follows) return FollowMode::following;
+  const bool lost = now - std::max(heard_, started_) > kProbeAfter || own.settingsVersion == 0;
+  return lost ? FollowMode::probing : FollowMode::off;
+}
+
+std::optional<std::string> StoreNews::peerToAsk(const StoreState& own,
+                                                std::span<const FleetReport* const> reports,
+                                                Instant now) {
+  const FleetReport* best = nullptr;
+  for (const FleetReport* report : reports) {
+    if (!isAhead(*report, own)) continue;
+    const bool newer = best == nullptr || report->settingsVersion > best->settingsVersion ||
+                       (report->settingsVersion == best->settingsVersion &&
+                        report->upstreamsVersion > best->upstreamsVersion);
+    if (newer) best = report;
+  }
+  const bool moved = behindAt_.settingsVersion != own.settingsVersion ||
+                     behindAt_.upstreamsVersion != own.upstreamsVersion;
+  if (best == nullptr || moved) behindSince_.reset();
+  behindAt_ = own;
+  if (best == nullptr) return std::nullopt;
+  if (!behindSince_) behindSince_ = now;
+  if (own.inContact && now - *behindSince_ < kWatchLag) return std::nullopt;
+  if (now - asked_ < kAskPause) return std::nullopt;
+  asked_ = now;
+  return best->self.address;
+}
+
+}  // namespace Hallchute
--- a/Hallchute/src/Node/FleetLink.cpp
+++ b/Hallchute/src/Node/FleetLink.cpp
@@ -33,10 +33,11 @@
   });
   transport_.serve(kSnapshotPath, [this](const PeerStreamPtr& stream) {
     // The stream lives in the transport until it closes: a strong reference would keep itself.
-    stream->onMessage = [this, weak = std::weak_ptr(stream)](std::string_view) {
+    stream->onMessage = [this, weak = std::weak_ptr(stream)](std::string_view message) {
       const PeerStreamPtr open = weak.lock();
-      if (!open) return;
-      open->send(pack(callbacks_.snapshot()));
+      const auto ask = unpack<SnapshotAsk>(message);
+      if (!open || !ask) return;
+      open->send(pack(callbacks_.snapshot(*ask)));
       open->finish();
     };
   });
@@ -63,9 +64,9 @@
   streams_ = std::move(kept);
 }
 
-void FleetLink::askSnapshot(const std::string& address,
+void FleetLink::askSnapshot(const std::string& address, const SnapshotAsk& ask,
                             std::function<void(const FleetSnapshot&)> onSnapshot) {
-  const PeerStreamPtr stream = transport_.open(address, kSnapshotPath, "?");
+  const PeerStreamPtr stream = transport_.open(address, kSnapshotPath, pack(ask));
   stream->onMessage = [onSnapshot = std::move(onSnapshot)](std::string_view message) {
     const auto snapshot = unpack<FleetSnapshot>(message);
     if (snapshot) onSnapshot(*snapshot);
--- a/Hallchute/src/Node/FleetLink.h
+++ b/Hallchute/src/Node/FleetLink.h
@@ -10,21 +10,13 @@
 #include <vector>
 
 #include "Hallchute/src/Fleet/FleetView.h"
-#include "Hallchute/src/Gateway/UpstreamRecord.h"
 #include "Hallchute/src/Net/PeerTransport.h"
+#include "Hallchute/src/Node/FleetSnapshot.h"
 
 namespace Hallchute {
 
 class EventLoop;
 
-/// \brief What a daemon that can't reach the store takes from a peer. \ingroup Node
-struct FleetSnapshot {
-  std::uint64_t settingsVersion = 0;
-  /// As the platform holds them; empty if the peer knows none.
-  std::string settingsText;
-  std::vector<UpstreamRecord> upstreams;
-};
-
 /// \brief Carries reports and snapshots between daemons. Control thread only.
 /// \ingroup Node
 ///
@@ -34,7 +26,7 @@
   struct Callbacks {
     std::function<void(const FleetReport&)> onReport;
     /// What this daemon tells a peer that asks.
-    std::function<FleetSnapshot()> snapshot;
+    std::function<FleetSnapshot(const SnapshotAsk&)> snapshot;
   };
 
   /// \param fleet a word that all daemons of a deployment share: others are turned away.
@@ -46,8 +38,8 @@
 
   /// \brief Pushes each report to its address; streams to others are closed.
   void push(const std::vector<AddressedReport>& reports);
-  /// \brief Asks a peer for its snapshot; nothing comes if it can't be reached.
-  void askSnapshot(const std::string& address,
+  /// \brief Asks a peer for what it has beyond \p ask; nothing comes if it can't be reached.
+  void askSnapshot(const std::string& address, const SnapshotAsk& ask,
                    std::function<void(const FleetSnapshot&)> onSnapshot);
 
  private:
--- a/Hallchute/src/Node/FleetWire.h
+++ b/Hallchute/src/Node/FleetWire.h
@@ -8,7 +8,7 @@
 
 #include "Hallchute/src/Fleet/FleetReport.h"
 #include "Hallchute/src/Net/WireCodec.h"
-#include "Hallchute/src/Node/FleetLink.h"
+#include "Hallchute/src/Node/FleetSnapshot.h"
 
 /// \file
 /// \brief The wire form of what gateway daemons tell each other.
@@ -22,14 +22,17 @@
   return std::tie(m.daemon, m.incarnation, m.epoch);
 }
 inline auto wireFields(FleetReport& m) {
-  return std::tie(m.self, m.scope, m.settingsVersion, m.spent, m.loads, m.usage, m.draining,
-                  m.duties, m.members, m.membersUnchanged, m.leaving);
+  return std::tie(m.self, m.scope, m.settingsVersion, m.upstreamsVersion, m.storeAge, m.spent,
+                  m.loads, m.usage, m.draining, m.duties, m.members, m.membersUnchanged, m.leaving);
 }
 inline auto wireFields(UpstreamRecord& m) {
   return std::tie(m.id, m.service, m.address, m.domain, m.slots, m.state, m.reclaimable, m.coldFor);
 }
 inline auto wireFields(FleetSnapshot& m) {
-  return std::tie(m.settingsVersion, m.settingsText, m.upstreams);
+  return std::tie(m.settingsVersion, m.settingsText, m.upstreamsVersion, m.upstreams);
+}
+inline auto wireFields(SnapshotAsk& m) {
+  return std::tie(m.settingsVersion, m.upstreamsVersion);
 }
 
 }  // namespace Hallchute
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -61,23 +61,26 @@
       callers_(trafficLoop_, startup_.callerListen, engine_, metrics_),
       readinessServer_(trafficLoop_, startup_.readinessListen, readiness_, metrics_),
       fleet_(self_),
+      copy_(controlLoop_, ports_, watchWait(startup_.bounds),
+            {[this](const GatewaySettings& settings) { applySettings(settings); },
+             [this](const std::vector<UpstreamRecord>& upstreams) {
+               trafficLoop_.post([this, upstreams] { engine_.setUpstreams(upstreams); });
+             }}),
       // All daemons of a deployment share its store, and no two deployments do.
       link_(controlLoop_, startup_.peerListen, startup_.storeAddress,
             {[this](const FleetReport& report) { takeReport(report); },
-             [this] { return snapshot(); }}) {
+             [this](const SnapshotAsk& ask) { return copy_.snapshot(ask); }}) {
   if (!startup_.metricsListen.empty()) {
     metricsServer_.emplace(trafficLoop_, startup_.metricsListen, metricsPage_, metrics_);
   }
   fleet_.addAddresses(startup_.seeds);
-  startFollowers();
   startDuties();
 }
 
 GatewayNode::~GatewayNode() {
   // Each turn of the duties asks the control thread: that one ends last.
   duties_.reset();
-  settingsFollower_.reset();
-  upstreamFollower_.reset();
+  copy_.stop();
   controlLoop_.stop();
   if (controlThread_.joinable()) controlThread_.join();
 }
@@ -92,18 +95,6 @@
   return options;
 }
 
-void GatewayNode::startFollowers() {
-  using Objects = ObjectFollower::Objects;
-  settingsFollower_ = std::make_unique<ObjectFollower>(
-      "settings", ports_.settings, watchWait(startup_.bounds),
-      ObjectFollower::Callbacks{[this](const Objects& objects) { takeSettings(objects); },
-                                [this](bool reachable) { noteContact(reachable); }});
-  upstreamFollower_ = std::make_unique<ObjectFollower>(
-      "upstreams", ports_.upstreams, watchWait(startup_.bounds),
-      ObjectFollower::Callbacks{[this](const Objects& objects) { takeUpstreams(objects); },
-                                [](bool) {}});
-}
-
 void GatewayNode::startDuties() {
   if (ports_.duties == nullptr || !startup_.reportsUsage) return;
   const NodeBounds& bounds = startup_.bounds;
@@ -119,7 +110,7 @@
     const Instant now = clockNow();
     input.leaving = leaving_;
     input.services = services_;
-    input.upstreams = upstreams_;
+    input.upstreams = copy_.upstreams();
     input.quotaTokens = quotaTokens_;
     DutyFacts& facts = input.facts;
     facts.wallClock = Millis(wallClockMs());
@@ -129,7 +120,7 @@
     if (!leaving_) facts.heard[self_.daemon] = self_.incarnation;
     UpstreamLoads loads = fleet_.loadsElsewhere(now);
     for (const auto& [upstream, load] : local_.loads) loads[upstream] += load;
-    for (const UpstreamRecord& record : upstreams_) {
+    for (const UpstreamRecord& record : copy_.upstreams()) {
       const auto load = loads.find(record.id);
       if (load != loads.end()) input.load[record.service] += load->second;
     }
@@ -142,57 +133,19 @@
   return input;
 }
 
-void GatewayNode::noteContact(bool reachable) {
-  trafficLoop_.post([this, reachable] { engine_.setSettingsMayBeOld(!reachable); });
-}
-
-void GatewayNode::takeSettings(const ObjectFollower::Objects& objects) {
-  const auto it = objects.find(std::string(ports_.settingsName));
-  if (it != objects.end()) applySettings(it->second.content, "store");
-}
-
-void GatewayNode::applySettings(const JsonObject& content, std::string_view source) {
-  Findings findings;
-  std::optional<GatewaySettings> settings = ports_.readSettings(content, findings);
-  if (!findings.empty()) {
-    LogLine(LogLevel::error, "settings.faulty")
-        .with("source", source)
-        .with("findings", describe(findings));
-  }
-  if (!settings) return;
+void GatewayNode::applySettings(const GatewaySettings& settings) {
+  services_ = settings.services;
+  quotaTokens_ = quotaTokensOf(settings);
+  GatewaySettings applied = settings;
   const std::size_t usable =
       startup_.descriptors - std::min(startup_.descriptors / 2, kReservedDescriptors);
-  settings->limits.connections = usable / 2;
-  const std::uint64_t version = settings->version;
-  const FrontLimits limits = settings->limits;
-  const std::vector<GatewayService> services = settings->services;
-  const double quotaTokens = quotaTokensOf(*settings);
-  const auto routes = std::make_shared<const RouteTable>(std::move(*settings));
+  applied.limits.connections = usable / 2;
+  const FrontLimits limits = applied.limits;
+  const auto routes = std::make_shared<const RouteTable>(std::move(applied));
   trafficLoop_.post([this, routes, limits] {
     engine_.setSettings(routes);
     callers_.setLimits(limits);
   });
-  controlLoop_.post([this, version, services, quotaTokens, text = jsonText(content)] {
-    if (version <= settingsVersion_) return;
-    services_ = services;
-    quotaTokens_ = quotaTokens;
-    settingsVersion_ = version;
-    settingsText_ = text;
-  });
-}
-
-void GatewayNode::takeUpstreams(const ObjectFollower::Objects& objects) {
-  std::vector<UpstreamRecord> records;
-  Findings findings;
-  for (const auto& [name, object] : objects) {
-    std::optional<UpstreamRecord> record = ports_.readUpstream(object, findings);
-    if (record) records.push_back(std::move(*record));
-  }
-  if (!findings.empty()) {
-    LogLine(LogLevel::error, "upstreams.faulty").with("findings", describe(findings));
-  }
-  controlLoop_.post([this, records] { upstreams_ = records; });
-  trafficLoop_.post([this, records = std::move(records)] { engine_.setUpstreams(records); });
 }
 
 void GatewayNode::reportLocally() {
@@ -214,7 +167,9 @@
   local_ = local;
   FleetReport report;
   report.self = self_;
-  report.settingsVersion = settingsVersion_;
+  report.settingsVersion = copy_.state().settingsVersion;
+  report.upstreamsVersion = copy_.state().upstreamsVersion;
+  report.storeAge = copy_.age(now);
   report.spent = local.spent;
   report.loads = local.loads;
   report.usage = local.usage;
@@ -227,12 +182,17 @@
   }
   link_.push(fleet_.compose(report, now));
   FleetTold told{fleet_.heard(now), fleet_.known(now), fleet_.loadsElsewhere(now)};
-  trafficLoop_.post([this, told = std::move(told)] { engine_.setFleet(told); });
-  catchUpFromPeers();
+  trafficLoop_.post([this, told = std::move(told), old = copy_.mayBeOld(now)] {
+    engine_.setFleet(told);
+    engine_.setSettingsMayBeOld(old);
+  });
+  copy_.turn(fleet_, link_, now);
 }
 
 void GatewayNode::takeReport(const FleetReport& report) {
-  FleetNews news = fleet_.receive(report, clockNow());
+  const Instant now = clockNow();
+  FleetNews news = fleet_.receive(report, now);
+  copy_.noteReport(report, now);
   if (news.newIncarnation) {
     LogLine(LogLevel::info, "fleet.member")
         .with("peer", report.self.daemon.str())
@@ -248,40 +208,10 @@
   });
 }
 
-/// Peers may hear of settings earlier, or reach a store that is out of reach from here.
-void GatewayNode::catchUpFromPeers() {
-  const FleetReport* ahead = nullptr;
-  for (const FleetReport* report : fleet_.reports(clockNow())) {
-    if (report->settingsVersion > settingsVersion_) ahead = report;
-  }
-  if (ahead == nullptr) return;
-  // The follower's pending watch may hang on a lost path.
-  settingsFollower_->refresh();
-  link_.askSnapshot(ahead->self.address,
-                    [this](const FleetSnapshot& snapshot) { takeSnapshot(snapshot); });
-}
-
-FleetSnapshot GatewayNode::snapshot() const {
-  return {settingsVersion_, settingsText_, upstreams_};
-}
-
-void GatewayNode::takeSnapshot(const FleetSnapshot& snapshot) {
-  if (snapshot.settingsVersion <= settingsVersion_) return;
-  Findings findings;
-  const JsonObject content = parseJsonObject(snapshot.settingsText, findings);
-  if (content) applySettings(content, "peer");
-  if (!upstreams_.empty() || snapshot.upstreams.empty()) return;
-  upstreams_ = snapshot.upstreams;
-  trafficLoop_.post([this, records = snapshot.upstreams] {
-    if (engine_.upstreams().entries().empty()) engine_.setUpstreams(records);
-  });
-}
-
 void GatewayNode::run() {
   trafficLoop_.every(kReportPeriod, [this] { reportLocally(); });
   controlThread_ = std::thread([this] { controlLoop_.run(); });
-  settingsFollower_->start();
-  upstreamFollower_->start();
+  copy_.start();
   if (duties_) duties_->start();
   LogLine(LogLevel::info, "daemon.start")
       .with("callers", startup_.callerListen)
--- a/Hallchute/src/Node/GatewayNode.h
+++ b/Hallchute/src/Node/GatewayNode.h
@@ -17,8 +17,8 @@
 #include "Hallchute/src/Node/FleetLink.h"
 #include "Hallchute/src/Node/NodePorts.h"
 #include "Hallchute/src/Node/NodeStartup.h"
-#include "Hallchute/src/Node/ObjectFollower.h"
 #include "Hallchute/src/Node/PageHandlers.h"
+#include "Hallchute/src/Node/StoreCopy.h"
 #include "Hallchute/src/Observability/Metrics.h"
 #include "Hallchute/src/Traffic/TrafficEngine.h"
 
@@ -28,7 +28,7 @@
 /// \ingroup Node
 ///
 /// Threads: one for traffic, one for control state and peers, one a followed kind of objects, and
-/// the caller's own, which waits for the stop.
+/// one for the duties' calls.
 class GatewayNode {
  public:
   /// \param startupPath read again by reload().
@@ -56,19 +56,12 @@
   };
 
   TrafficOptions trafficOptions() const;
-  void startFollowers();
   void startDuties();
+  void applySettings(const GatewaySettings& settings);
   DutyInput dutyInput();
-  void takeSettings(const ObjectFollower::Objects& objects);
-  void applySettings(const JsonObject& content, std::string_view source);
-  void takeUpstreams(const ObjectFollower::Objects& objects);
-  void noteContact(bool reachable);
   void reportLocally();
   void reportToFleet(const LocalReport& local);
   void takeReport(const FleetReport& report);
-  void catchUpFromPeers();
-  void takeSnapshot(const FleetSnapshot& snapshot);
-  FleetSnapshot snapshot() const;
   void stopTurn(Instant began);
 
   NodeStartup startup_;
@@ -89,17 +82,13 @@
 
   // Control thread.
   FleetView fleet_;
+  StoreCopy copy_;
   FleetLink link_;
-  std::uint64_t settingsVersion_ = 0;
-  std::string settingsText_;
-  std::vector<UpstreamRecord> upstreams_;
   std::vector<GatewayService> services_;
   double quotaTokens_ = 0;
   LocalReport local_;
   bool leaving_ = false;
 
-  std::unique_ptr<ObjectFollower> settingsFollower_;
-  std::unique_ptr<ObjectFollower> upstreamFollower_;
   std::unique_ptr<DutyRunner> duties_;
   std::thread controlThread_;
   std::atomic<bool> stopAsked_{false};
--- a/Hallchute/src/Node/ObjectFollower.cpp
+++ b/Hallchute/src/Node/ObjectFollower.cpp
@@ -13,6 +13,20 @@
 /// Between two tries at a store that doesn't answer: changes must be in force within a few
 /// hundred milliseconds of its return.
 constexpr Millis kRetryPause{250};
+/// Between two tries of a daemon on which no other one counts: calls that fail cost as others do.
+constexpr Millis kProbePause{2'000};
+
+std::string_view modeText(FollowMode mode) {
+  switch (mode) {
+    case FollowMode::off:
+      return "off";
+    case FollowMode::probing:
+      return "probing";
+    case FollowMode::following:
+      return "following";
+  }
+  return "unknown";
+}
 
 std::string_view view(absl::string_view text) {
   return {text.data(), text.size()};
@@ -46,23 +60,44 @@
   wake_.wait_for(lock, time, [this] { return stopping_.load(); });
 }
 
+void ObjectFollower::rest() {
+  std::unique_lock lock(mutex_);
+  wake_.wait(lock, [this] { return stopping_ || mode_ != FollowMode::off; });
+}
+
+void ObjectFollower::setMode(FollowMode mode) {
+  const FollowMode before = mode_.exchange(mode);
+  if (before == mode) return;
+  LogLine(LogLevel::info, "store.mode")
+      .with("follows", name_)
+      .with("before", modeText(before))
+      .with("mode", modeText(mode));
+  // What was known before the rest may be older than the store's history.
+  if (before == FollowMode::off) refresh_ = true;
+  if (mode == FollowMode::off) reachable_ = false;
+  const std::lock_guard lock(mutex_);
+  wake_.notify_all();
+}
+
 void ObjectFollower::run() {
   while (!stopping_) {
+    if (mode_ == FollowMode::off) {
+      rest();
+      continue;
+    }
     if (refresh_.exchange(false)) listed_ = false;
     const bool answered = listed_ ? watchOnce() : listAll();
-    if (!answered) pause(kRetryPause);
+    if (!answered) pause(mode_ == FollowMode::following ? kRetryPause : kProbePause);
   }
 }
 
 void ObjectFollower::noteContact(bool reachable, const absl::Status& status) {
-  if (reachable == reachable_) return;
-  reachable_ = reachable;
+  if (mode_ == FollowMode::off || reachable_.exchange(reachable) == reachable) return;
   LogLine(reachable ? LogLevel::info : LogLevel::warning,
           reachable ? "store.regained" : "store.lost")
       .with("follows", name_)
       .with("asOf", asOf_)
       .with("detail", view(status.message()));
-  callbacks_.onContact(reachable);
 }
 
 bool ObjectFollower::listAll() {
@@ -73,7 +108,7 @@
   asOf_ = batch->asOf;
   listed_ = true;
   for (SourceObject& object : batch->objects) objects_[object.name] = std::move(object);
-  callbacks_.onChange(objects_);
+  callbacks_.onChange(objects_, asOf_);
   return true;
 }
 
@@ -105,7 +140,7 @@
       objects_[object.name] = object;
     }
   }
-  callbacks_.onChange(objects_);
+  callbacks_.onChange(objects_, asOf_);
 }
 
 }  // namespace Hallchute
--- a/Hallchute/src/Node/ObjectFollower.h
+++ b/Hallchute/src/Node/ObjectFollower.h
@@ -13,6 +13,7 @@
 #include <thread>
 
 #include "Hallchute/src/Core/Time.h"
+#include "Hallchute/src/Fleet/StoreNews.h"
 #include "Hallchute/src/Ports/ObjectSource.h"
 
 namespace Hallchute {
@@ -20,16 +21,16 @@
 /// \brief Keeps a copy of the objects of one kind, by listing once and watching on.
 /// \ingroup Node
 ///
-/// A thread of its own. A watch that is cut, or whose history is gone, leads to a new list at
-/// once; a store that doesn't answer is asked again after a short pause.
+/// A thread of its own, which others may send to rest. A watch that is cut, or whose history is
+/// gone, leads to a new list at once; a store that doesn't answer is asked again after a short
+/// pause.
 class ObjectFollower {
  public:
   using Objects = std::map<std::string, SourceObject>;
   struct Callbacks {
-    /// Called with all objects after each change, from the follower's thread.
-    std::function<void(const Objects&)> onChange;
-    /// The store answers again, or no longer.
-    std::function<void(bool reachable)> onContact;
+    /// Called with all objects after each change and the store's revision they are complete to,
+    /// from the follower's thread.
+    std::function<void(const Objects&, std::uint64_t asOf)> onChange;
   };
 
   /// \param name for log lines.
@@ -41,6 +42,10 @@
 
   void start();
   void stop();
+  /// \brief Whether it watches, asks now and then, or rests. It starts by watching. Any thread.
+  void setMode(FollowMode mode);
+  /// \brief Whether it doesn't rest and the store answered last time. Any thread.
+  bool inContact() const { return reachable_; }
   /// \brief The store may be ahead of this copy: it is listed as soon as the pending call ends.
   void refresh() { refresh_ = true; }
 
@@ -51,6 +56,8 @@
   void apply(const SourceBatch& batch);
   void noteContact(bool reachable, const absl::Status& status);
   void pause(Millis time);
+  /// Waits while the mode is off.
+  void rest();
 
   std::string name_;
   ObjectSource& source_;
@@ -59,7 +66,8 @@
   Objects objects_;
   std::uint64_t asOf_ = 0;
   bool listed_ = false;
-  bool reachable_ = false;
+  std::atomic<bool> reachable_{false};
+  std::atomic<FollowMode> mode_{FollowMode::following};
   std::atomic<bool> refresh_{false};
   std::atomic<bool> stopping_{false};
   std::mutex mutex_;
--- /dev/null
+++ b/Hallchute/src/Node/StoreCopy.cpp
@@ -0,0 +1,129 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Node/StoreCopy.h"
+
+#include <utility>
+
+#include "Hallchute/src/Fleet/FleetView.h"
+#include "Hallchute/src/Net/Clock.h"
+#include "Hallchute/src/Net/EventLoop.h"
+#include "Hallchute/src/Node/FleetLink.h"
+#include "Hallchute/src/Observability/LogLine.h"
+
+namespace Hallchute {
+
+StoreCopy::StoreCopy(EventLoop& loop, NodePorts ports, Millis watchWait, Callbacks callbacks)
+    : loop_(loop),
+      ports_(std::move(ports)),
+      callbacks_(std::move(callbacks)),
+      news_(clockNow()),
+      settingsFollower_("settings", ports_.settings, watchWait,
+                        {[this](const ObjectFollower::Objects& objects, std::uint64_t) {
+                          const auto it = objects.find(std::string(ports_.settingsName));
+                          if (it != objects.end()) decodeSettings(it->second.content, "store");
+                        }}),
+      upstreamFollower_("upstreams", ports_.upstreams, watchWait,
+                        {[this](const ObjectFollower::Objects& objects, std::uint64_t asOf) {
+                          decodeUpstreams(objects, asOf);
+                        }}) {}
+
+void StoreCopy::start() {
+  settingsFollower_.start();
+  upstreamFollower_.start();
+}
+
+void StoreCopy::stop() {
+  settingsFollower_.stop();
+  upstreamFollower_.stop();
+}
+
+StoreState StoreCopy::state() const {
+  // Settings decide what a request may do: contact counts for them.
+  return {settingsVersion_, upstreamsVersion_, settingsFollower_.inContact()};
+}
+
+void StoreCopy::turn(const FleetView& fleet, FleetLink& link, Instant now) {
+  const FollowMode mode = news_.mode(fleet.followsStore(now), state(), now);
+  settingsFollower_.setMode(mode);
+  upstreamFollower_.setMode(mode);
+  const std::vector<const FleetReport*> reports = fleet.reports(now);
+  const auto address = news_.peerToAsk(state(), reports, now);
+  if (!address) return;
+  // A pending watch may hang on a lost path.
+  settingsFollower_.refresh();
+  link.askSnapshot(*address, {settingsVersion_, upstreamsVersion_},
+                   [this](const FleetSnapshot& snapshot) { takeSnapshot(snapshot); });
+}
+
+FleetSnapshot StoreCopy::snapshot(const SnapshotAsk& ask) const {
+  FleetSnapshot snapshot;
+  if (settingsVersion_ > ask.settingsVersion) {
+    snapshot.settingsVersion = settingsVersion_;
+    snapshot.settingsText = settingsText_;
+  }
+  if (upstreamsVersion_ > ask.upstreamsVersion) {
+    snapshot.upstreamsVersion = upstreamsVersion_;
+    snapshot.upstreams = upstreams_;
+  }
+  return snapshot;
+}
+
+void StoreCopy::decodeSettings(const JsonObject& content, std::string_view source) {
+  Findings findings;
+  std::optional<GatewaySettings> settings = ports_.readSettings(content, findings);
+  if (!findings.empty()) {
+    LogLine(LogLevel::error, "settings.faulty")
+        .with("source", source)
+        .with("findings", describe(findings));
+  }
+  if (!settings) return;
+  loop_.post([this, settings = std::move(*settings), text = jsonText(content)] {
+    takeSettings(settings, text);
+  });
+}
+
+void StoreCopy::takeSettings(const GatewaySettings& settings, const std::string& text) {
+  if (settings.version <= settingsVersion_) return;
+  settingsVersion_ = settings.version;
+  settingsText_ = text;
+  callbacks_.onSettings(settings);
+}
+
+void StoreCopy::decodeUpstreams(const ObjectFollower::Objects& objects, std::uint64_t asOf) {
+  std::vector<UpstreamRecord> records;
+  Findings findings;
+  for (const auto& [name, object] : objects) {
+    std::optional<UpstreamRecord> record = ports_.readUpstream(object, findings);
+    if (record) records.push_back(std::move(*record));
+  }
+  if (!findings.empty()) {
+    LogLine(LogLevel::error, "upstreams.faulty").with("findings", describe(findings));
+  }
+  loop_.post([this, records = std::move(records), asOf] { takeUpstreams(records, asOf); });
+}
+
+void StoreCopy::takeUpstreams(std::vector<UpstreamRecord> upstreams, std::uint64_t version) {
+  // A new list that says the same is no news for peers either.
+  if (version <= upstreamsVersion_ || (upstreamsVersion_ > 0 && upstreams == upstreams_)) return;
+  upstreamsVersion_ = version;
+  upstreams_ = std::move(upstreams);
+  callbacks_.onUpstreams(upstreams_);
+}
+
+void StoreCopy::takeSnapshot(const FleetSnapshot& snapshot) {
+  if (snapshot.settingsVersion > settingsVersion_) {
+    Findings findings;
+    const JsonObject content = parseJsonObject(snapshot.settingsText, findings);
+    if (content) {
+      decodeSettings(content, "peer");
+    } else {
+      LogLine(LogLevel::error, "settings.faulty")
+          .with("source", "peer")
+          .with("findings", describe(findings));
+    }
+  }
+  takeUpstreams(snapshot.upstreams, snapshot.upstreamsVersion);
+}
+
+}  // namespace Hallchute
--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -3,13 +3,16 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "Hallchute/Fleet"
 #include "Hallchute/src/Node/FleetWire.h"
+#include "Hallchute/src/Node/ObjectFollower.h"
 
 namespace {
 
@@ -34,6 +37,23 @@
   return addresses;
 }
 
+/// A store without changes that counts the calls.
+class CountedSource final : public ObjectSource {
+ public:
+  absl::StatusOr<SourceBatch> list() override {
+    ++lists;
+    return SourceBatch{{}, 1};
+  }
+  absl::StatusOr<SourceBatch> watch(std::uint64_t revision, Millis wait) override {
+    ++watches;
+    std::this_thread::sleep_for(wait);
+    return SourceBatch{{}, revision};
+  }
+
+  std::atomic<int> lists{0};
+  std::atomic<int> watches{0};
+};
+
 class FleetTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FleetTest);
   CPPUNIT_TEST(tellsWhatWasSpentSinceTheLastReport);
@@ -44,6 +64,10 @@
   CPPUNIT_TEST(tellsLeavesOnce);
   CPPUNIT_TEST(relaysCarryALargeFleet);
   CPPUNIT_TEST(reportsSurviveTheWire);
+  CPPUNIT_TEST(theAgeOfTheStoresWordPassesOn);
+  CPPUNIT_TEST(whoWatchesTheStore);
+  CPPUNIT_TEST(aPeerAheadIsAsked);
+  CPPUNIT_TEST(aFollowerThatRestsMakesNoCalls);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -184,6 +208,10 @@
       }
     };
     check(60, 0);
+    // Two of each domain watch the store for all.
+    std::size_t followers = 0;
+    for (const auto& host : hosts) followers += host->view.followsStore(at(ms)) ? 1 : 0;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, followers);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{59}, hosts[40]->view.usageElsewhere(at(ms)).at(7).at(kOrg));
     // Each spends ten: every other daemon hears of all of it once.
     for (const auto& host : hosts) host->own.spent[kOrg] += 10;
@@ -193,6 +221,7 @@
     hosts[0]->down = true;
     for (int end = ms + 4'000; ms <= end; ms += 200) period(ms);
     CPPUNIT_ASSERT(hosts[3]->view.isRelay(at(ms)));
+    CPPUNIT_ASSERT(hosts[3]->view.followsStore(at(ms)) && hosts[6]->view.followsStore(at(ms)));
     check(59, 590);
     for (const auto& host : hosts) host->own.spent[kOrg] += 10;
     for (int end = ms + 1'000; ms <= end; ms += 200) period(ms);
@@ -202,6 +231,8 @@
   void reportsSurviveTheWire() {
     FleetReport report = reportOf("a", 3);
     report.settingsVersion = 9;
+    report.upstreamsVersion = 11;
+    report.storeAge = Millis(250);
     report.spent[kOrg] = 1.5;
     report.loads[UpstreamId("u")] = 4;
     report.usage[7][kOrg] = 3;
@@ -216,8 +247,99 @@
     CPPUNIT_ASSERT(back->usage == report.usage && back->draining == report.draining);
     CPPUNIT_ASSERT(back->duties == report.duties && back->members == report.members);
     CPPUNIT_ASSERT(back->leaving && back->settingsVersion == 9);
+    CPPUNIT_ASSERT(back->upstreamsVersion == 11 && back->storeAge == Millis(250));
     CPPUNIT_ASSERT(!unpack<FleetReport>("nonsense").has_value());
   }
+
+  void theAgeOfTheStoresWordPassesOn() {
+    StoreNews news(at(0));
+    const StoreState alone;
+    // Nobody was heard yet: a start tells nothing of the store.
+    CPPUNIT_ASSERT(news.age(alone, at(100)) >= kNeverHeard);
+    FleetReport report = reportOf("a", 1);
+    report.storeAge = Millis(300);
+    news.noteReport(report, at(1'000));
+    CPPUNIT_ASSERT(Millis(500) == news.age(alone, at(1'200)));
+    CPPUNIT_ASSERT(!news.mayBeOld(alone, at(1'200)));
+    CPPUNIT_ASSERT(news.mayBeOld(alone, at(2'000)));
+    // An older word changes nothing.
+    report.storeAge = Millis(5'000);
+    news.noteReport(report, at(1'300));
+    CPPUNIT_ASSERT(Millis(600) == news.age(alone, at(1'300)));
+    CPPUNIT_ASSERT(Millis(0) == news.age({1, 1, true}, at(60'000)));
+  }
+
+  void whoWatchesTheStore() {
+    struct Row {
+      bool follows;
+      StoreState own;
+      int reportedAt;
+      int now;
+      FollowMode mode;
+    };
+    const std::vector<Row> rows{
+        {true, {}, -1, 100, FollowMode::following},
+        {true, {1, 1, false}, 100, 200, FollowMode::following},
+        {false, {1, 1, false}, 100, 200, FollowMode::off},
+        // A start without peers that know anything.
+        {false, {}, -1, 100, FollowMode::probing},
+        {false, {1, 1, false}, -1, 2'000, FollowMode::off},
+        {false, {1, 1, false}, -1, 3'000, FollowMode::probing},
+        {false, {1, 1, true}, 100, 3'000, FollowMode::probing},
+    };
+    for (const Row& row : rows) {
+      StoreNews news(at(0));
+      FleetReport report = reportOf("a", 1);
+      report.storeAge = Millis(0);
+      if (row.reportedAt >= 0) news.noteReport(report, at(row.reportedAt));
+      CPPUNIT_ASSERT(row.mode == news.mode(row.follows, row.own, at(row.now)));
+    }
+  }
+
+  void aPeerAheadIsAsked() {
+    FleetReport behind = reportOf("a", 1);
+    behind.settingsVersion = 3;
+    behind.upstreamsVersion = 10;
+    FleetReport ahead = reportOf("b", 1);
+    ahead.settingsVersion = 3;
+    ahead.upstreamsVersion = 12;
+    const std::vector<const FleetReport*> peers{&behind, &ahead};
+    StoreNews news(at(0));
+    CPPUNIT_ASSERT(!news.peerToAsk({3, 12, false}, peers, at(1'000)));
+    CPPUNIT_ASSERT(std::string("b:1") == news.peerToAsk({3, 10, false}, peers, at(1'200)));
+    // Not again at once.
+    CPPUNIT_ASSERT(!news.peerToAsk({3, 10, false}, peers, at(1'400)));
+    CPPUNIT_ASSERT(news.peerToAsk({3, 10, false}, peers, at(1'700)).has_value());
+    // One that watches itself hears the same in a moment, unless its watch hangs.
+    StoreNews watcher(at(0));
+    CPPUNIT_ASSERT(!watcher.peerToAsk({3, 10, true}, peers, at(1'000)));
+    CPPUNIT_ASSERT(!watcher.peerToAsk({3, 11, true}, peers, at(1'500)));
+    CPPUNIT_ASSERT(!watcher.peerToAsk({3, 11, true}, peers, at(2'000)));
+    CPPUNIT_ASSERT(watcher.peerToAsk({3, 11, true}, peers, at(2'100)).has_value());
+  }
+
+  void aFollowerThatRestsMakesNoCalls() {
+    CountedSource source;
+    std::atomic<std::uint64_t> seen{0};
+    ObjectFollower follower(
+        "things", source, Millis(1),
+        {[&](const ObjectFollower::Objects&, std::uint64_t asOf) { seen = asOf; }});
+    follower.start();
+    while (source.watches < 3) std::this_thread::yield();
+    CPPUNIT_ASSERT(follower.inContact());
+    follower.setMode(FollowMode::off);
+    CPPUNIT_ASSERT(!follower.inContact());
+    // The call that was under way may still end, and one that was about to begin.
+    const int rested = source.watches;
+    std::this_thread::sleep_for(Millis(50));
+    CPPUNIT_ASSERT(source.watches <= rested + 1);
+    // After the rest it lists: what it knew may be older than the store's history.
+    const int lists = source.lists;
+    follower.setMode(FollowMode::following);
+    while (source.lists == lists) std::this_thread::yield();
+    follower.stop();
+    CPPUNIT_ASSERT(seen >= 1);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetTest);
