Quota buckets count what other daemons spend before the first own request

Ruled out: late news alone (the small sites have it too and keep the rule). Change: buckets are made when settings come. The test failed first.

--- a/Hallchute/src/Gateway/QuotaLedger.cpp
+++ b/Hallchute/src/Gateway/QuotaLedger.cpp
@@ -45,6 +45,13 @@
   return bucket;
 }
 
+void QuotaLedger::setOrganisations(std::span<const GatewayOrganisation> organisations,
+                                   Instant now) {
+  for (const GatewayOrganisation& organisation : organisations) {
+    if (organisation.rate > 0) bucketOf(organisation, now);
+  }
+}
+
 std::optional<Millis> QuotaLedger::take(const GatewayOrganisation& organisation, double amount,
                                         Instant now) {
   if (organisation.rate <= 0) return std::nullopt;
--- a/Hallchute/src/Gateway/QuotaLedger.h
+++ b/Hallchute/src/Gateway/QuotaLedger.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <span>
 
 #include "Hallchute/src/Core/Id.h"
 #include "Hallchute/src/Core/Time.h"
@@ -31,6 +32,8 @@
   /// a small part of their burst, and fill from there.
   explicit QuotaLedger(Instant started) : started_(started) {}
 
+  /// \brief Puts limits in force, also of organisations that only other daemons served so far.
+  void setOrganisations(std::span<const GatewayOrganisation> organisations, Instant now);
   /// \brief Takes \p amount of the organisation's quota.
   /// \returns nothing if taken, else when to come back.
   std::optional<Millis> take(const GatewayOrganisation& organisation, double amount, Instant now);
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -63,6 +63,7 @@
       .with("before", routes_ == nullptr ? 0 : routes_->settings().version)
       .with("routes", routes->settings().routes.size());
   routes_ = std::move(routes);
+  quota_.setOrganisations(routes_->settings().organisations, clockNow());
 }
 
 void TrafficEngine::setUpstreams(std::span<const UpstreamRecord> records) {
--- a/test/GatewayTest.cpp
+++ b/test/GatewayTest.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(splitsByWeight);
   CPPUNIT_TEST(quotaHoldsAndTellsWhenToComeBack);
   CPPUNIT_TEST(quotaCountsWhatOthersSpend);
+  CPPUNIT_TEST(quotaSpentElsewhereCountsBeforeTheFirstOwnRequest);
   CPPUNIT_TEST(quotaOfAPartOfTheFleet);
   CPPUNIT_TEST(quotaChangesAtOnce);
   CPPUNIT_TEST(quotaAfterAStartHoldsLittle);
@@ -116,6 +117,15 @@
     CPPUNIT_ASSERT(!ledger.take(org, 10, at(2'200)));
   }
 
+  void quotaSpentElsewhereCountsBeforeTheFirstOwnRequest() {
+    const GatewayOrganisation org = organisation(100, 200);
+    QuotaLedger ledger(at(-60'000));
+    ledger.setOrganisations(std::vector{org}, at(0));
+    ledger.noteSpentElsewhere(org.name, 195);
+    CPPUNIT_ASSERT(ledger.take(org, 10, at(0)).has_value());
+    CPPUNIT_ASSERT(!ledger.take(org, 10, at(100)));
+  }
+
   void quotaOfAPartOfTheFleet() {
     QuotaLedger ledger(at(-60'000));
     const GatewayOrganisation org = organisation(100, 100);
