A domain without seeds finds its relay; a new holder keeps the replicas it finds

Second: after a kill of most daemons at 48 s the next holder had heard of a load of 2 and gave up 180 replicas for 3: 2,500 refusals in the last 10 s. Third: the need before the load counted reclaimable replicas that the planner itself had ordered (8 -> 110). Ruled out: relays too slow (0.08 of a core at most). Change: relays tell a foreign daemon its own domain's relay if they hear that one themselves; a planner that took over holds what it found for ten seconds; its own orders don't raise the need. Tests: three, each failed first (45 of 59 daemons counted; 6 of 15 replicas kept; 18 instead of 9 ordered).

--- a/Hallchute/src/Capacity/ReplicaPlanner.cpp
+++ b/Hallchute/src/Capacity/ReplicaPlanner.cpp
@@ -29,6 +29,12 @@
   return it != refusedUntil_.end() && now < it->second;
 }
 
+void ReplicaPlanner::startOver(bool tookOver) {
+  tookOver_ = tookOver;
+  ordered_.clear();
+  demands_.clear();
+}
+
 void ReplicaPlanner::noteOrdered(const ReplicaOrder& order) {
   ordered_[order.group] = order.count;
 }
@@ -38,34 +44,56 @@
 }
 
 std::uint32_t ReplicaPlanner::need(const ServiceName& service) const {
-  const auto it = peaks_.find(service);
-  return it == peaks_.end() ? 0 : it->second.need;
+  const auto it = demands_.find(service);
+  return it == demands_.end() ? 0 : it->second.need;
 }
 
-/// Before the first load there is nothing to go by but what the quotas allow, or what is there.
-std::uint32_t ReplicaPlanner::neededBeforeLoad(const CapacityView& view,
-                                               std::uint32_t initial) const {
-  if (view.quotaTokens <= 0) return initial;
+/// What was there before this planner's own orders.
+void ReplicaPlanner::look(const GatewayService& service, const Domains& domains, Instant now) {
+  Demand& demand = demands_[service.name];
+  if (demand.firstLook == Instant{}) demand.firstLook = now;
+  // The directory of a fleet that starts fills entry by entry.
+  if (demand.loadSeen || now - demand.firstLook > policy_.firstLooks) return;
+  std::uint32_t found = 0;
+  for (const auto& [domain, present] : domains) {
+    found += present.onDemand;
+    if (ordered_.contains({service.name, domain, true})) continue;
+    found += present.reclaimable;
+    demand.hasMargin = demand.hasMargin || present.reclaimable > 0;
+  }
+  demand.found = std::max(demand.found, found);
+}
+
+/// Before the load is known there is nothing to go by but what was there: an earlier holder's
+/// choice, with its margin for a lost domain, or a start's, of which the quotas tell how much is
+/// needed.
+std::uint32_t ReplicaPlanner::neededAtFirst(const Demand& demand, const CapacityView& view,
+                                            std::size_t domains) const {
+  if (demand.hasMargin && domains > 1) {
+    return static_cast<std::uint32_t>(demand.found * (domains - 1) / domains);
+  }
+  if (tookOver_) return demand.found;
+  if (view.quotaTokens <= 0) return demand.found;
   const double replicas = std::ceil(view.quotaTokens / policy_.quotaTokensPerReplica);
-  return std::min(initial, static_cast<std::uint32_t>(replicas));
+  return std::min(demand.found, static_cast<std::uint32_t>(replicas));
 }
 
 std::uint32_t ReplicaPlanner::needed(const GatewayService& service, const CapacityView& view,
-                                     std::uint32_t present, Instant now) {
+                                     std::size_t domains, Instant now) {
   const auto found = view.load.find(service.name);
   const std::uint32_t load = found == view.load.end() ? 0 : found->second;
-  Peak& peak = peaks_[service.name];
-  // The directory of a fleet that starts fills entry by entry.
-  if (!peak.loadSeen) peak.initial = std::max(peak.initial, present);
-  peak.loadSeen = peak.loadSeen || load > 0;
+  Demand& demand = demands_[service.name];
+  demand.loadSeen = demand.loadSeen || load > 0;
   const auto forLoad = static_cast<std::uint32_t>(std::ceil(load / policy_.runsPerReplica));
   std::uint32_t need = std::max(policy_.least, forLoad + policy_.spare);
-  if (!peak.loadSeen) need = std::max(need, neededBeforeLoad(view, peak.initial));
-  if (need >= peak.need || now >= peak.until) {
-    peak.need = need;
-    peak.until = now + policy_.holdFor;
+  // A new holder's first word of the load may come from few daemons.
+  const bool early = tookOver_ && now - demand.firstLook < policy_.holdFor;
+  if (early || !demand.loadSeen) need = std::max(need, neededAtFirst(demand, view, domains));
+  if (need >= demand.need || now >= demand.until) {
+    demand.need = need;
+    demand.until = now + policy_.holdFor;
   }
-  return peak.need;
+  return demand.need;
 }
 
 std::vector<ReplicaOrder> ReplicaPlanner::plan(const CapacityView& view, Instant now) {
@@ -83,9 +111,8 @@
     }
     for (const DomainName& domain : seen) domains.try_emplace(domain);
     if (domains.empty()) continue;
-    std::uint32_t present = 0;
-    for (const auto& [domain, there] : domains) present += there.onDemand + there.reclaimable;
-    const std::uint32_t need = needed(service, view, present, now);
+    look(service, domains, now);
+    const std::uint32_t need = needed(service, view, domains.size(), now);
     planService(service, domains, need, now, orders);
   }
   return orders;
--- a/Hallchute/src/Capacity/ReplicaPlanner.h
+++ b/Hallchute/src/Capacity/ReplicaPlanner.h
@@ -36,7 +36,10 @@
   /// has been seen yet. On a grown fleet 45 replicas carried a demand whose quotas allow 1.8
   /// million tokens a second.
   double quotaTokensPerReplica = 40'000;
-  /// How long capacity stays after the load that asked for it fell.
+  /// How long after a holder's first look the directory may still be filling: replicas that start
+  /// together write themselves within about two seconds.
+  Millis firstLooks{2'500};
+  /// How long capacity stays after the load that asked for it fell, or as it was found.
   Millis holdFor{10'000};
 };
 
@@ -65,7 +68,8 @@
   /// \brief There are none to be had of that group now.
   void noteRefused(const ReplicaGroup& group, Instant now);
   /// \brief Another daemon ordered meanwhile: what was ordered last is not known any more.
-  void forget() { ordered_.clear(); }
+  /// \param tookOver an earlier holder's choice is there, and the load is not fully heard of yet.
+  void startOver(bool tookOver);
   /// \brief How many replicas a service was last found to need; 0 before the first plan.
   std::uint32_t need(const ServiceName& service) const;
 
@@ -77,9 +81,23 @@
   };
   using Domains = std::map<DomainName, Present>;
 
-  std::uint32_t needed(const GatewayService& service, const CapacityView& view,
-                       std::uint32_t present, Instant now);
-  std::uint32_t neededBeforeLoad(const CapacityView& view, std::uint32_t initial) const;
+  /// What is known of a service's demand since this planner began to order.
+  struct Demand {
+    std::uint32_t need = 0;
+    Instant until{};
+    bool loadSeen = false;
+    Instant firstLook{};
+    /// The most replicas that were there without orders of this planner.
+    std::uint32_t found = 0;
+    /// Reclaimable ones were among them, which are ordered with a margin for a lost domain.
+    bool hasMargin = false;
+  };
+
+  void look(const GatewayService& service, const Domains& domains, Instant now);
+  std::uint32_t needed(const GatewayService& service, const CapacityView& view, std::size_t domains,
+                       Instant now);
+  std::uint32_t neededAtFirst(const Demand& demand, const CapacityView& view,
+                              std::size_t domains) const;
   void planService(const GatewayService& service, const Domains& domains, std::uint32_t need,
                    Instant now, std::vector<ReplicaOrder>& orders);
   std::map<DomainName, std::uint32_t> reclaimableWanted(const GatewayService& service,
@@ -100,20 +118,13 @@
            std::vector<ReplicaOrder>& orders);
   bool refused(const ReplicaGroup& group, Instant now) const;
 
-  struct Peak {
-    std::uint32_t need = 0;
-    Instant until{};
-    bool loadSeen = false;
-    /// The most replicas that were there before the first load.
-    std::uint32_t initial = 0;
-  };
-
   CapacityPolicy policy_;
+  bool tookOver_ = false;
   std::map<ReplicaGroup, std::uint32_t> ordered_;
   std::map<ReplicaGroup, Instant> refusedUntil_;
   /// Since when a group has had fewer than ordered.
   std::map<ReplicaGroup, Instant> shortSince_;
-  std::map<ServiceName, Peak> peaks_;
+  std::map<ServiceName, Demand> demands_;
   /// Since when a service has had fewer reclaimable replicas than wanted.
   std::map<ServiceName, Instant> bootingSince_;
   /// Where a service was ever seen: its groups exist there though all may be gone.
--- a/Hallchute/src/Fleet/FleetView.cpp
+++ b/Hallchute/src/Fleet/FleetView.cpp
@@ -252,6 +252,7 @@
     addFleet(report, target->report.self.daemon, now);
   } else {
     addDomain(report, now);
+    if (target != nullptr) addRelayOf(report, target->report.self, now);
   }
   if (target == nullptr) return report;
   if (report.members == target->sentMembers && within(target->membersSent, now, kMembersEvery)) {
@@ -264,6 +265,14 @@
   return report;
 }
 
+/// A daemon of a domain without seeds meets its own relay by those of other domains.
+void FleetView::addRelayOf(FleetReport& report, const FleetMember& receiver, Instant now) const {
+  const auto it = daemons_.find(relayOf(receiver.domain, now));
+  // What was only told of is not vouched for: two relays would keep a daemon alive that ended.
+  if (it == daemons_.end() || !within(it->second.reported, now, kHeardFor)) return;
+  if (it->first != receiver.daemon) report.members.push_back(it->second.report.self);
+}
+
 void FleetView::addSums(FleetReport& report, const Known& source) const {
   addSpent(report.spent, source.accumulated);
   addLoads(report.loads, source.report.loads);
--- a/Hallchute/src/Fleet/FleetView.h
+++ b/Hallchute/src/Fleet/FleetView.h
@@ -101,6 +101,7 @@
   std::set<std::string> targets(Instant now) const;
   void addLostDomains(std::set<std::string>& wanted, Instant now) const;
   FleetReport reportFor(const FleetReport& own, Known* target, Instant now);
+  void addRelayOf(FleetReport& report, const FleetMember& receiver, Instant now) const;
   void addDomain(FleetReport& report, Instant now) const;
   void addFleet(FleetReport& report, const DaemonId& receiver, Instant now) const;
   void addSums(FleetReport& report, const Known& source) const;
--- a/Hallchute/src/Node/DutyRunner.cpp
+++ b/Hallchute/src/Node/DutyRunner.cpp
@@ -16,6 +16,9 @@
 /// Orders follow a reclaim within this, which is little beside a replica's boot.
 constexpr Millis kTurnPeriod{250};
 
+/// The epoch of a deployment's first holder.
+constexpr std::uint64_t kFirstEpoch = 1;
+
 DutyOutcome outcomeOf(const absl::Status& status) {
   switch (status.code()) {
     case absl::StatusCode::kOk:
@@ -69,7 +72,7 @@
   const bool holds = keeper_.holds();
   if (holds != held_) {
     held_ = holds;
-    planner_.forget();
+    planner_.startOver(keeper_.holder().epoch > kFirstEpoch);
     LogLine(LogLevel::info, holds ? "duty.taken" : "duty.left")
         .with("epoch", keeper_.holder().epoch);
   }
--- a/Hallchute/src/Node/StoreCopy.cpp
+++ b/Hallchute/src/Node/StoreCopy.cpp
@@ -20,15 +20,15 @@
       news_(clockNow()),
       settingsFollower_("settings", ports_.settings, watchWait,
                         {[this](const ObjectFollower::Objects& objects, std::uint64_t) {
-                          const auto it = objects.find(std::string(ports_.settingsName));
-                          if (it != objects.end()) decodeSettings(it->second.content, "store");
-                        },
-                        [] {}}),
+                           const auto it = objects.find(std::string(ports_.settingsName));
+                           if (it != objects.end()) decodeSettings(it->second.content, "store");
+                         },
+                         [] {}}),
       upstreamFollower_("upstreams", ports_.upstreams, watchWait,
                         {[this](const ObjectFollower::Objects& objects, std::uint64_t asOf) {
-                          decodeUpstreams(objects, asOf);
-                        },
-                        [this] { loop_.post([this] { noteReturn(); }); }}) {}
+                           decodeUpstreams(objects, asOf);
+                         },
+                         [this] { loop_.post([this] { noteReturn(); }); }}) {}
 
 void StoreCopy::start() {
   settingsFollower_.start();
--- a/test/CapacityTest.cpp
+++ b/test/CapacityTest.cpp
@@ -95,6 +95,10 @@
     service_.replicas->boot = Millis(4'000);
     onDemandAtOnce_ = onDemandAtOnce;
   }
+  void replaceHolder() {
+    planner_ = ReplicaPlanner(CapacityPolicy{});
+    planner_.startOver(true);
+  }
   void appear(std::uint32_t onDemandEach) {
     for (auto& [group, count] : count_) {
       if (!group.reclaimable) count = onDemandEach;
@@ -130,6 +134,8 @@
   CPPUNIT_TEST(capacityFollowsTheLoadAndStaysAWhile);
   CPPUNIT_TEST(beforeTheFirstLoadTheQuotasTell);
   CPPUNIT_TEST(aDirectoryThatFillsSlowlyIsNoSmallFleet);
+  CPPUNIT_TEST(whatWasOrderedIsNoSmallestSize);
+  CPPUNIT_TEST(aNewHolderKeepsWhatItFinds);
   CPPUNIT_TEST(onDemandOnesDoNotStandInForOnesThatBoot);
   CPPUNIT_TEST(onDemandOnesStandInForOnesThatNeverCame);
   CPPUNIT_TEST_SUITE_END();
@@ -202,6 +208,25 @@
     CPPUNIT_ASSERT(market.all(true) + market.all(false) >= 15);
   }
 
+  /// Before the load, reclaimable ones that were ordered must not raise the need in turn.
+  void whatWasOrderedIsNoSmallestSize() {
+    Market market(2);
+    market.settle(0, 0, 8'000);
+    CPPUNIT_ASSERT_EQUAL(9U, market.all(true));
+  }
+
+  /// The holder ended with its daemon: the next one has heard of next to no load yet.
+  void aNewHolderKeepsWhatItFinds() {
+    Market market(3);
+    market.settle(80, 0, 20'000);
+    const std::uint32_t before = market.all(true);
+    market.replaceHolder();
+    market.settle(2, 20'000, 24'000);
+    CPPUNIT_ASSERT_EQUAL(before, market.all(true));
+    market.settle(20, 24'000, 60'000);
+    CPPUNIT_ASSERT_EQUAL(6U, market.all(true));
+  }
+
   void onDemandOnesDoNotStandInForOnesThatBoot() {
     Market market(1);
     market.settle(20, 0, 2'000);
--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -63,6 +63,7 @@
   CPPUNIT_TEST(ignoresReportsOfAnEarlierLife);
   CPPUNIT_TEST(tellsLeavesOnce);
   CPPUNIT_TEST(relaysCarryALargeFleet);
+  CPPUNIT_TEST(aDomainWithoutSeedsFindsItself);
   CPPUNIT_TEST(reportsSurviveTheWire);
   CPPUNIT_TEST(theAgeOfTheStoresWordPassesOn);
   CPPUNIT_TEST(whoWatchesTheStore);
@@ -153,6 +154,41 @@
     CPPUNIT_ASSERT(view.receive(report, at(1)).draining.empty());
   }
 
+  /// A domain in which no daemon is a seed, and which starts when the seeds already know a large
+  /// fleet, finds its own relay all the same.
+  void aDomainWithoutSeedsFindsItself() {
+    std::map<std::string, std::unique_ptr<FleetView>> views;
+    for (int i = 0; i < 60; ++i) {
+      const std::string name = "d" + std::to_string(i % 4) + "-" + std::to_string(100 + i);
+      const FleetMember member{DaemonId(name), name + ":1", 1,
+                               DomainName("d" + std::to_string(i % 4)), i < 8 ? 500U : 120U};
+      views[member.address] = std::make_unique<FleetView>(member);
+    }
+    const std::vector<std::string> seeds{"d0-100:1", "d1-101:1", "d2-102:1"};
+    for (const auto& [address, view] : views) view->addAddresses(seeds);
+    FleetReport own;
+    own.loads[UpstreamId("u")] = 1;
+    int ms = 0;
+    for (; ms <= 6'000; ms += 200) {
+      std::vector<AddressedReport> sent;
+      for (const auto& [address, view] : views) {
+        const bool started = address.rfind("d3", 0) != 0 || ms >= 2'000;
+        if (!started) continue;
+        for (AddressedReport& report : view->compose(own, at(ms))) sent.push_back(report);
+      }
+      for (const AddressedReport& report : sent) {
+        views.at(report.address)->receive(report.report, at(ms));
+      }
+    }
+    std::size_t relays = 0;
+    for (const auto& [address, view] : views) {
+      relays += view->isRelay(at(ms)) ? 1 : 0;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(address, std::size_t{60}, view->heard(at(ms)));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(address, 59U, view->loadsElsewhere(at(ms)).at(UpstreamId("u")));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, relays);
+  }
+
   /// Sixty daemons in three domains, each period's reports delivered at once. Daemon 0 of each
   /// domain is the strongest; one of them falls silent.
   void relaysCarryALargeFleet() {
