Quotas hold when part of the fleet is cut off

A daemon that hears fewer others took a smaller part of the rate, but kept its whole bucket: 27 lone daemons each held a burst. What they spent before their silence was noticed was missing too, and after the cut had healed it was counted though their part of the rate had been left to them. Change: when the heard part falls, a bucket gives up the lost ones' part of its level and what they spend in the second until the silence is noticed; what was spent out of reach is not counted afterwards. Tests: ten daemons through a cut (13,005 of 9,900 before), and the report after a silence; both failed first.

--- a/Hallchute/src/Fleet/FleetView.cpp
+++ b/Hallchute/src/Fleet/FleetView.cpp
@@ -144,8 +144,10 @@
     pastUsage_[{last.self.daemon, last.self.incarnation}] = last.usage;
   }
   // What a daemon spent before it was first heard of, or summed over another scope, was not spent
-  // just now; what one spent since its restart was.
-  const bool comparable = heardBefore && sameLife && report.scope == last.scope;
+  // just now; what one spent out of reach came out of the part that was left to it; what one spent
+  // since its restart counts.
+  const bool unbroken = within(known.reported, now, kHeardFor);
+  const bool comparable = unbroken && sameLife && report.scope == last.scope;
   const bool fresh = heardBefore && !sameLife;
   if ((comparable || fresh) && counts(report, now)) {
     for (const auto& [organisation, spent] : report.spent) {
--- a/Hallchute/src/Gateway/QuotaLedger.cpp
+++ b/Hallchute/src/Gateway/QuotaLedger.cpp
@@ -17,6 +17,10 @@
 /// once, twice within a quota's window, two such parts must fit into the tolerance, which is a
 /// tenth.
 constexpr double kStartPart = 0.05;
+/// For how many seconds daemons spend unheard before they are taken as out of reach.
+constexpr double kUnnoticedS = 1.0;
+/// Over how many seconds the rate of what others spend is taken: several reports.
+constexpr double kRateMemoryS = 1.0;
 
 }  // namespace
 
@@ -74,13 +78,27 @@
   it->second.level = std::min(it->second.burst, it->second.level + amount);
 }
 
-void QuotaLedger::noteSpentElsewhere(const OrganisationName& organisation, double amount) {
+void QuotaLedger::noteSpentElsewhere(const OrganisationName& organisation, double amount,
+                                     Instant now) {
   const auto it = buckets_.find(organisation);
-  if (it != buckets_.end()) it->second.level -= amount;
+  if (it == buckets_.end()) return;
+  Bucket& bucket = it->second;
+  bucket.level -= amount;
+  const std::chrono::duration<double> passed = now - bucket.heard;
+  bucket.heard = now;
+  bucket.elsewhere *= std::exp(-passed.count() / kRateMemoryS);
+  bucket.elsewhere += amount / kRateMemoryS;
 }
 
 void QuotaLedger::setHeardPart(double part, Instant now) {
-  for (auto& [name, bucket] : buckets_) refill(bucket, now);
+  const double kept = part / heardPart_;
+  for (auto& [name, bucket] : buckets_) {
+    refill(bucket, now);
+    if (kept >= 1) continue;
+    // What the lost ones spent until their silence was noticed, and their part of what is left.
+    bucket.level -= bucket.elsewhere * kUnnoticedS * (1 - kept);
+    if (bucket.level > 0) bucket.level *= kept;
+  }
   heardPart_ = part;
 }
 
--- a/Hallchute/src/Gateway/QuotaLedger.h
+++ b/Hallchute/src/Gateway/QuotaLedger.h
@@ -40,7 +40,7 @@
   /// \brief Gives back what was taken for a request that did not run.
   void giveBack(const OrganisationName& organisation, double amount);
   /// \brief Another daemon admitted \p amount more than was known of it.
-  void noteSpentElsewhere(const OrganisationName& organisation, double amount);
+  void noteSpentElsewhere(const OrganisationName& organisation, double amount, Instant now);
   /// \brief The part of the daemons that is heard of, from above 0 to 1.
   void setHeardPart(double part, Instant now);
   /// \brief What this daemon admitted; only rises.
@@ -53,6 +53,9 @@
     double burst = 0;
     Instant filled{};
     bool known = false;
+    /// What others spend per second, as heard lately.
+    double elsewhere = 0;
+    Instant heard{};
   };
 
   void refill(Bucket& bucket, Instant now) const;
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -87,7 +87,7 @@
 }
 
 void TrafficEngine::noteSpentElsewhere(const OrganisationName& organisation, double amount) {
-  quota_.noteSpentElsewhere(organisation, amount);
+  quota_.noteSpentElsewhere(organisation, amount, clockNow());
 }
 
 void TrafficEngine::refuse(FrontExchange& exchange, const ClientRequest& request, int status,
--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -82,10 +82,15 @@
     report.spent[kOrg] = 25;
     CPPUNIT_ASSERT_EQUAL(15.0, view.receive(report, at(1)).spentMore.at(kOrg));
     CPPUNIT_ASSERT(view.receive(report, at(2)).spentMore.empty());
+    // While it was out of reach its part of the rate was left to it.
+    report.spent[kOrg] = 100;
+    CPPUNIT_ASSERT(view.receive(report, at(5'000)).spentMore.empty());
+    report.spent[kOrg] = 101;
+    CPPUNIT_ASSERT_EQUAL(1.0, view.receive(report, at(5'200)).spentMore.at(kOrg));
     // A new life counts from nothing.
     report.self.incarnation = 2;
     report.spent[kOrg] = 5;
-    const FleetNews news = view.receive(report, at(3));
+    const FleetNews news = view.receive(report, at(5'400));
     CPPUNIT_ASSERT(news.newIncarnation);
     CPPUNIT_ASSERT_EQUAL(5.0, news.spentMore.at(kOrg));
   }
--- a/test/GatewayTest.cpp
+++ b/test/GatewayTest.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(quotaCountsWhatOthersSpend);
   CPPUNIT_TEST(quotaSpentElsewhereCountsBeforeTheFirstOwnRequest);
   CPPUNIT_TEST(quotaOfAPartOfTheFleet);
+  CPPUNIT_TEST(quotaHoldsThroughACut);
   CPPUNIT_TEST(quotaChangesAtOnce);
   CPPUNIT_TEST(quotaAfterAStartHoldsLittle);
   CPPUNIT_TEST(retriesStayInTheWindowsBudget);
@@ -112,7 +113,7 @@
     QuotaLedger ledger(at(-60'000));
     const GatewayOrganisation org = organisation(100, 200);
     CPPUNIT_ASSERT(!ledger.take(org, 10, at(0)));
-    ledger.noteSpentElsewhere(org.name, 390);
+    ledger.noteSpentElsewhere(org.name, 390, at(0));
     CPPUNIT_ASSERT(ledger.take(org, 10, at(1'000)).has_value());
     CPPUNIT_ASSERT(!ledger.take(org, 10, at(2'200)));
   }
@@ -121,7 +122,7 @@
     const GatewayOrganisation org = organisation(100, 200);
     QuotaLedger ledger(at(-60'000));
     ledger.setOrganisations(std::vector{org}, at(0));
-    ledger.noteSpentElsewhere(org.name, 195);
+    ledger.noteSpentElsewhere(org.name, 195, at(0));
     CPPUNIT_ASSERT(ledger.take(org, 10, at(0)).has_value());
     CPPUNIT_ASSERT(!ledger.take(org, 10, at(100)));
   }
@@ -135,6 +136,59 @@
     CPPUNIT_ASSERT(!ledger.take(org, 50, at(1'000)));
   }
 
+  /// Ten daemons, four of them cut off from all others, callers that ask three times the quota.
+  void quotaHoldsThroughACut() {
+    constexpr int kDaemons = 10;
+    constexpr int kCutFrom = 2'000;
+    constexpr int kCutTo = 14'000;
+    constexpr int kNoticed = 1'000;
+    const GatewayOrganisation org = organisation(1'000, 1'000);
+    std::vector<QuotaLedger> ledgers(kDaemons, QuotaLedger(at(-60'000)));
+    std::vector<double> told(kDaemons, 0);
+    std::vector<std::pair<int, double>> admitted;
+    const auto cut = [&](int i) { return i < 4; };
+    const auto spentBy = [&](int i) {
+      const auto it = ledgers[i].spent().find(org.name);
+      return it == ledgers[i].spent().end() ? 0 : it->second;
+    };
+    for (int ms = 0; ms < 24'000; ms += 10) {
+      for (int i = 0; i < kDaemons; ++i) {
+        if (ms % 30 != 3 * i % 30 / 10 * 10) continue;
+        if (!ledgers[i].take(org, 9, at(ms))) admitted.emplace_back(ms, 9);
+      }
+      const bool apart = ms >= kCutFrom && ms < kCutTo;
+      if (ms == kCutFrom + kNoticed) {
+        for (int i = 0; i < kDaemons; ++i) ledgers[i].setHeardPart(cut(i) ? 0.1 : 0.6, at(ms));
+      }
+      if (ms == kCutTo) {
+        for (int i = 0; i < kDaemons; ++i) {
+          ledgers[i].setHeardPart(1, at(ms));
+          told[i] = spentBy(i);
+        }
+      }
+      if (ms % 200 != 0) continue;
+      for (int i = 0; i < kDaemons; ++i) {
+        if (apart && cut(i)) continue;
+        const double more = spentBy(i) - told[i];
+        told[i] += more;
+        for (int j = 0; j < kDaemons; ++j) {
+          if (j == i || (apart && cut(j))) continue;
+          ledgers[j].noteSpentElsewhere(org.name, more, at(ms));
+        }
+      }
+    }
+    for (const auto& [from, first] : admitted) {
+      double sum = 0;
+      for (const auto& [ms, amount] : admitted) {
+        if (ms >= from && ms < from + 8'000) sum += amount;
+      }
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(from) + ": " + std::to_string(sum), sum <= 9'000 * 1.1);
+    }
+    double after = 0;
+    for (const auto& [ms, amount] : admitted) after += ms >= 16'000 ? amount : 0;
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(after), after >= 7'000);
+  }
+
   void quotaChangesAtOnce() {
     QuotaLedger ledger(at(-60'000));
     CPPUNIT_ASSERT(!ledger.take(organisation(1'000, 1'000), 10, at(0)));
