--- a/Hallchute/src/Cli/Command.cpp
+++ b/Hallchute/src/Cli/Command.cpp
@@ -35,6 +35,8 @@
     {"audit", "who changed what, when and why: [--after=NUMBER]", auditCommand},
     {"drain", "stop a daemon without cutting off a request", drainCommand},
     {"leave", "an upstream takes no new work: --upstream=NAME [--in_ms=MS]", leaveCommand},
+    {"explain-request", "one request's way, from the daemons' logs on standard input: --request=ID",
+     explainRequestCommand},
     {"hash", "the SHA-256 of a bearer token read from standard input", hashCommand},
     {"version", "print the version", version},
 };
--- a/Hallchute/src/Cli/OperatorCommands.cpp
+++ b/Hallchute/src/Cli/OperatorCommands.cpp
@@ -14,6 +14,7 @@
 #include <string>
 
 #include "Hallchute/src/Cli/Render.h"
+#include "Hallchute/src/Cli/RequestStory.h"
 #include "Hallchute/src/Core/SecretHash.h"
 #include "Hallchute/src/Net/HttpExchange.h"
 #include "Hallchute/src/Settings/JsonTree.h"
@@ -31,6 +32,7 @@
 ABSL_FLAG(std::string, domain, "", "a failure domain; the daemon's own if empty");
 ABSL_FLAG(std::string, upstream, "", "an upstream");
 ABSL_FLAG(int64_t, in_ms, 30'000, "time until the upstream goes, in ms");
+ABSL_FLAG(std::string, request, "", "a request's id");
 ABSL_FLAG(int64_t, after, 0, "changes after this number");
 
 namespace Hallchute {
@@ -192,6 +194,21 @@
       renderMessage);
 }
 
+ExitCode explainRequestCommand() {
+  const std::string id = absl::GetFlag(FLAGS_request);
+  if (id.empty()) {
+    std::cerr << "explain-request: --request=ID is missing\n";
+    return ExitCode::usage;
+  }
+  RequestStory story(id);
+  std::string line;
+  while (std::getline(std::cin, line)) story.addLine(line);
+  if (story.write(std::cout)) return ExitCode::ok;
+  std::cerr << "no line names request " << id
+            << "; lines that could not be read: " << story.unreadable() << "\n";
+  return ExitCode::refused;
+}
+
 ExitCode hashCommand() {
   std::string token;
   std::getline(std::cin, token);
--- a/Hallchute/src/Cli/OperatorCommands.h
+++ b/Hallchute/src/Cli/OperatorCommands.h
@@ -23,6 +23,9 @@
 ExitCode drainCommand();
 ExitCode leaveCommand();
 ExitCode hashCommand();
+/// \brief Prints one request's way, from logs on standard input.
+/// \ingroup Cli
+ExitCode explainRequestCommand();
 
 }  // namespace Hallchute
 
