Quotas: no waves of admission when a fleet hears late

Change: below what the fleet is likely to admit unheard (own asking rate x daemons x the news' lag) requests go on by a draw of their own, and the times to come back are spread.

--- a/Hallchute/src/Core/StableHash.cpp
+++ b/Hallchute/src/Core/StableHash.cpp
@@ -11,4 +11,9 @@
   return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
 
+double hashFraction(std::string_view text, std::uint64_t seed) {
+  constexpr double kRange = 18446744073709551616.0;  // 2 to the 64th
+  return static_cast<double>(stableHash(text, seed)) / kRange;
+}
+
 }  // namespace Hallchute
--- a/Hallchute/src/Core/StableHash.h
+++ b/Hallchute/src/Core/StableHash.h
@@ -14,6 +14,10 @@
 /// \param seed chains hashes: pass the hash so far.
 std::uint64_t stableHash(std::string_view text, std::uint64_t seed = 0);
 
+/// \brief The hash as a number from 0 to 1, evenly spread.
+/// \ingroup Core
+double hashFraction(std::string_view text, std::uint64_t seed = 0);
+
 }  // namespace Hallchute
 
 #endif  // HALLCHUTE_CORE_STABLEHASH_H
--- a/Hallchute/src/Fleet/FleetView.cpp
+++ b/Hallchute/src/Fleet/FleetView.cpp
@@ -26,6 +26,11 @@
 /// Daemons of a domain that watch the store in a large fleet: one may be cut off from it.
 constexpr std::size_t kFollowersOfDomain = 2;
 
+/// How long a daemon's word takes to the others: a report period and the way in a small fleet; in a
+/// large one by two relays, each of which waits for its next report.
+constexpr Millis kDirectLag{250};
+constexpr Millis kRelayedLag{500};
+
 bool isStronger(const FleetMember* a, const FleetMember* b) {
   return a->capacity != b->capacity ? a->capacity > b->capacity : a->daemon < b->daemon;
 }
@@ -97,6 +102,10 @@
   return std::find(followers.begin(), followers.end(), self_.daemon) != followers.end();
 }
 
+Millis FleetView::newsLag(Instant now) const {
+  return isSmall(now) ? kDirectLag : kRelayedLag;
+}
+
 bool FleetView::isRelay(Instant now) const {
   return relayOf(self_.domain, now) == self_.daemon;
 }
--- a/Hallchute/src/Fleet/FleetView.h
+++ b/Hallchute/src/Fleet/FleetView.h
@@ -66,6 +66,8 @@
   /// \brief Reports of daemons that were heard directly lately, by name.
   std::vector<const FleetReport*> reports(Instant now) const;
   bool isRelay(Instant now) const;
+  /// \brief How long what a daemon tells takes to reach all others.
+  Millis newsLag(Instant now) const;
   /// \brief Whether the others count on this daemon's watching the store: everybody in a small
   /// fleet, the two strongest of each failure domain in a larger one.
   bool followsStore(Instant now) const;
--- a/Hallchute/src/Gateway/QuotaLedger.cpp
+++ b/Hallchute/src/Gateway/QuotaLedger.cpp
@@ -22,6 +22,18 @@
 /// Over how many seconds the rate of what others spend is taken: several reports.
 constexpr double kRateMemoryS = 1.0;
 
+/// Over how many seconds the rate of what is asked for here is taken: long enough that one request
+/// doesn't look like many, short enough to follow a jump of the demand.
+constexpr double kAskedMemoryS = 2.0;
+
+/// Adds an amount to a rate per second that forgets with \p memoryS.
+void noteRate(double& rate, Instant& at, double memoryS, double amount, Instant now) {
+  const std::chrono::duration<double> passed = now - at;
+  at = now;
+  rate *= std::exp(-passed.count() / memoryS);
+  rate += amount / memoryS;
+}
+
 }  // namespace
 
 void QuotaLedger::refill(Bucket& bucket, Instant now) const {
@@ -57,19 +69,25 @@
 }
 
 std::optional<Millis> QuotaLedger::take(const GatewayOrganisation& organisation, double amount,
-                                        Instant now) {
+                                        Instant now, double draw) {
   if (organisation.rate <= 0) return std::nullopt;
   Bucket& bucket = bucketOf(organisation, now);
+  noteRate(bucket.asked, bucket.askedAt, kAskedMemoryS, amount, now);
+  // What the fleet admits before this daemon hears of it, if the others are asked as much.
+  const double unheard = bucket.asked * unheardSeconds_;
   // A request larger than the burst is admitted from a full bucket, and what it owes is paid later.
   const double needed = std::min(amount, bucket.burst);
-  if (bucket.level >= needed) {
+  const bool drawn = bucket.level >= unheard || draw * unheard < bucket.level;
+  if (bucket.level >= needed && drawn) {
     bucket.level -= amount;
     spent_[organisation.name] += amount;
     return std::nullopt;
   }
   const double perMs = bucket.rate * heardPart_ / 1000;
-  const double waitMs = std::max(kLeastWaitMs, std::ceil((needed - bucket.level) / perMs));
-  return Millis(static_cast<Millis::rep>(waitMs));
+  const double missing = std::min(needed + unheard, bucket.burst) - bucket.level;
+  const double waitMs = std::max(kLeastWaitMs, std::ceil(missing / perMs));
+  // All that are refused at a time must not come back at a time.
+  return Millis(static_cast<Millis::rep>(waitMs * (1 + draw)));
 }
 
 void QuotaLedger::giveBack(const OrganisationName& organisation, double amount) {
@@ -84,10 +102,7 @@
   if (it == buckets_.end()) return;
   Bucket& bucket = it->second;
   bucket.level -= amount;
-  const std::chrono::duration<double> passed = now - bucket.heard;
-  bucket.heard = now;
-  bucket.elsewhere *= std::exp(-passed.count() / kRateMemoryS);
-  bucket.elsewhere += amount / kRateMemoryS;
+  noteRate(bucket.elsewhere, bucket.heard, kRateMemoryS, amount, now);
 }
 
 void QuotaLedger::setHeardPart(double part, Instant now) {
@@ -102,4 +117,9 @@
   heardPart_ = part;
 }
 
+void QuotaLedger::setFleet(std::size_t daemons, Millis newsLag) {
+  const std::chrono::duration<double> lag = newsLag;
+  unheardSeconds_ = daemons > 1 ? static_cast<double>(daemons) * lag.count() : 0;
+}
+
 }  // namespace Hallchute
--- a/Hallchute/src/Gateway/QuotaLedger.h
+++ b/Hallchute/src/Gateway/QuotaLedger.h
@@ -4,6 +4,7 @@
 #ifndef HALLCHUTE_GATEWAY_QUOTALEDGER_H
 #define HALLCHUTE_GATEWAY_QUOTALEDGER_H
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <span>
@@ -35,14 +36,20 @@
   /// \brief Puts limits in force, also of organisations that only other daemons served so far.
   void setOrganisations(std::span<const GatewayOrganisation> organisations, Instant now);
   /// \brief Takes \p amount of the organisation's quota.
+  /// \param draw from 0 to 1, a request's own: decides which ones go on while the fleet asks for
+  /// more than is left before it would hear of it, and spreads when the others come back.
   /// \returns nothing if taken, else when to come back.
-  std::optional<Millis> take(const GatewayOrganisation& organisation, double amount, Instant now);
+  std::optional<Millis> take(const GatewayOrganisation& organisation, double amount, Instant now,
+                             double draw = 0);
   /// \brief Gives back what was taken for a request that did not run.
   void giveBack(const OrganisationName& organisation, double amount);
   /// \brief Another daemon admitted \p amount more than was known of it.
   void noteSpentElsewhere(const OrganisationName& organisation, double amount, Instant now);
   /// \brief The part of the daemons that is heard of, from above 0 to 1.
   void setHeardPart(double part, Instant now);
+  /// \param daemons that spend the same quotas, this one included.
+  /// \param newsLag how long what one spends takes to be known to all.
+  void setFleet(std::size_t daemons, Millis newsLag);
   /// \brief What this daemon admitted; only rises.
   const SpentQuota& spent() const { return spent_; }
 
@@ -53,6 +60,9 @@
     double burst = 0;
     Instant filled{};
     bool known = false;
+    /// What callers ask for per second here, refused or not.
+    double asked = 0;
+    Instant askedAt{};
     /// What others spend per second, as heard lately.
     double elsewhere = 0;
     Instant heard{};
@@ -65,6 +75,8 @@
   std::map<OrganisationName, Bucket> buckets_;
   SpentQuota spent_;
   double heardPart_ = 1;
+  /// The daemons times the news' lag in seconds.
+  double unheardSeconds_ = 0;
 };
 
 }  // namespace Hallchute
--- a/Hallchute/src/Gateway/UpstreamPick.cpp
+++ b/Hallchute/src/Gateway/UpstreamPick.cpp
@@ -41,8 +41,7 @@
 
 /// A number in [0, 1) that differs by upstream and key.
 double draw(const UpstreamEntry& entry, const std::string& key) {
-  constexpr double kRange = 18446744073709551616.0;
-  return static_cast<double>(stableHash(entry.record.id.str(), stableHash(key))) / kRange;
+  return hashFraction(entry.record.id.str(), stableHash(key));
 }
 
 const UpstreamEntry* pickHome(const std::vector<const UpstreamEntry*>& entries,
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -26,6 +26,8 @@
 /// A watch is silent no longer than this, and never longer than contact may be lost unnoticed.
 constexpr Millis kLongestWatch{3'000};
 constexpr Millis kWatchMargin{500};
+/// Between two lines on how much of the fleet is heard.
+constexpr Millis kFleetLogPause{1'000};
 /// Windows of usage that are kept: those whose report may still be due.
 constexpr std::int64_t kWindowsKept = 8;
 
@@ -181,7 +183,9 @@
     if (heard->duties.epoch > report.duties.epoch) report.duties = heard->duties;
   }
   link_.push(fleet_.compose(report, now));
-  FleetTold told{fleet_.heard(now), fleet_.known(now), fleet_.loadsElsewhere(now)};
+  FleetTold told{fleet_.heard(now), fleet_.known(now), fleet_.loadsElsewhere(now),
+                 fleet_.newsLag(now)};
+  logFleet(told, now);
   trafficLoop_.post([this, told = std::move(told), old = copy_.mayBeOld(now)] {
     engine_.setFleet(told);
     engine_.setSettingsMayBeOld(old);
@@ -189,6 +193,20 @@
   copy_.turn(fleet_, link_, now);
 }
 
+/// How much of the fleet is heard decides this daemon's part of quotas and of the retry budget.
+void GatewayNode::logFleet(const FleetTold& told, Instant now) {
+  const bool changed = told.heard != loggedHeard_ || told.known != loggedKnown_;
+  if (!changed || now - fleetLogged_ < kFleetLogPause) return;
+  loggedHeard_ = told.heard;
+  loggedKnown_ = told.known;
+  fleetLogged_ = now;
+  LogLine(LogLevel::info, "fleet.heard")
+      .with("heard", told.heard)
+      .with("known", told.known)
+      .with("relay", fleet_.isRelay(now))
+      .with("storeAgeMs", copy_.age(now));
+}
+
 void GatewayNode::takeReport(const FleetReport& report) {
   const Instant now = clockNow();
   FleetNews news = fleet_.receive(report, now);
--- a/Hallchute/src/Node/GatewayNode.h
+++ b/Hallchute/src/Node/GatewayNode.h
@@ -61,6 +61,7 @@
   DutyInput dutyInput();
   void reportLocally();
   void reportToFleet(const LocalReport& local);
+  void logFleet(const FleetTold& told, Instant now);
   void takeReport(const FleetReport& report);
   void stopTurn(Instant began);
 
@@ -88,6 +89,9 @@
   double quotaTokens_ = 0;
   LocalReport local_;
   bool leaving_ = false;
+  std::size_t loggedHeard_ = 0;
+  std::size_t loggedKnown_ = 0;
+  Instant fleetLogged_{};
 
   std::unique_ptr<DutyRunner> duties_;
   std::thread controlThread_;
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "Hallchute/src/Core/StableHash.h"
 #include "Hallchute/src/Front/FrontExchange.h"
 #include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Net/EventLoop.h"
@@ -84,6 +85,7 @@
   const double part =
       static_cast<double>(std::max<std::size_t>(1, told.heard)) / static_cast<double>(daemons_);
   quota_.setHeardPart(std::min(1.0, part), clockNow());
+  quota_.setFleet(told.heard, told.newsLag);
 }
 
 void TrafficEngine::noteSpentElsewhere(const OrganisationName& organisation, double amount) {
@@ -144,7 +146,8 @@
   SessionAdmission admission{routes_, route, organisation, request, 0};
   if (organisation != nullptr) {
     admission.quotaTaken = quotaAmount(*organisation, request);
-    const std::optional<Millis> wait = quota_.take(*organisation, admission.quotaTaken, now);
+    const double draw = hashFraction(request.id.str());
+    const std::optional<Millis> wait = quota_.take(*organisation, admission.quotaTaken, now, draw);
     if (wait) {
       refuse(*exchange, request, 429, "quota", wait);
       return;
--- a/Hallchute/src/Traffic/TrafficEngine.h
+++ b/Hallchute/src/Traffic/TrafficEngine.h
@@ -38,6 +38,8 @@
   /// Those that are known, heard or not.
   std::size_t known = 1;
   UpstreamLoads loads;
+  /// How long what one daemon tells takes to reach all others.
+  Millis newsLag{0};
 };
 
 /// \brief Admits callers' requests and runs a session for each. Traffic thread only.
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -392,6 +392,10 @@
       .with("upstream", upstream_.str())
       .with("dispatches", dispatches_)
       .with("settings", admission_.routes->settings().version)
+      .with("organisation", admission_.organisation == nullptr
+                                ? std::string()
+                                : admission_.organisation->name.str())
+      .with("quotaTaken", static_cast<std::uint64_t>(admission_.quotaTaken))
       .with("firstMs", std::chrono::duration_cast<Millis>(first))
       .with("totalMs", total);
   const std::string labels =
--- /dev/null
+++ b/test/FleetQuotaTest.cpp
@@ -0,0 +1,199 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Hallchute/Fleet"
+#include "Hallchute/Gateway"
+
+namespace {
+
+using namespace Hallchute;
+
+const Instant kStart = Instant(std::chrono::hours(1));
+constexpr int kStep = 10;
+constexpr int kReportPeriod = 200;
+/// A report waits for its sender's and its receiver's processor, a tenth of a second on slow hosts.
+constexpr int kOnTheWay = 60;
+/// What a request counts, and the quota: as on a fleet of 77 with sixteen organisations.
+constexpr double kAmount = 4'000;
+constexpr double kRate = 385'000;
+constexpr int kWindow = 8'000;
+
+Instant at(int ms) {
+  return kStart + Millis(ms);
+}
+
+/// 77 daemons in three domains that spend one organisation's quota and tell each other.
+class SpendingFleet {
+ public:
+  static constexpr int kDaemons = 77;
+
+  SpendingFleet() {
+    organisation_.name = OrganisationName("org");
+    organisation_.rate = kRate;
+    organisation_.burst = kRate;
+    for (int i = 0; i < kDaemons; ++i) {
+      const std::string name = "d" + std::to_string(i % 3) + "-" + std::to_string(100 + i);
+      const FleetMember member{DaemonId(name), name + ":1", 1,
+                               DomainName("d" + std::to_string(i % 3)), i < 6 ? 500U : 120U};
+      hosts_.push_back(std::make_unique<Host>(member));
+      byAddress_[member.address] = i;
+      hosts_.back()->ledger.setOrganisations(std::vector{organisation_}, at(0));
+    }
+    const std::vector<std::string> seeds{"d0-100:1", "d1-101:1", "d2-102:1"};
+    for (const auto& host : hosts_) host->view.addAddresses(seeds);
+  }
+
+  /// Whether \p from reaches \p to at a moment.
+  std::function<bool(int from, int to, int ms)> reaches = [](int, int, int) { return true; };
+
+  /// \param demand what callers ask for, in parts of the rate.
+  void run(int fromMs, int toMs, double demand) {
+    for (int ms = fromMs; ms < toMs; ms += kStep) {
+      ask(ms, demand);
+      for (int i = 0; i < kDaemons; ++i) {
+        // Daemons started together: they report at about the same moments.
+        if ((ms + 10 * (i % 4)) % kReportPeriod == 0) report(i, ms);
+      }
+      while (!sent_.empty() && sent_.front().ms + kOnTheWay <= ms) {
+        deliver(sent_.front(), ms);
+        sent_.pop_front();
+      }
+    }
+  }
+  /// The most that was admitted in a window, in parts of the rate.
+  double worstWindow(int fromMs) const {
+    double worst = 0;
+    double sum = 0;
+    std::size_t first = 0;
+    for (const auto& [ms, amount] : admitted_) {
+      sum += amount;
+      while (admitted_[first].first <= ms - kWindow) sum -= admitted_[first++].second;
+      if (ms - kWindow >= fromMs) worst = std::max(worst, sum);
+    }
+    return worst / kRate;
+  }
+  double admittedIn(int fromMs, int toMs) const {
+    double sum = 0;
+    for (const auto& [ms, amount] : admitted_) sum += ms >= fromMs && ms < toMs ? amount : 0;
+    return sum / kRate;
+  }
+
+ private:
+  struct Host {
+    explicit Host(FleetMember member) : view(std::move(member)), ledger(kStart) {}
+    FleetView view;
+    QuotaLedger ledger;
+  };
+  struct Sent {
+    int ms = 0;
+    int from = 0;
+    int to = 0;
+    FleetReport report;
+  };
+
+  void ask(int ms, double demand) {
+    owed_ += demand * kRate * kStep / 1'000;
+    for (; owed_ >= kAmount; owed_ -= kAmount) {
+      attempt(ms, true);
+    }
+    while (!returning_.empty() && returning_.begin()->first <= ms) {
+      returning_.erase(returning_.begin());
+      attempt(ms, false);
+    }
+  }
+  /// \param first callers that are refused come back once, when they are told to.
+  void attempt(int ms, bool first) {
+    next_ = next_ * 1'103'515'245U + 12'345U;
+    const auto i = static_cast<std::size_t>(next_ >> 16U) % kDaemons;
+    const double draw = static_cast<double>(next_ >> 8U) / (1U << 24U);
+    const auto wait = hosts_[i]->ledger.take(organisation_, kAmount, at(ms), draw);
+    if (!wait) {
+      admitted_.emplace_back(ms, kAmount);
+    } else if (first) {
+      returning_.emplace(ms + static_cast<int>(wait->count()), 0);
+    }
+  }
+  void report(int i, int ms) {
+    Host& host = *hosts_[i];
+    const Instant now = at(ms);
+    FleetReport own;
+    own.spent = host.ledger.spent();
+    for (AddressedReport& report : host.view.compose(own, now)) {
+      const int to = byAddress_.at(report.address);
+      if (reaches(i, to, ms)) sent_.push_back({ms, i, to, std::move(report.report)});
+    }
+    host.ledger.setFleet(host.view.heard(now), host.view.newsLag(now));
+    const double known = static_cast<double>(host.view.known(now));
+    host.ledger.setHeardPart(std::min(1.0, static_cast<double>(host.view.heard(now)) / known), now);
+  }
+  void deliver(const Sent& sent, int ms) {
+    Host& host = *hosts_[sent.to];
+    const FleetNews news = host.view.receive(sent.report, at(ms));
+    for (const auto& [name, amount] : news.spentMore) {
+      host.ledger.noteSpentElsewhere(name, amount, at(ms));
+    }
+  }
+
+  GatewayOrganisation organisation_;
+  std::vector<std::unique_ptr<Host>> hosts_;
+  std::map<std::string, int> byAddress_;
+  std::deque<Sent> sent_;
+  std::vector<std::pair<int, double>> admitted_;
+  std::multimap<int, int> returning_;
+  double owed_ = 0;
+  std::uint32_t next_ = 7;
+};
+
+class FleetQuotaTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetQuotaTest);
+  CPPUNIT_TEST(aWholeFleetKeepsTheQuota);
+  CPPUNIT_TEST(aFleetInPartsKeepsTheQuota);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Rate over the window, burst, a tenth, and the fixed tolerance of 72,000 tokens.
+  static constexpr double kAllowed = 9 * 1.1 + 72'000 / kRate;
+
+ public:
+  void aWholeFleetKeepsTheQuota() {
+    SpendingFleet fleet;
+    fleet.run(0, 14'000, 0.5);
+    fleet.run(14'000, 30'000, 3.3);
+    const double worst = fleet.worstWindow(6'000);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(worst), worst <= kAllowed);
+    // Nobody is refused while the fleet asks for half of it.
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(fleet.admittedIn(6'000, 14'000)),
+                           fleet.admittedIn(6'000, 14'000) >= 0.99 * 0.5 * 8);
+    // And what it allows is given.
+    const double given = fleet.admittedIn(20'000, 30'000);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(given), given >= 9);
+  }
+
+  /// A third of the daemons can't reach the others, but each other; then all meet again.
+  void aFleetInPartsKeepsTheQuota() {
+    SpendingFleet fleet;
+    fleet.reaches = [](int from, int to, int ms) {
+      const bool apart = ms >= 15'000 && ms < 27'000;
+      return !apart || (from % 20 < 7) == (to % 20 < 7);
+    };
+    fleet.run(0, 18'000, 0.5);
+    fleet.run(18'000, 40'000, 3.3);
+    const double worst = fleet.worstWindow(6'000);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(worst), worst <= kAllowed);
+    const double given = fleet.admittedIn(30'000, 40'000);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(given), given >= 8.5);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetQuotaTest);
+
+}  // namespace
