Quotas: a small organisation's few requests are no sign of a large demand

Ruled out: quotas that bind (no window of these organisations was near its end). Change: what others are asked for is bounded by four times what they are heard to spend; what the operator tolerates (quotaOver, quotaSlack, quotaWindowS in the start-up file) is taken off by half.

--- a/Hallchute/src/Gateway/QuotaLedger.cpp
+++ b/Hallchute/src/Gateway/QuotaLedger.cpp
@@ -20,7 +20,12 @@
 /// For how many seconds daemons spend unheard before they are taken as out of reach.
 constexpr double kUnnoticedS = 1.0;
 /// Over how many seconds the rate of what others spend is taken: several reports.
-constexpr double kRateMemoryS = 1.0;
+constexpr double kRateMemoryS = 2.0;
+/// How many times as much as is spent is taken to be asked for, at most. Organisations were seen to
+/// ask six times their usual, which is some three times their quota, and refused callers come back.
+constexpr double kAskedOverSpent = 4.0;
+/// The part of the tolerance that late news may use up; the rest is for restarts and cuts.
+constexpr double kToleranceUsed = 0.5;
 
 /// Over how many seconds the rate of what is asked for here is taken: long enough that one request
 /// doesn't look like many, short enough to follow a jump of the demand.
@@ -68,23 +73,34 @@
   }
 }
 
+double QuotaLedger::unheard(const Bucket& bucket) const {
+  // One daemon's few requests tell little of the others': what they spend tells more, though it
+  // stays behind what they are asked while quotas bind.
+  const double byOwn = bucket.asked * static_cast<double>(daemons_);
+  const double byOthers = bucket.elsewhere * kAskedOverSpent;
+  const std::chrono::duration<double> lag = newsLag_;
+  const std::chrono::duration<double> window = tolerance_.window;
+  const double tolerated =
+      tolerance_.part * (bucket.rate * window.count() + bucket.burst) + tolerance_.slack;
+  return std::min(byOwn, byOthers) * lag.count() - tolerated * kToleranceUsed;
+}
+
 std::optional<Millis> QuotaLedger::take(const GatewayOrganisation& organisation, double amount,
                                         Instant now, double draw) {
   if (organisation.rate <= 0) return std::nullopt;
   Bucket& bucket = bucketOf(organisation, now);
   noteRate(bucket.asked, bucket.askedAt, kAskedMemoryS, amount, now);
-  // What the fleet admits before this daemon hears of it, if the others are asked as much.
-  const double unheard = bucket.asked * unheardSeconds_;
+  const double ahead = unheard(bucket);
   // A request larger than the burst is admitted from a full bucket, and what it owes is paid later.
   const double needed = std::min(amount, bucket.burst);
-  const bool drawn = bucket.level >= unheard || draw * unheard < bucket.level;
+  const bool drawn = bucket.level >= ahead || draw * ahead < bucket.level;
   if (bucket.level >= needed && drawn) {
     bucket.level -= amount;
     spent_[organisation.name] += amount;
     return std::nullopt;
   }
   const double perMs = bucket.rate * heardPart_ / 1000;
-  const double missing = std::min(needed + unheard, bucket.burst) - bucket.level;
+  const double missing = std::min(needed + ahead, bucket.burst) - bucket.level;
   const double waitMs = std::max(kLeastWaitMs, std::ceil(missing / perMs));
   // All that are refused at a time must not come back at a time.
   return Millis(static_cast<Millis::rep>(waitMs * (1 + draw)));
@@ -118,8 +134,8 @@
 }
 
 void QuotaLedger::setFleet(std::size_t daemons, Millis newsLag) {
-  const std::chrono::duration<double> lag = newsLag;
-  unheardSeconds_ = daemons > 1 ? static_cast<double>(daemons) * lag.count() : 0;
+  daemons_ = daemons;
+  newsLag_ = daemons > 1 ? newsLag : Millis(0);
 }
 
 }  // namespace Hallchute
--- a/Hallchute/src/Gateway/QuotaLedger.h
+++ b/Hallchute/src/Gateway/QuotaLedger.h
@@ -20,6 +20,15 @@
 /// \ingroup Gateway
 using SpentQuota = std::map<OrganisationName, double>;
 
+/// \brief By how much the operator lets an organisation's quota be overdrawn. \ingroup Gateway
+struct QuotaTolerance {
+  /// Part of what the quota allows in a window.
+  double part = 0;
+  /// On top, in the quota's unit.
+  double slack = 0;
+  Millis window{8'000};
+};
+
 /// \brief Quotas that hold over all daemons together, kept by telling each other what was spent.
 /// \ingroup Gateway
 ///
@@ -31,7 +40,8 @@
  public:
   /// \param started when this daemon began. What was spent before is not known: buckets then hold
   /// a small part of their burst, and fill from there.
-  explicit QuotaLedger(Instant started) : started_(started) {}
+  explicit QuotaLedger(Instant started, QuotaTolerance tolerance = {})
+      : started_(started), tolerance_(tolerance) {}
 
   /// \brief Puts limits in force, also of organisations that only other daemons served so far.
   void setOrganisations(std::span<const GatewayOrganisation> organisations, Instant now);
@@ -68,15 +78,18 @@
     Instant heard{};
   };
 
+  /// What the fleet is likely to admit before this daemon hears of it, beyond what is tolerated.
+  double unheard(const Bucket& bucket) const;
   void refill(Bucket& bucket, Instant now) const;
   Bucket& bucketOf(const GatewayOrganisation& organisation, Instant now);
 
   Instant started_;
+  QuotaTolerance tolerance_;
   std::map<OrganisationName, Bucket> buckets_;
   SpentQuota spent_;
   double heardPart_ = 1;
-  /// The daemons times the news' lag in seconds.
-  double unheardSeconds_ = 0;
+  std::size_t daemons_ = 1;
+  Millis newsLag_{0};
 };
 
 }  // namespace Hallchute
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -93,6 +93,7 @@
   options.domain = startup_.domain;
   options.ownIp = startup_.ownIp;
   options.retries = {bounds.retryRatio, bounds.retrySlack, bounds.retryWindow};
+  options.quotas = {bounds.quotaOver, bounds.quotaSlack, bounds.quotaWindow};
   options.usageWindow = bounds.usageWindow;
   return options;
 }
--- a/Hallchute/src/Node/NodeStartup.cpp
+++ b/Hallchute/src/Node/NodeStartup.cpp
@@ -17,6 +17,8 @@
 constexpr std::int64_t kMostDescriptors = 1'048'576;
 constexpr double kMostProcessors = 1'024;
 constexpr double kMostRetries = 1'000'000;
+/// Tokens: more than any organisation's quota of a window.
+constexpr double kMostSlack = 1e9;
 /// Descriptors for the log, the loops, the store and peers.
 constexpr std::int64_t kLeastDescriptors = 64;
 
@@ -40,6 +42,9 @@
   bounds.retryRatio = reader.number("retryRatio", 0, 1, bounds.retryRatio);
   bounds.retryWindow = seconds(reader, "retryWindowS", bounds.retryWindow);
   bounds.retrySlack = reader.number("retrySlack", 0, kMostRetries, bounds.retrySlack);
+  bounds.quotaOver = reader.number("quotaOver", 0, 1, bounds.quotaOver);
+  bounds.quotaWindow = seconds(reader, "quotaWindowS", bounds.quotaWindow);
+  bounds.quotaSlack = reader.number("quotaSlack", 0, kMostSlack, bounds.quotaSlack);
   bounds.usageWindow = seconds(reader, "usageWindowS", bounds.usageWindow);
   bounds.usageDue = seconds(reader, "usageDueS", bounds.usageDue);
   if (bounds.usageWindow <= Millis(0)) reader.report("usageWindowS", "must be above 0");
--- a/Hallchute/src/Node/NodeStartup.h
+++ b/Hallchute/src/Node/NodeStartup.h
@@ -31,6 +31,10 @@
   double retryRatio = 0.2;
   Millis retryWindow{10'000};
   double retrySlack = 0;
+  /// By how much a quota may be overdrawn in a window: a part of it, and units on top.
+  double quotaOver = 0;
+  Millis quotaWindow{8'000};
+  double quotaSlack = 0;
   Millis usageWindow{5'000};
   /// From the end of a usage window to when its report is due.
   Millis usageDue{10'000};
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -44,7 +44,7 @@
       codec_(codec),
       metrics_(metrics),
       pool_(loop, options_.ownIp, metrics),
-      quota_(clockNow()),
+      quota_(clockNow(), options_.quotas),
       usage_(options_.usageWindow) {
   loop_.every(kSweepPeriod, [this] { sweep(); });
 }
--- a/Hallchute/src/Traffic/TrafficOptions.h
+++ b/Hallchute/src/Traffic/TrafficOptions.h
@@ -8,6 +8,7 @@
 
 #include "Hallchute/src/Core/Id.h"
 #include "Hallchute/src/Core/Time.h"
+#include "Hallchute/src/Gateway/QuotaLedger.h"
 #include "Hallchute/src/Gateway/RetryWindow.h"
 
 namespace Hallchute {
@@ -18,6 +19,7 @@
   /// Connections to upstreams leave from it.
   std::string ownIp;
   RetryAllowance retries;
+  QuotaTolerance quotas;
   /// The length of a usage window.
   Millis usageWindow{5'000};
 };
--- a/test/FleetQuotaTest.cpp
+++ b/test/FleetQuotaTest.cpp
@@ -28,6 +28,8 @@
 constexpr double kRate = 385'000;
 constexpr int kWindow = 8'000;
 
+const QuotaTolerance kTolerance{0.1, 72'000, Millis(kWindow)};
+
 Instant at(int ms) {
   return kStart + Millis(ms);
 }
@@ -37,10 +39,10 @@
  public:
   static constexpr int kDaemons = 77;
 
-  SpendingFleet() {
+  explicit SpendingFleet(double rate = kRate) {
     organisation_.name = OrganisationName("org");
-    organisation_.rate = kRate;
-    organisation_.burst = kRate;
+    organisation_.rate = rate;
+    organisation_.burst = rate;
     for (int i = 0; i < kDaemons; ++i) {
       const std::string name = "d" + std::to_string(i % 3) + "-" + std::to_string(100 + i);
       const FleetMember member{DaemonId(name), name + ":1", 1,
@@ -80,17 +82,17 @@
       while (admitted_[first].first <= ms - kWindow) sum -= admitted_[first++].second;
       if (ms - kWindow >= fromMs) worst = std::max(worst, sum);
     }
-    return worst / kRate;
+    return worst / organisation_.rate;
   }
   double admittedIn(int fromMs, int toMs) const {
     double sum = 0;
     for (const auto& [ms, amount] : admitted_) sum += ms >= fromMs && ms < toMs ? amount : 0;
-    return sum / kRate;
+    return sum / organisation_.rate;
   }
 
  private:
   struct Host {
-    explicit Host(FleetMember member) : view(std::move(member)), ledger(kStart) {}
+    explicit Host(FleetMember member) : view(std::move(member)), ledger(kStart, kTolerance) {}
     FleetView view;
     QuotaLedger ledger;
   };
@@ -102,7 +104,7 @@
   };
 
   void ask(int ms, double demand) {
-    owed_ += demand * kRate * kStep / 1'000;
+    owed_ += demand * organisation_.rate * kStep / 1'000;
     for (; owed_ >= kAmount; owed_ -= kAmount) {
       attempt(ms, true);
     }
@@ -158,10 +160,11 @@
   CPPUNIT_TEST_SUITE(FleetQuotaTest);
   CPPUNIT_TEST(aWholeFleetKeepsTheQuota);
   CPPUNIT_TEST(aFleetInPartsKeepsTheQuota);
+  CPPUNIT_TEST(aSmallOrganisationIsServed);
   CPPUNIT_TEST_SUITE_END();
 
   /// Rate over the window, burst, a tenth, and the fixed tolerance of 72,000 tokens.
-  static constexpr double kAllowed = 9 * 1.1 + 72'000 / kRate;
+  const double kAllowed = 9 * (1 + kTolerance.part) + kTolerance.slack / kRate;
 
  public:
   void aWholeFleetKeepsTheQuota() {
@@ -178,6 +181,14 @@
     CPPUNIT_ASSERT_MESSAGE(std::to_string(given), given >= 9);
   }
 
+  /// Its burst is a few requests, and the fixed tolerance many times that.
+  void aSmallOrganisationIsServed() {
+    SpendingFleet fleet(18'000);
+    fleet.run(0, 60'000, 0.5);
+    const double given = fleet.admittedIn(10'000, 60'000);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(given), given >= 0.97 * 0.5 * 50);
+  }
+
   /// A third of the daemons can't reach the others, but each other; then all meet again.
   void aFleetInPartsKeepsTheQuota() {
     SpendingFleet fleet;
