--- a/test/FleetQuotaTest.cpp
+++ b/test/FleetQuotaTest.cpp
@@ -105,7 +105,8 @@
 
   void ask(int ms, double demand) {
     owed_ += demand * organisation_.rate * kStep / 1'000;
-    for (; owed_ >= kAmount; owed_ -= kAmount) {
+    while (owed_ >= kAmount) {
+      owed_ -= kAmount;
       attempt(ms, true);
     }
     while (!returning_.empty() && returning_.begin()->first <= ms) {
@@ -164,7 +165,7 @@
   CPPUNIT_TEST_SUITE_END();
 
   /// Rate over the window, burst, a tenth, and the fixed tolerance of 72,000 tokens.
-  const double kAllowed = 9 * (1 + kTolerance.part) + kTolerance.slack / kRate;
+  const double allowed_ = 9 * (1 + kTolerance.part) + kTolerance.slack / kRate;
 
  public:
   void aWholeFleetKeepsTheQuota() {
@@ -172,7 +173,7 @@
     fleet.run(0, 14'000, 0.5);
     fleet.run(14'000, 30'000, 3.3);
     const double worst = fleet.worstWindow(6'000);
-    CPPUNIT_ASSERT_MESSAGE(std::to_string(worst), worst <= kAllowed);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(worst), worst <= allowed_);
     // Nobody is refused while the fleet asks for half of it.
     CPPUNIT_ASSERT_MESSAGE(std::to_string(fleet.admittedIn(6'000, 14'000)),
                            fleet.admittedIn(6'000, 14'000) >= 0.99 * 0.5 * 8);
@@ -199,7 +200,7 @@
     fleet.run(0, 18'000, 0.5);
     fleet.run(18'000, 40'000, 3.3);
     const double worst = fleet.worstWindow(6'000);
-    CPPUNIT_ASSERT_MESSAGE(std::to_string(worst), worst <= kAllowed);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(worst), worst <= allowed_);
     const double given = fleet.admittedIn(30'000, 40'000);
     CPPUNIT_ASSERT_MESSAGE(std::to_string(given), given >= 8.5);
   }
--- a/test/GatewayTest.cpp
+++ b/test/GatewayTest.cpp
@@ -295,6 +295,7 @@
   void theHomeBeforeGivesItsCache() {
     UpstreamTable table;
     std::vector<UpstreamRecord> records;
+    records.reserve(7);
     for (int i = 0; i < 6; ++i) records.push_back(record("u" + std::to_string(i), "d1"));
     table.replace(records, at(0));
     const UpstreamWish wish = wishFor("subject");
