Quotas: the time to come back leaves tolerance aside; a resting follower ends at once

Cause: read in the diff: (1) what is tolerated was taken off what the fleet admits unheard without a floor, so a caller of a drained bucket was told to come back after 50 ms and was refused again; (2) stop() set its flag outside the lock: a follower about to rest could miss it and hold the process until it is killed. Change: floor at zero; flag under the lock. Test for (1) failed first (50 instead of 500 ms).

--- a/Hallchute/src/Gateway/QuotaLedger.cpp
+++ b/Hallchute/src/Gateway/QuotaLedger.cpp
@@ -26,7 +26,6 @@
 constexpr double kAskedOverSpent = 4.0;
 /// The part of the tolerance that late news may use up; the rest is for restarts and cuts.
 constexpr double kToleranceUsed = 0.5;
-
 /// Over how many seconds the rate of what is asked for here is taken: long enough that one request
 /// doesn't look like many, short enough to follow a jump of the demand.
 constexpr double kAskedMemoryS = 2.0;
@@ -82,7 +81,7 @@
   const std::chrono::duration<double> window = tolerance_.window;
   const double tolerated =
       tolerance_.part * (bucket.rate * window.count() + bucket.burst) + tolerance_.slack;
-  return std::min(byOwn, byOthers) * lag.count() - tolerated * kToleranceUsed;
+  return std::max(0.0, std::min(byOwn, byOthers) * lag.count() - tolerated * kToleranceUsed);
 }
 
 std::optional<Millis> QuotaLedger::take(const GatewayOrganisation& organisation, double amount,
--- a/Hallchute/src/Node/ObjectFollower.cpp
+++ b/Hallchute/src/Node/ObjectFollower.cpp
@@ -50,7 +50,11 @@
 }
 
 void ObjectFollower::stop() {
-  stopping_ = true;
+  {
+    // Under the lock: a thread that is about to rest must not miss it.
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
   wake_.notify_all();
   if (thread_.joinable()) thread_.join();
 }
--- a/test/GatewayTest.cpp
+++ b/test/GatewayTest.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(routesByTable);
   CPPUNIT_TEST(splitsByWeight);
   CPPUNIT_TEST(quotaHoldsAndTellsWhenToComeBack);
+  CPPUNIT_TEST(quotaToleranceBringsNobodyBackEarly);
   CPPUNIT_TEST(quotaCountsWhatOthersSpend);
   CPPUNIT_TEST(quotaSpentElsewhereCountsBeforeTheFirstOwnRequest);
   CPPUNIT_TEST(quotaOfAPartOfTheFleet);
@@ -109,6 +110,17 @@
     CPPUNIT_ASSERT(ledger.take(org, 1, at(11'000)).has_value());
   }
 
+  /// What the operator tolerates is not there to come back for.
+  void quotaToleranceBringsNobodyBackEarly() {
+    QuotaLedger ledger(at(-60'000), {0.1, 72'000, Millis(8'000)});
+    ledger.setFleet(6, Millis(250));
+    const GatewayOrganisation org = organisation(100, 200);
+    CPPUNIT_ASSERT(!ledger.take(org, 150, at(0)));
+    const auto wait = ledger.take(org, 100, at(0));
+    CPPUNIT_ASSERT(wait.has_value());
+    CPPUNIT_ASSERT_EQUAL(Millis::rep{500}, wait->count());
+  }
+
   void quotaCountsWhatOthersSpend() {
     QuotaLedger ledger(at(-60'000));
     const GatewayOrganisation org = organisation(100, 200);
