Quotas hold when the whole fleet restarts

Each life began with a twentieth of the burst, which is nearly four bursts over 77 daemons, and took the whole rate until it had met the others. Change: until a daemon has met the others (1.2 s, or at once if it hears one that ran before it) its part of quotas is a hundredth; the twentieth of the burst goes by that part too.

--- a/Hallchute/src/Fleet/FleetView.cpp
+++ b/Hallchute/src/Fleet/FleetView.cpp
@@ -31,6 +31,14 @@
 constexpr Millis kDirectLag{250};
 constexpr Millis kRelayedLag{500};
 
+/// How long daemons that start together take to know each other: some report periods by two relays.
+constexpr Millis kMeetTime{1'200};
+/// Incarnations are starts in milliseconds of the wall clock: one that began this much earlier has
+/// met the others long ago.
+constexpr std::uint64_t kSettledLife = 3'000;
+/// The part of quotas before that: as if the fleet were a hundred.
+constexpr double kUnmetPart = 0.01;
+
 bool isStronger(const FleetMember* a, const FleetMember* b) {
   return a->capacity != b->capacity ? a->capacity > b->capacity : a->daemon < b->daemon;
 }
@@ -351,6 +359,22 @@
   return starting ? count + unmet.size() : count;
 }
 
+bool FleetView::hasMet(Instant now) const {
+  if (now - started_ >= kMeetTime) return true;
+  // One that ran before this daemon's start knows the fleet and tells it at once.
+  return std::any_of(daemons_.begin(), daemons_.end(), [&](const auto& entry) {
+    const FleetReport& report = entry.second.report;
+    return within(entry.second.reported, now, kHeardFor) &&
+           report.self.incarnation + kSettledLife <= self_.incarnation;
+  });
+}
+
+double FleetView::quotaPart(Instant now) const {
+  if (!hasMet(now)) return kUnmetPart;
+  const auto all = static_cast<double>(std::max<std::size_t>(1, known(now)));
+  return std::min(1.0, static_cast<double>(heard(now)) / all);
+}
+
 UpstreamLoads FleetView::loadsElsewhere(Instant now) const {
   UpstreamLoads loads;
   for (const auto& [daemon, known] : daemons_) {
--- a/Hallchute/src/Fleet/FleetView.h
+++ b/Hallchute/src/Fleet/FleetView.h
@@ -43,7 +43,9 @@
   /// half a hundredth of a processor, and the cost grows with the square.
   static constexpr std::size_t kSmallFleet = 12;
 
-  explicit FleetView(FleetMember self) : self_(std::move(self)) {}
+  /// \param started when this daemon began: it needs a moment to meet the others.
+  explicit FleetView(FleetMember self, Instant started = {})
+      : self_(std::move(self)), started_(started) {}
 
   /// \brief Addresses to report to until their daemons are known.
   void addAddresses(std::span<const std::string> addresses);
@@ -54,6 +56,9 @@
   std::size_t heard(Instant now) const;
   /// \brief Daemons that are likely to run, heard or not, this one included.
   std::size_t known(Instant now) const;
+  /// \brief The part of the fleet's quotas that this daemon may spend, from above 0 to 1: that of
+  /// the daemons it hears; next to nothing until it has met them.
+  double quotaPart(Instant now) const;
   UpstreamLoads loadsElsewhere(Instant now) const;
   /// \brief Usage of all daemons and their earlier incarnations, without this one's own.
   UsageByWindow usageElsewhere(Instant now) const;
@@ -109,7 +114,11 @@
   void addSums(FleetReport& report, const Known& source) const;
   UsageByWindow pastUsageOf(const DaemonId& daemon) const;
 
+  /// Whether the others are likely to be known.
+  bool hasMet(Instant now) const;
+
   FleetMember self_;
+  Instant started_;
   std::map<DaemonId, Known> daemons_;
   std::set<std::string> addresses_;
   /// Of incarnations that ended.
--- a/Hallchute/src/Gateway/QuotaLedger.cpp
+++ b/Hallchute/src/Gateway/QuotaLedger.cpp
@@ -49,8 +49,8 @@
 QuotaLedger::Bucket& QuotaLedger::bucketOf(const GatewayOrganisation& organisation, Instant now) {
   Bucket& bucket = buckets_[organisation.name];
   if (!bucket.known) {
-    bucket = {organisation.burst * kStartPart, organisation.rate, organisation.burst, started_,
-              true};
+    bucket = {organisation.burst * kStartPart * heardPart_, organisation.rate, organisation.burst,
+              started_, true};
     refill(bucket, now);
     return bucket;
   }
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -62,7 +62,7 @@
       metricsPage_(metrics_),
       callers_(trafficLoop_, startup_.callerListen, engine_, metrics_),
       readinessServer_(trafficLoop_, startup_.readinessListen, readiness_, metrics_),
-      fleet_(self_),
+      fleet_(self_, clockNow()),
       copy_(controlLoop_, ports_, watchWait(startup_.bounds),
             {[this](const GatewaySettings& settings) { applySettings(settings); },
              [this](const std::vector<UpstreamRecord>& upstreams) {
@@ -76,6 +76,7 @@
     metricsServer_.emplace(trafficLoop_, startup_.metricsListen, metricsPage_, metrics_);
   }
   fleet_.addAddresses(startup_.seeds);
+  engine_.setFleet({1, 1, {}, fleet_.quotaPart(clockNow()), Millis(0)});
   startDuties();
 }
 
@@ -185,7 +186,7 @@
   }
   link_.push(fleet_.compose(report, now));
   FleetTold told{fleet_.heard(now), fleet_.known(now), fleet_.loadsElsewhere(now),
-                 fleet_.newsLag(now)};
+                 fleet_.quotaPart(now), fleet_.newsLag(now)};
   logFleet(told, now);
   trafficLoop_.post([this, told = std::move(told), old = copy_.mayBeOld(now)] {
     engine_.setFleet(told);
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -82,9 +82,7 @@
 void TrafficEngine::setFleet(const FleetTold& told) {
   daemons_ = std::max<std::size_t>(1, told.known);
   upstreams_.setLoadsElsewhere(told.loads);
-  const double part =
-      static_cast<double>(std::max<std::size_t>(1, told.heard)) / static_cast<double>(daemons_);
-  quota_.setHeardPart(std::min(1.0, part), clockNow());
+  quota_.setHeardPart(told.quotaPart, clockNow());
   quota_.setFleet(told.heard, told.newsLag);
 }
 
--- a/Hallchute/src/Traffic/TrafficEngine.h
+++ b/Hallchute/src/Traffic/TrafficEngine.h
@@ -38,6 +38,8 @@
   /// Those that are known, heard or not.
   std::size_t known = 1;
   UpstreamLoads loads;
+  /// The part of quotas that this daemon may spend.
+  double quotaPart = 1;
   /// How long what one daemon tells takes to reach all others.
   Millis newsLag{0};
 };
--- a/test/FleetQuotaTest.cpp
+++ b/test/FleetQuotaTest.cpp
@@ -28,6 +28,7 @@
 constexpr double kRate = 385'000;
 constexpr int kWindow = 8'000;
 
+constexpr std::uint64_t kFirstLife = 1'000'000;
 const QuotaTolerance kTolerance{0.1, 72'000, Millis(kWindow)};
 
 Instant at(int ms) {
@@ -43,13 +44,20 @@
     organisation_.name = OrganisationName("org");
     organisation_.rate = rate;
     organisation_.burst = rate;
+    start(0);
+  }
+
+  /// Every daemon's process starts, or starts again.
+  void start(int ms) {
+    hosts_.clear();
+    sent_.clear();
     for (int i = 0; i < kDaemons; ++i) {
       const std::string name = "d" + std::to_string(i % 3) + "-" + std::to_string(100 + i);
-      const FleetMember member{DaemonId(name), name + ":1", 1,
+      const FleetMember member{DaemonId(name), name + ":1", kFirstLife + ms,
                                DomainName("d" + std::to_string(i % 3)), i < 6 ? 500U : 120U};
-      hosts_.push_back(std::make_unique<Host>(member));
+      hosts_.push_back(std::make_unique<Host>(member, at(ms)));
       byAddress_[member.address] = i;
-      hosts_.back()->ledger.setOrganisations(std::vector{organisation_}, at(0));
+      hosts_.back()->ledger.setOrganisations(std::vector{organisation_}, at(ms));
     }
     const std::vector<std::string> seeds{"d0-100:1", "d1-101:1", "d2-102:1"};
     for (const auto& host : hosts_) host->view.addAddresses(seeds);
@@ -92,7 +100,10 @@
 
  private:
   struct Host {
-    explicit Host(FleetMember member) : view(std::move(member)), ledger(kStart, kTolerance) {}
+    Host(FleetMember member, Instant started)
+        : view(std::move(member), started), ledger(started, kTolerance) {
+      ledger.setHeardPart(view.quotaPart(started), started);
+    }
     FleetView view;
     QuotaLedger ledger;
   };
@@ -136,8 +147,7 @@
       if (reaches(i, to, ms)) sent_.push_back({ms, i, to, std::move(report.report)});
     }
     host.ledger.setFleet(host.view.heard(now), host.view.newsLag(now));
-    const double known = static_cast<double>(host.view.known(now));
-    host.ledger.setHeardPart(std::min(1.0, static_cast<double>(host.view.heard(now)) / known), now);
+    host.ledger.setHeardPart(host.view.quotaPart(now), now);
   }
   void deliver(const Sent& sent, int ms) {
     Host& host = *hosts_[sent.to];
@@ -162,6 +172,7 @@
   CPPUNIT_TEST(aWholeFleetKeepsTheQuota);
   CPPUNIT_TEST(aFleetInPartsKeepsTheQuota);
   CPPUNIT_TEST(aSmallOrganisationIsServed);
+  CPPUNIT_TEST(aFleetThatRestartsKeepsTheQuota);
   CPPUNIT_TEST_SUITE_END();
 
   /// Rate over the window, burst, a tenth, and the fixed tolerance of 72,000 tokens.
@@ -190,6 +201,22 @@
     CPPUNIT_ASSERT_MESSAGE(std::to_string(given), given >= 0.97 * 0.5 * 50);
   }
 
+  /// All daemons end twice within a window while callers ask for two and a half times the quota.
+  void aFleetThatRestartsKeepsTheQuota() {
+    SpendingFleet fleet;
+    fleet.run(0, 12'000, 0.5);
+    fleet.run(12'000, 13'000, 2.5);
+    for (const int ms : {13'000, 17'000}) {
+      fleet.start(ms);
+      fleet.run(ms, ms + 4'000, 2.5);
+    }
+    fleet.run(21'000, 30'000, 2.5);
+    const double worst = fleet.worstWindow(6'000);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(worst), worst <= allowed_);
+    const double given = fleet.admittedIn(22'000, 30'000);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(given), given >= 7);
+  }
+
   /// A third of the daemons can't reach the others, but each other; then all meet again.
   void aFleetInPartsKeepsTheQuota() {
     SpendingFleet fleet;
