Spending of daemons that come back into reach counts once

Cause: a relay's sums held what it had heard only from the domains it heard at the moment. When a domain was cut off, or its relay fell silent, the sum fell; receivers ignored the fall, and took the rise when the domain was back for spending.

Ruled out: reports that the cut held back (streams of the cut are reset; the first report after a silence is never compared), and spending during the cut itself (some 5 s of one domain, a tenth of what was taken off).

Change: a relay keeps what it heard as two running sums, by its members and by other domains, which only rise. Reports need no sum over all members any more.

--- a/Hallchute/src/Fleet/FleetView.cpp
+++ b/Hallchute/src/Fleet/FleetView.cpp
@@ -47,6 +47,10 @@
   for (const auto& [organisation, amount] : more) total[organisation] += amount;
 }
 
+void takeOff(SpentQuota& total, const SpentQuota& part) {
+  for (const auto& [organisation, amount] : part) total[organisation] -= amount;
+}
+
 void addLoads(UpstreamLoads& total, const UpstreamLoads& more) {
   for (const auto& [upstream, load] : more) total[upstream] += load;
 }
@@ -185,7 +189,7 @@
       const double more = spent - (from ? before->second : 0);
       if (more > 0) news.spentMore[organisation] = more;
     }
-    addSpent(known.accumulated, news.spentMore);
+    countSpent(known, report.scope, news.spentMore);
   }
   for (const UpstreamId& upstream : report.draining) {
     const auto& seen = last.draining;
@@ -203,6 +207,13 @@
   return news;
 }
 
+void FleetView::countSpent(Known& sender, ReportScope scope, const SpentQuota& more) {
+  if (scope == ReportScope::domain) addSpent(spentByDomains_, more);
+  if (scope != ReportScope::member) return;
+  addSpent(spentByMembers_, more);
+  addSpent(sender.spentAsMember, more);
+}
+
 void FleetView::learnPastUsage(const PastUsage& past) {
   if (past.daemon == self_.daemon && past.incarnation == self_.incarnation) return;
   const auto it = daemons_.find(past.daemon);
@@ -332,7 +343,6 @@
 }
 
 void FleetView::addSums(FleetReport& report, const Known& source) const {
-  addSpent(report.spent, source.accumulated);
   addLoads(report.loads, source.report.loads);
   addUsage(report.usage, source.report.usage);
   for (const UpstreamId& upstream : source.report.draining) {
@@ -346,13 +356,13 @@
 void FleetView::addDomain(FleetReport& report, Instant now) const {
   report.scope = ReportScope::domain;
   report.members = {self_};
+  addSpent(report.spent, spentByMembers_);
   for (const auto& [daemon, known] : daemons_) {
     if (known.report.self.domain != self_.domain) continue;
     if (known.report.scope != ReportScope::member) continue;
     addUsage(report.usage, pastUsageOf(daemon));
     if (!within(known.reported, now, kHeardFor)) {
       addUsage(report.usage, known.report.usage);
-      addSpent(report.spent, known.accumulated);
       continue;
     }
     report.members.push_back(known.report.self);
@@ -363,6 +373,10 @@
 void FleetView::addFleet(FleetReport& report, const DaemonId& receiver, Instant now) const {
   report.scope = ReportScope::fleet;
   report.members = {self_};
+  addSpent(report.spent, spentByMembers_);
+  addSpent(report.spent, spentByDomains_);
+  const auto told = daemons_.find(receiver);
+  if (told != daemons_.end()) takeOff(report.spent, told->second.spentAsMember);
   for (const auto& [daemon, known] : daemons_) {
     if (alive(known, now)) report.members.push_back(known.report.self);
     if (daemon == receiver || known.reported == Instant{}) continue;
--- a/Hallchute/src/Fleet/FleetView.h
+++ b/Hallchute/src/Fleet/FleetView.h
@@ -90,8 +90,8 @@
     Instant told{};
     /// When anything was learned of it, hearsay too.
     Instant seen{};
-    /// What its reports added up to in this daemon's life.
-    SpentQuota accumulated;
+    /// What it spent by its own reports as a member, as counted in `spentByMembers_`.
+    SpentQuota spentAsMember;
     /// When it was last sent a report with members, and which.
     Instant membersSent{};
     std::vector<FleetMember> sentMembers;
@@ -118,6 +118,7 @@
   void addDomain(FleetReport& report, Instant now) const;
   void addFleet(FleetReport& report, const DaemonId& receiver, Instant now) const;
   void addSums(FleetReport& report, const Known& source) const;
+  void countSpent(Known& sender, ReportScope scope, const SpentQuota& more);
   UsageByWindow pastUsageOf(const DaemonId& daemon) const;
 
   /// Whether the others are likely to be known.
@@ -126,6 +127,11 @@
   FleetMember self_;
   Instant started_;
   std::map<DaemonId, Known> daemons_;
+  /// What this daemon heard of spending as a relay: by its domain's daemons, and by other domains.
+  /// Both only rise, whoever is heard now: receivers take each rise of a relay's sums for spending,
+  /// and a sum that fell with a lost domain would count as spent once more when it is back.
+  SpentQuota spentByMembers_;
+  SpentQuota spentByDomains_;
   std::set<std::string> addresses_;
   /// 0 if nothing tells.
   std::size_t earlierSize_ = 0;
--- a/test/FleetQuotaTest.cpp
+++ b/test/FleetQuotaTest.cpp
@@ -179,6 +179,7 @@
   CPPUNIT_TEST_SUITE(FleetQuotaTest);
   CPPUNIT_TEST(aWholeFleetKeepsTheQuota);
   CPPUNIT_TEST(aFleetInPartsKeepsTheQuota);
+  CPPUNIT_TEST(whatComesBackIntoReachIsNotSpentAnew);
   CPPUNIT_TEST(aSmallOrganisationIsServed);
   CPPUNIT_TEST(aFleetThatRestartsKeepsTheQuota);
   CPPUNIT_TEST(aFleetThatKnowsItsSizeServesAtOnce);
@@ -269,6 +270,36 @@
     const double given = fleet.admittedIn(30'000, 40'000);
     CPPUNIT_ASSERT_MESSAGE(std::to_string(given), given >= 8.5);
   }
+
+  /// Callers ask for half of the quota all the time. Daemons fall silent and are heard again: what
+  /// they spent before that must not be taken off the buckets once more.
+  void whatComesBackIntoReachIsNotSpentAnew() {
+    struct Row {
+      std::string name;
+      std::function<bool(int daemon)> apart;
+      int ms;
+    };
+    const std::vector<Row> rows{
+        {"a domain that is cut off", [](int daemon) { return daemon % 3 == 2; }, 5'000},
+        {"a relay that is cut off", [](int daemon) { return daemon == 2; }, 5'000},
+        {"a relay that is silent for a moment", [](int daemon) { return daemon == 2; }, 1'600},
+        {"all relays but one", [](int daemon) { return daemon == 1 || daemon == 2; }, 3'000},
+        {"a third of all", [](int daemon) { return daemon % 20 < 7; }, 5'000},
+    };
+    constexpr int kCut = 20'000;
+    constexpr double kDemand = 0.5;
+    for (const Row& row : rows) {
+      SpendingFleet fleet;
+      const int healed = kCut + row.ms;
+      fleet.reaches = [&](int from, int to, int ms) {
+        return ms < kCut || ms >= healed || row.apart(from) == row.apart(to);
+      };
+      fleet.run(0, healed + 6'000, kDemand);
+      const double given = fleet.admittedIn(healed, healed + 6'000);
+      CPPUNIT_ASSERT_MESSAGE(row.name + ": " + std::to_string(given),
+                             given >= 0.95 * kDemand * 6);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetQuotaTest);
