--- a/Hallchute/src/Fleet/FleetView.cpp
+++ b/Hallchute/src/Fleet/FleetView.cpp
@@ -55,24 +55,8 @@
   for (const auto& [upstream, load] : more) total[upstream] += load;
 }
 
-/// Counts only rise: of two words on one incarnation the later one holds more.
-void raiseUsage(UsageByWindow& known, const UsageByWindow& told) {
-  for (const auto& [window, counts] : told) {
-    for (const auto& [organisation, count] : counts) {
-      std::uint64_t& most = known[window][organisation];
-      most = std::max(most, count);
-    }
-  }
-}
-
 }  // namespace
 
-void addUsage(UsageByWindow& total, const UsageByWindow& more) {
-  for (const auto& [window, counts] : more) {
-    for (const auto& [organisation, count] : counts) total[window][organisation] += count;
-  }
-}
-
 void FleetView::addAddresses(std::span<const std::string> addresses) {
   for (const std::string& address : addresses) {
     if (!address.empty() && address != self_.address) addresses_.insert(address);
@@ -171,11 +155,9 @@
   const bool heardBefore = known.reported != Instant{};
   const bool sameLife = report.self.incarnation == last.self.incarnation;
   news.newIncarnation = !heardBefore || !sameLife;
-  if (!sameLife && !last.usage.empty()) {
-    raiseUsage(pastUsage_[{last.self.daemon, last.self.incarnation}], last.usage);
-  }
+  if (!sameLife) pastUsage_.note(last.self.daemon, last.self.incarnation, last.usage);
   // It speaks for itself again: what others kept of it must not count twice.
-  pastUsage_.erase({report.self.daemon, report.self.incarnation});
+  pastUsage_.forget(report.self.daemon, report.self.incarnation);
   // What a daemon spent before it was first heard of, or summed over another scope, was not spent
   // just now; what one spent out of reach came out of the part that was left to it; what one spent
   // since its restart counts.
@@ -222,13 +204,12 @@
   if (sameLife && it->second.reported != Instant{}) {
     raiseUsage(it->second.report.usage, past.usage);
   } else {
-    raiseUsage(pastUsage_[{past.daemon, past.incarnation}], past.usage);
+    pastUsage_.note(past.daemon, past.incarnation, past.usage);
   }
 }
 
 std::vector<PastUsage> FleetView::pastUsageToTell(Instant now) const {
-  std::vector<PastUsage> told;
-  for (const auto& [life, usage] : pastUsage_) told.push_back({life.first, life.second, usage});
+  std::vector<PastUsage> told = pastUsage_.all();
   for (const auto& [daemon, known] : daemons_) {
     const FleetReport& report = known.report;
     if (report.usage.empty() || alive(known, now)) continue;
@@ -360,7 +341,7 @@
   for (const auto& [daemon, known] : daemons_) {
     if (known.report.self.domain != self_.domain) continue;
     if (known.report.scope != ReportScope::member) continue;
-    addUsage(report.usage, pastUsageOf(daemon));
+    addUsage(report.usage, pastUsage_.of(daemon));
     if (!within(known.reported, now, kHeardFor)) {
       addUsage(report.usage, known.report.usage);
       continue;
@@ -380,20 +361,12 @@
   for (const auto& [daemon, known] : daemons_) {
     if (alive(known, now)) report.members.push_back(known.report.self);
     if (daemon == receiver || known.reported == Instant{}) continue;
-    addUsage(report.usage, pastUsageOf(daemon));
+    addUsage(report.usage, pastUsage_.of(daemon));
     if (!counts(known.report, now)) continue;
     addSums(report, known);
   }
 }
 
-UsageByWindow FleetView::pastUsageOf(const DaemonId& daemon) const {
-  UsageByWindow usage;
-  for (const auto& [life, past] : pastUsage_) {
-    if (life.first == daemon) addUsage(usage, past);
-  }
-  return usage;
-}
-
 std::size_t FleetView::heard(Instant now) const {
   return 1 + static_cast<std::size_t>(
                  std::count_if(daemons_.begin(), daemons_.end(),
@@ -446,8 +419,7 @@
 }
 
 UsageByWindow FleetView::usageElsewhere(Instant now) const {
-  UsageByWindow total;
-  for (const auto& [life, usage] : pastUsage_) addUsage(total, usage);
+  UsageByWindow total = pastUsage_.total();
   for (const auto& [daemon, known] : daemons_) {
     // The sums of a relay that fell silent stand until another one tells its own.
     const bool sums =
@@ -460,10 +432,7 @@
 }
 
 void FleetView::forgetUsageBefore(std::int64_t firstWindow) {
-  for (auto& [life, usage] : pastUsage_) {
-    usage.erase(usage.begin(), usage.lower_bound(firstWindow));
-  }
-  std::erase_if(pastUsage_, [](const auto& entry) { return entry.second.empty(); });
+  pastUsage_.forgetBefore(firstWindow);
 }
 
 std::uint64_t FleetView::heardIncarnation(const DaemonId& daemon, Instant now) const {
--- a/Hallchute/src/Fleet/FleetView.h
+++ b/Hallchute/src/Fleet/FleetView.h
@@ -12,6 +12,7 @@
 
 #include "Hallchute/src/Core/Time.h"
 #include "Hallchute/src/Fleet/FleetReport.h"
+#include "Hallchute/src/Fleet/PastUsageLedger.h"
 #include "Hallchute/src/Gateway/QuotaFleet.h"
 
 namespace Hallchute {
@@ -119,7 +120,6 @@
   void addFleet(FleetReport& report, const DaemonId& receiver, Instant now) const;
   void addSums(FleetReport& report, const Known& source) const;
   void countSpent(Known& sender, ReportScope scope, const SpentQuota& more);
-  UsageByWindow pastUsageOf(const DaemonId& daemon) const;
 
   /// Whether the others are likely to be known.
   bool hasMet(Instant now) const;
@@ -135,14 +135,9 @@
   std::set<std::string> addresses_;
   /// 0 if nothing tells.
   std::size_t earlierSize_ = 0;
-  /// Of incarnations that ended.
-  std::map<std::pair<DaemonId, std::uint64_t>, UsageByWindow> pastUsage_;
+  PastUsageLedger pastUsage_;
 };
 
-/// \brief Adds the counts of \p more to \p total.
-/// \ingroup Fleet
-void addUsage(UsageByWindow& total, const UsageByWindow& more);
-
 }  // namespace Hallchute
 
 #endif  // HALLCHUTE_FLEET_FLEETVIEW_H
