Requests of plain services are drawn by free room where others place most of the load

Hypothesis: daemons that hear of each other half a second late and all turn to the least loaded upstream overrun it until the next word.

Change: where this daemon placed less than half of the load itself, the chance of an upstream is its free room, 0.2 of its slots at least.

PlacementTest replays it in virtual time; before, after: 295 daemons 0.4% rejected and 168 ms waited by the 95th of 100, none and 16 ms; with a slow upstream 1.2% and 355 ms, none and 66 ms.

--- a/Hallchute/src/Gateway/UpstreamPick.cpp
+++ b/Hallchute/src/Gateway/UpstreamPick.cpp
@@ -4,6 +4,7 @@
 #include "Hallchute/src/Gateway/UpstreamPick.h"
 
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
 #include "Hallchute/src/Core/StableHash.h"
@@ -28,6 +29,13 @@
 /// What an upstream of another failure domain counts above its load, in parts of its slots: the
 /// way there costs a few milliseconds and the bytes are paid for.
 constexpr double kForeignCost = 0.15;
+/// Where this daemon placed this part of the load or more itself, and so knows it exactly, the
+/// least loaded upstream is the best choice.
+constexpr double kMostlyOwn = 0.5;
+/// The least room that an upstream counts with, in parts of its slots: its load may be old news,
+/// and one that nobody turns to is empty before the others hear of it. With 0.03 the slow upstream
+/// of the replay was overrun and left by turns (0.5% of requests rejected), with 0.2 it was not.
+constexpr double kLeastRoom = 0.2;
 
 /// A new upstream's cache fills as its subjects come by: for this long it may copy what it lacks.
 constexpr Millis kFillTime{15'000};
@@ -82,15 +90,20 @@
   return best;
 }
 
+/// What of an upstream is taken, in parts of its slots, with what its distance counts.
+double taken(const UpstreamEntry& entry, const UpstreamWish& wish, double requests) {
+  const double slots = std::max<std::uint32_t>(1, entry.record.slots);
+  const double foreign = entry.record.domain == wish.ownDomain ? 0 : kForeignCost;
+  return requests / slots + foreign;
+}
+
 const UpstreamEntry* pickLeastLoaded(const std::vector<const UpstreamEntry*>& entries,
                                      const UpstreamWish& wish) {
   const UpstreamEntry* best = nullptr;
   double bestCost = 0;
   for (const UpstreamEntry* entry : entries) {
-    const double slots = std::max<std::uint32_t>(1, entry->record.slots);
-    const double foreign = entry->record.domain == wish.ownDomain ? 0 : kForeignCost;
     // The draw only breaks ties: it is worth less than one request.
-    const double cost = (entry->load() + draw(*entry, wish.requestId)) / slots + foreign;
+    const double cost = taken(*entry, wish, entry->load() + draw(*entry, wish.requestId));
     if (best != nullptr && cost >= bestCost) continue;
     best = entry;
     bestCost = cost;
@@ -98,6 +111,38 @@
   return best;
 }
 
+/// A draw in which each upstream's chance is its free room. What others placed is old news: daemons
+/// that all turned to the least loaded upstream would overrun it until the next word. 295 daemons
+/// before five upstreams of six slots, half of them taken (virtual time): 0.4% of requests rejected
+/// and 168 ms waited by the 95th of 100 with the least loaded one, none and 16 ms with draws; with
+/// one upstream at a third of its speed 1.2% and 355 ms, none and 66 ms.
+const UpstreamEntry* pickByRoom(const std::vector<const UpstreamEntry*>& entries,
+                                const UpstreamWish& wish) {
+  const UpstreamEntry* best = nullptr;
+  double bestKey = 0;
+  for (const UpstreamEntry* entry : entries) {
+    const double room = std::max(kLeastRoom, 1 - taken(*entry, wish, entry->load()));
+    const double slots = std::max<std::uint32_t>(1, entry->record.slots);
+    // The first of several exponential clocks: each wins in proportion to its rate.
+    const double key = -std::log1p(-draw(*entry, wish.requestId)) / (room * slots);
+    if (best != nullptr && key >= bestKey) continue;
+    best = entry;
+    bestKey = key;
+  }
+  return best;
+}
+
+const UpstreamEntry* pickFree(const std::vector<const UpstreamEntry*>& entries,
+                              const UpstreamWish& wish) {
+  double own = 0;
+  double all = 0;
+  for (const UpstreamEntry* entry : entries) {
+    own += entry->own.requests;
+    all += entry->load();
+  }
+  return own >= kMostlyOwn * all ? pickLeastLoaded(entries, wish) : pickByRoom(entries, wish);
+}
+
 }  // namespace
 
 const UpstreamEntry* pickUpstream(const UpstreamTable& table, const UpstreamWish& wish,
@@ -112,7 +157,7 @@
     fit.push_back(&entry);
   }
   if (fit.empty()) return nullptr;
-  return wish.affinity.empty() ? pickLeastLoaded(fit, wish) : pickHome(fit, wish);
+  return wish.affinity.empty() ? pickFree(fit, wish) : pickHome(fit, wish);
 }
 
 const UpstreamEntry* cacheSource(const UpstreamTable& table, const UpstreamWish& wish,
--- a/test/FleetQuotaTest.cpp
+++ b/test/FleetQuotaTest.cpp
@@ -296,8 +296,7 @@
       };
       fleet.run(0, healed + 6'000, kDemand);
       const double given = fleet.admittedIn(healed, healed + 6'000);
-      CPPUNIT_ASSERT_MESSAGE(row.name + ": " + std::to_string(given),
-                             given >= 0.95 * kDemand * 6);
+      CPPUNIT_ASSERT_MESSAGE(row.name + ": " + std::to_string(given), given >= 0.95 * kDemand * 6);
     }
   }
 };
--- /dev/null
+++ b/test/PlacementTest.cpp
@@ -0,0 +1,213 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Hallchute/Gateway"
+
+namespace {
+
+using namespace Hallchute;
+
+const Instant kStart = Instant(std::chrono::hours(1));
+constexpr int kReportPeriod = 200;
+/// How long a daemon's word takes to the others in a fleet with relays.
+constexpr int kNewsLag = 500;
+constexpr std::uint32_t kSlots = 6;
+/// Requests that wait at an upstream beyond those that it works on; it rejects more.
+constexpr std::size_t kQueue = 24;
+
+Instant at(int ms) {
+  return kStart + Millis(ms);
+}
+
+/// Draws that are the same in each run.
+class Draws {
+ public:
+  double next() {
+    state_ = state_ * 6'364'136'223'846'793'005ULL + 1'442'695'040'888'963'407ULL;
+    return static_cast<double>(state_ >> 11U) / static_cast<double>(1ULL << 53U);
+  }
+  std::size_t below(std::size_t bound) {
+    return static_cast<std::size_t>(next() * static_cast<double>(bound));
+  }
+
+ private:
+  std::uint64_t state_ = 42;
+};
+
+/// What a run of a plain service's fleet came to.
+struct PlainOutcome {
+  int asked = 0;
+  int rejected = 0;
+  std::vector<int> waitedMs;
+
+  double rejectedPart() const { return static_cast<double>(rejected) / asked; }
+  int waited(double part) const {
+    std::vector<int> sorted = waitedMs;
+    std::sort(sorted.begin(), sorted.end());
+    return sorted[static_cast<std::size_t>(part * static_cast<double>(sorted.size() - 1))];
+  }
+};
+
+/// Daemons that place the requests of a plain service by what they last heard of each other.
+class PlainFleet {
+ public:
+  /// \param speeds of the upstreams; each is in a domain of its own.
+  PlainFleet(std::size_t daemons, std::vector<double> speeds) : speeds_(std::move(speeds)) {
+    std::vector<UpstreamRecord> records;
+    for (std::size_t u = 0; u < speeds_.size(); ++u) {
+      UpstreamRecord record;
+      record.id = UpstreamId("u" + std::to_string(u));
+      record.service = ServiceName("s");
+      record.domain = DomainName("d" + std::to_string(u));
+      record.slots = kSlots;
+      records.push_back(record);
+    }
+    upstreams_.resize(records.size());
+    for (std::size_t i = 0; i < daemons; ++i) {
+      tables_.push_back(std::make_unique<UpstreamTable>());
+      tables_.back()->replace(records, at(0));
+    }
+  }
+
+  PlainOutcome run(int ms, double perSecond, double workMs) {
+    for (int now = 0; now < ms; ++now) {
+      endWork(now);
+      if (now % kReportPeriod == 0) exchangeReports(now);
+      owed_ += perSecond / 1'000;
+      for (; owed_ >= 1; owed_ -= 1) place(now, workMs);
+    }
+    return outcome_;
+  }
+
+ private:
+  struct Request {
+    std::size_t daemon = 0;
+    std::size_t upstream = 0;
+    int arrived = 0;
+    double work = 0;
+  };
+  struct Upstream {
+    std::size_t busy = 0;
+    std::deque<Request> waiting;
+  };
+
+  void place(int now, double workMs) {
+    ++outcome_.asked;
+    UpstreamWish wish;
+    wish.service = ServiceName("s");
+    wish.requestId = "r" + std::to_string(outcome_.asked);
+    const std::size_t daemon = draws_.below(tables_.size());
+    wish.ownDomain = DomainName("d" + std::to_string(daemon % speeds_.size()));
+    const UpstreamEntry* picked = pickUpstream(*tables_[daemon], wish, at(now));
+    CPPUNIT_ASSERT(picked != nullptr);
+    const std::size_t u = std::stoul(picked->record.id.str().substr(1));
+    tables_[daemon]->noteDispatched(picked->record.id);
+    const double work = workMs * (0.5 + draws_.next()) / speeds_[u];
+    Upstream& upstream = upstreams_[u];
+    const Request request{daemon, u, now, work};
+    if (upstream.busy < kSlots) {
+      begin(request, now);
+    } else if (upstream.waiting.size() < kQueue) {
+      upstream.waiting.push_back(request);
+    } else {
+      ++outcome_.rejected;
+      tables_[daemon]->noteEnded(picked->record.id, DispatchResult::rejected, at(now));
+    }
+  }
+  void begin(const Request& request, int now) {
+    ++upstreams_[request.upstream].busy;
+    outcome_.waitedMs.push_back(now - request.arrived);
+    ends_.emplace(now + static_cast<int>(request.work) + 1, request);
+  }
+  void endWork(int now) {
+    while (!ends_.empty() && ends_.begin()->first <= now) {
+      const Request request = ends_.begin()->second;
+      ends_.erase(ends_.begin());
+      const UpstreamId id("u" + std::to_string(request.upstream));
+      tables_[request.daemon]->noteEnded(id, DispatchResult::answered, at(now));
+      Upstream& upstream = upstreams_[request.upstream];
+      --upstream.busy;
+      if (upstream.waiting.empty()) continue;
+      const Request next = upstream.waiting.front();
+      upstream.waiting.pop_front();
+      begin(next, now);
+    }
+  }
+  /// Every daemon hears the others' loads of a moment ago; its own it knows.
+  void exchangeReports(int now) {
+    told_[now] = {};
+    for (const auto& table : tables_) told_[now].push_back(table->ownLoads());
+    const auto then = told_.upper_bound(now - kNewsLag);
+    if (then == told_.begin()) return;
+    const std::vector<UpstreamLoads>& heard = std::prev(then)->second;
+    UpstreamLoads sum;
+    for (const UpstreamLoads& loads : heard) {
+      for (const auto& [id, load] : loads) sum[id] += load;
+    }
+    for (std::size_t i = 0; i < tables_.size(); ++i) {
+      UpstreamLoads others = sum;
+      for (const auto& [id, load] : heard[i]) others[id].requests -= load.requests;
+      tables_[i]->setLoadsElsewhere(others);
+    }
+  }
+
+  std::vector<double> speeds_;
+  std::vector<Upstream> upstreams_;
+  std::vector<std::unique_ptr<UpstreamTable>> tables_;
+  std::map<int, std::vector<UpstreamLoads>> told_;
+  std::multimap<int, Request> ends_;
+  PlainOutcome outcome_;
+  Draws draws_;
+  double owed_ = 0;
+};
+
+class PlacementTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlacementTest);
+  CPPUNIT_TEST(aFleetOnOneStaleWordSpreadsItsRequests);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  /// Upstreams with six slots each, about half of them taken; then one that is slow, so that its
+  /// load tells. What every daemon hears is half a second old, in which many times the slots of an
+  /// upstream are placed: daemons that all turn to the least loaded one overrun it.
+  void aFleetOnOneStaleWordSpreadsItsRequests() {
+    struct Row {
+      std::string name;
+      std::size_t daemons;
+      std::vector<double> speeds;
+      double perSecond;
+      double workMs;
+      double mostRejected;
+      int mostWaited;
+    };
+    const std::vector<Row> rows{
+        {"one daemon", 1, {1, 1, 1, 1, 1}, 234, 60, 0, 5},
+        {"77 daemons", 77, {1, 1, 1, 1, 1}, 234, 60, 0.0005, 30},
+        {"295 daemons", 295, {1, 1, 1, 1, 1}, 234, 60, 0.0005, 30},
+        {"77 daemons, a slow upstream", 77, {1, 1, 0.3, 1, 1}, 200, 60, 0.0005, 100},
+        {"295 daemons, a slow upstream", 295, {1, 1, 0.3, 1, 1}, 200, 60, 0.0005, 100},
+    };
+    std::string misses;
+    for (const Row& row : rows) {
+      const PlainOutcome got =
+          PlainFleet(row.daemons, row.speeds).run(40'000, row.perSecond, row.workMs);
+      if (got.rejectedPart() <= row.mostRejected && got.waited(0.95) <= row.mostWaited) continue;
+      misses += row.name + ": rejected " + std::to_string(got.rejectedPart()) + ", waited " +
+                std::to_string(got.waited(0.95)) + " ms at the 95th of 100; ";
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), misses);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlacementTest);
+
+}  // namespace
