A relay composes its reports in one pass over the daemons it hears

For each of its members a relay added the usage of all daemons anew and chose the relays anew for each daemon: 59 x 295 x 295 steps a period.

Change: the choice of relays is found once and kept until a report may change it, 50 ms at most; sums are added once a period, and each member's own part is taken off; lists of members are shared instead of kept once a receiver.

--- a/Hallchute/src/Fleet/FleetView.cpp
+++ b/Hallchute/src/Fleet/FleetView.cpp
@@ -14,6 +14,9 @@
 constexpr Millis kKnownFor{15'000};
 /// How long an address is reported to after anything was last learned of its daemon.
 constexpr Millis kTriedFor{60'000};
+/// How old a choice of relays may be that no report has changed: it changes as daemons fall silent,
+/// a twentieth of the time after which one counts as silent.
+constexpr Millis kElectionAge{50};
 /// How often unchanged members are told again, for receivers that missed them.
 constexpr Millis kMembersEvery{2'000};
 
@@ -43,6 +46,23 @@
   return a->capacity != b->capacity ? a->capacity > b->capacity : a->daemon < b->daemon;
 }
 
+void takeOff(UpstreamLoads& total, const UpstreamLoads& part) {
+  for (const auto& [upstream, load] : part) {
+    const auto it = total.find(upstream);
+    if (it == total.end()) continue;
+    it->second.requests -= load.requests;
+    it->second.unreadTokens -= load.unreadTokens;
+    if (it->second == UpstreamLoad{}) total.erase(it);
+  }
+}
+
+void takeOff(UsageByWindow& total, const UsageByWindow& part) {
+  for (const auto& [window, counts] : part) {
+    UsageCounts& left = total[window];
+    for (const auto& [organisation, count] : counts) left[organisation] -= count;
+  }
+}
+
 void addSpent(SpentQuota& total, const SpentQuota& more) {
   for (const auto& [organisation, amount] : more) total[organisation] += amount;
 }
@@ -68,12 +88,27 @@
   return within(known.reported, now, kHeardFor) || within(known.told, now, kHeardFor);
 }
 
-bool FleetView::isSmall(Instant now) const {
+const FleetView::Election& FleetView::election(Instant now) const {
+  if (election_ && now >= election_->at && now - election_->at < kElectionAge) return *election_;
+  Election found;
+  found.at = now;
+  std::map<DomainName, const FleetMember*> strongest{{self_.domain, &self_}};
   std::size_t seen = 1;
   for (const auto& [daemon, known] : daemons_) {
     if (within(known.seen, now, kKnownFor)) ++seen;
+    if (!alive(known, now)) continue;
+    const FleetMember& member = known.report.self;
+    const FleetMember*& best = strongest[member.domain];
+    if (best == nullptr || isStronger(&member, best)) best = &member;
   }
-  return seen <= kSmallFleet;
+  found.small = seen <= kSmallFleet;
+  for (const auto& [domain, member] : strongest) found.relays[domain] = member->daemon;
+  election_ = std::move(found);
+  return *election_;
+}
+
+bool FleetView::isSmall(Instant now) const {
+  return election(now).small;
 }
 
 std::vector<DaemonId> FleetView::strongestOf(const DomainName& domain, std::size_t most,
@@ -93,13 +128,9 @@
 }
 
 DaemonId FleetView::relayOf(const DomainName& domain, Instant now) const {
-  const FleetMember* best = self_.domain == domain ? &self_ : nullptr;
-  for (const auto& [daemon, known] : daemons_) {
-    const FleetMember& member = known.report.self;
-    if (member.domain != domain || !alive(known, now)) continue;
-    if (best == nullptr || isStronger(&member, best)) best = &member;
-  }
-  return best == nullptr ? DaemonId() : best->daemon;
+  const Election& found = election(now);
+  const auto it = found.relays.find(domain);
+  return it == found.relays.end() ? DaemonId() : it->second;
 }
 
 bool FleetView::followsStore(Instant now) const {
@@ -140,7 +171,9 @@
       known.report = FleetReport{};
       known.report.self = member;
       known.reported = Instant{};
+      election_.reset();
     }
+    if (vouched && !alive(known, now)) election_.reset();
     if (vouched || known.seen == Instant{}) known.seen = now;
     if (vouched && member.incarnation == known.report.self.incarnation) known.told = now;
   }
@@ -180,6 +213,10 @@
     }
   }
   const std::vector<FleetMember> members = report.membersUnchanged ? last.members : report.members;
+  // Its word may make or end a relay.
+  if (news.newIncarnation || report.leaving || !alive(known, now) || last.self != report.self) {
+    election_.reset();
+  }
   known.report = report;
   known.report.members = members;
   known.reported = now;
@@ -274,47 +311,85 @@
 std::vector<AddressedReport> FleetView::compose(const FleetReport& own, Instant now) {
   std::map<std::string, Known*> byAddress;
   for (auto& [daemon, known] : daemons_) byAddress[known.report.self.address] = &known;
+  const Round round = beginRound(own, now);
   std::vector<AddressedReport> reports;
   for (const std::string& address : targets(now)) {
     const auto it = byAddress.find(address);
-    reports.push_back({address, reportFor(own, it == byAddress.end() ? nullptr : it->second, now)});
+    Known* const target = it == byAddress.end() ? nullptr : it->second;
+    reports.push_back({address, reportFor(round, target, now)});
   }
   return reports;
 }
 
-FleetReport FleetView::reportFor(const FleetReport& own, Known* target, Instant now) {
-  FleetReport report = own;
-  report.self = self_;
-  if (isSmall(now)) {
-    for (const auto& [daemon, known] : daemons_) {
-      if (within(known.seen, now, kKnownFor)) report.members.push_back(known.report.self);
-    }
-  } else if (!isRelay(now)) {
-    report.scope = ReportScope::member;
-    report.members = {self_};
-    for (const auto& [daemon, known] : daemons_) {
-      // Whoever asks a daemon that is no relay learns whom to turn to.
-      if (relayOf(known.report.self.domain, now) == daemon)
-        report.members.push_back(known.report.self);
-    }
-  } else if (target != nullptr && target->report.self.domain == self_.domain) {
-    addFleet(report, target->report.self.daemon, now);
-  } else {
-    addDomain(report, now);
-    if (target != nullptr) addRelayOf(report, target->report.self, now);
+FleetView::Round FleetView::beginRound(const FleetReport& own, Instant now) {
+  Round round;
+  round.small = isSmall(now);
+  round.relay = !round.small && isRelay(now);
+  round.common = own;
+  round.common.self = self_;
+  std::vector<FleetMember> members = membersToTell(round.small, now);
+  const bool sameMembers = fleetMembers_ != nullptr && *fleetMembers_ == members;
+  if (!sameMembers) {
+    fleetMembers_ = std::make_shared<const std::vector<FleetMember>>(std::move(members));
   }
-  if (target == nullptr) return report;
-  if (report.members == target->sentMembers && within(target->membersSent, now, kMembersEvery)) {
-    report.members.clear();
-    report.membersUnchanged = true;
-  } else {
-    target->sentMembers = report.members;
-    target->membersSent = now;
-    if (report.scope == ReportScope::everybody) report.pastUsage = pastUsageToTell(now);
+  round.members = fleetMembers_;
+  if (!round.small) round.common.scope = ReportScope::member;
+  if (!round.relay) return round;
+  round.domain = round.common;
+  addDomain(round.domain, now);
+  addFleet(round.common, now);
+  return round;
+}
+
+/// Whom a report names to a receiver that it has most in common with: small fleets name all, a
+/// relay the daemons that are heard, any other daemon the relays.
+std::vector<FleetMember> FleetView::membersToTell(bool small, Instant now) const {
+  std::vector<FleetMember> members;
+  if (!small) members.push_back(self_);
+  const bool relay = !small && isRelay(now);
+  for (const auto& [daemon, known] : daemons_) {
+    const FleetMember& member = known.report.self;
+    // Whoever asks a daemon that is no relay learns whom to turn to.
+    const bool named = small   ? within(known.seen, now, kKnownFor)
+                       : relay ? alive(known, now)
+                               : relayOf(member.domain, now) == daemon;
+    if (named) members.push_back(member);
+  }
+  return members;
+}
+
+FleetReport FleetView::reportFor(const Round& round, Known* target, Instant now) {
+  const bool sameDomain = target != nullptr && target->report.self.domain == self_.domain;
+  if (round.relay && !sameDomain) {
+    FleetReport report = round.domain;
+    if (target == nullptr) return report;
+    addRelayOf(report, target->report.self, now);
+    auto members = std::make_shared<const std::vector<FleetMember>>(std::move(report.members));
+    if (target->sentMembers && *target->sentMembers == *members) members = target->sentMembers;
+    tellMembers(report, std::move(members), *target, now);
+    return report;
   }
+  FleetReport report = round.relay ? fleetReport(round, *target, now) : round.common;
+  if (target == nullptr) {
+    report.members = *round.members;
+    return report;
+  }
+  tellMembers(report, round.members, *target, now);
   return report;
 }
 
+/// \param members the list that \p target was last sent, if it is the same.
+void FleetView::tellMembers(FleetReport& report, MemberList members, Known& target, Instant now) {
+  const bool unchanged = target.sentMembers == members;
+  report.membersUnchanged = unchanged && within(target.membersSent, now, kMembersEvery);
+  report.members.clear();
+  if (report.membersUnchanged) return;
+  report.members = *members;
+  target.sentMembers = std::move(members);
+  target.membersSent = now;
+  if (report.scope == ReportScope::everybody) report.pastUsage = pastUsageToTell(now);
+}
+
 /// A daemon of a domain without seeds meets its own relay by those of other domains.
 void FleetView::addRelayOf(FleetReport& report, const FleetMember& receiver, Instant now) const {
   const auto it = daemons_.find(relayOf(receiver.domain, now));
@@ -351,22 +426,29 @@
   }
 }
 
-void FleetView::addFleet(FleetReport& report, const DaemonId& receiver, Instant now) const {
+/// The sums of all, the receiver among them.
+void FleetView::addFleet(FleetReport& report, Instant now) const {
   report.scope = ReportScope::fleet;
-  report.members = {self_};
   addSpent(report.spent, spentByMembers_);
   addSpent(report.spent, spentByDomains_);
-  const auto told = daemons_.find(receiver);
-  if (told != daemons_.end()) takeOff(report.spent, told->second.spentAsMember);
+  addUsage(report.usage, pastUsage_.total());
   for (const auto& [daemon, known] : daemons_) {
-    if (alive(known, now)) report.members.push_back(known.report.self);
-    if (daemon == receiver || known.reported == Instant{}) continue;
-    addUsage(report.usage, pastUsage_.of(daemon));
-    if (!counts(known.report, now)) continue;
-    addSums(report, known);
+    if (known.reported != Instant{} && counts(known.report, now)) addSums(report, known);
   }
 }
 
+/// What a member of the own domain is told: all sums but its own part.
+FleetReport FleetView::fleetReport(const Round& round, const Known& receiver, Instant now) const {
+  FleetReport report = round.common;
+  const FleetReport& told = receiver.report;
+  takeOff(report.spent, receiver.spentAsMember);
+  takeOff(report.usage, pastUsage_.of(told.self.daemon));
+  if (receiver.reported == Instant{} || !counts(told, now)) return report;
+  takeOff(report.loads, told.loads);
+  takeOff(report.usage, told.usage);
+  return report;
+}
+
 std::size_t FleetView::heard(Instant now) const {
   return 1 + static_cast<std::size_t>(
                  std::count_if(daemons_.begin(), daemons_.end(),
--- a/Hallchute/src/Fleet/FleetView.h
+++ b/Hallchute/src/Fleet/FleetView.h
@@ -5,6 +5,8 @@
 #define HALLCHUTE_FLEET_FLEETVIEW_H
 
 #include <map>
+#include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -38,7 +40,8 @@
 /// of each failure domain is its relay: its domain's daemons report to it, relays report their
 /// domains' sums to each other, and each relay tells its domain's daemons the sums of all others.
 /// A silent relay is replaced by the next strongest. Cost for a daemon: one report each way a
-/// period; for a relay: one each way for each daemon of its domain and each other domain.
+/// period; for a relay: one each way for each daemon of its domain and each other domain, and one
+/// pass over all daemons for the sums that they hold.
 class FleetView {
  public:
   /// Above it, relays carry the reports: with twelve daemons the reports to all cost each about
@@ -83,6 +86,8 @@
   bool followsStore(Instant now) const;
 
  private:
+  /// Shared by all who were sent the same: 59 copies of 295 members took a relay 40 MB.
+  using MemberList = std::shared_ptr<const std::vector<FleetMember>>;
   struct Known {
     /// The last report of its own; only `self` is set before the first.
     FleetReport report;
@@ -95,13 +100,30 @@
     SpentQuota spentAsMember;
     /// When it was last sent a report with members, and which.
     Instant membersSent{};
-    std::vector<FleetMember> sentMembers;
+    MemberList sentMembers;
+  };
+  /// Who carries reports, as daemons are heard at a moment.
+  struct Election {
+    Instant at{};
+    bool small = true;
+    std::map<DomainName, DaemonId> relays;
+  };
+  /// The reports of one period, before what differs by receiver.
+  struct Round {
+    bool small = true;
+    bool relay = false;
+    /// Of the scope of `common`: one list for all its receivers.
+    MemberList members;
+    FleetReport common;
+    /// A relay's report to other domains.
+    FleetReport domain;
   };
 
   static bool within(Instant then, Instant now, Millis limit) {
     return then != Instant{} && now - then <= limit;
   }
   bool alive(const Known& known, Instant now) const;
+  const Election& election(Instant now) const;
   bool isSmall(Instant now) const;
   /// The daemons of a domain that are heard of, strongest first; \p most of them.
   std::vector<DaemonId> strongestOf(const DomainName& domain, std::size_t most, Instant now) const;
@@ -114,10 +136,14 @@
   void learnMembers(ReportScope scope, std::span<const FleetMember> members, Instant now);
   std::set<std::string> targets(Instant now) const;
   void addLostDomains(std::set<std::string>& wanted, Instant now) const;
-  FleetReport reportFor(const FleetReport& own, Known* target, Instant now);
+  Round beginRound(const FleetReport& own, Instant now);
+  FleetReport reportFor(const Round& round, Known* target, Instant now);
+  FleetReport fleetReport(const Round& round, const Known& receiver, Instant now) const;
+  void tellMembers(FleetReport& report, MemberList members, Known& target, Instant now);
+  std::vector<FleetMember> membersToTell(bool small, Instant now) const;
   void addRelayOf(FleetReport& report, const FleetMember& receiver, Instant now) const;
   void addDomain(FleetReport& report, Instant now) const;
-  void addFleet(FleetReport& report, const DaemonId& receiver, Instant now) const;
+  void addFleet(FleetReport& report, Instant now) const;
   void addSums(FleetReport& report, const Known& source) const;
   void countSpent(Known& sender, ReportScope scope, const SpentQuota& more);
 
@@ -127,6 +153,10 @@
   FleetMember self_;
   Instant started_;
   std::map<DaemonId, Known> daemons_;
+  /// Found anew when it is old, or a report may have changed it.
+  mutable std::optional<Election> election_;
+  /// What members were last told to be the fleet.
+  MemberList fleetMembers_;
   /// What this daemon heard of spending as a relay: by its domain's daemons, and by other domains.
   /// Both only rise, whoever is heard now: receivers take each rise of a relay's sums for spending,
   /// and a sum that fell with a lost domain would count as spent once more when it is back.
