--- a/test/PlacementTest.cpp
+++ b/test/PlacementTest.cpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,43 @@
   std::uint64_t state_ = 42;
 };
 
+/// Daemons with what each believes of the upstreams.
+class Daemons {
+ public:
+  void start(std::size_t daemons, std::span<const UpstreamRecord> records) {
+    for (std::size_t i = 0; i < daemons; ++i) {
+      tables_.push_back(std::make_unique<UpstreamTable>());
+      tables_.back()->replace(records, at(0));
+    }
+  }
+  std::size_t size() const { return tables_.size(); }
+  UpstreamTable& table(std::size_t daemon) { return *tables_[daemon]; }
+  /// Every daemon hears the others' loads of a moment ago; its own it knows.
+  void exchangeReports(int now) {
+    std::vector<UpstreamLoads>& told = told_[now];
+    for (const auto& table : tables_) told.push_back(table->ownLoads());
+    const auto then = told_.upper_bound(now - kNewsLag);
+    if (then == told_.begin()) return;
+    const std::vector<UpstreamLoads>& heard = std::prev(then)->second;
+    UpstreamLoads sum;
+    for (const UpstreamLoads& loads : heard) {
+      for (const auto& [id, load] : loads) sum[id] += load;
+    }
+    for (std::size_t i = 0; i < tables_.size(); ++i) {
+      UpstreamLoads others = sum;
+      for (const auto& [id, load] : heard[i]) {
+        others[id].requests -= load.requests;
+        others[id].unreadTokens -= load.unreadTokens;
+      }
+      tables_[i]->setLoadsElsewhere(others);
+    }
+  }
+
+ private:
+  std::vector<std::unique_ptr<UpstreamTable>> tables_;
+  std::map<int, std::vector<UpstreamLoads>> told_;
+};
+
 /// What a run of a plain service's fleet came to.
 struct PlainOutcome {
   int asked = 0;
@@ -73,16 +111,13 @@
       records.push_back(record);
     }
     upstreams_.resize(records.size());
-    for (std::size_t i = 0; i < daemons; ++i) {
-      tables_.push_back(std::make_unique<UpstreamTable>());
-      tables_.back()->replace(records, at(0));
-    }
+    daemons_.start(daemons, records);
   }
 
   PlainOutcome run(int ms, double perSecond, double workMs) {
     for (int now = 0; now < ms; ++now) {
       endWork(now);
-      if (now % kReportPeriod == 0) exchangeReports(now);
+      if (now % kReportPeriod == 0) daemons_.exchangeReports(now);
       owed_ += perSecond / 1'000;
       for (; owed_ >= 1; owed_ -= 1) place(now, workMs);
     }
@@ -106,12 +141,12 @@
     UpstreamWish wish;
     wish.service = ServiceName("s");
     wish.requestId = "r" + std::to_string(outcome_.asked);
-    const std::size_t daemon = draws_.below(tables_.size());
+    const std::size_t daemon = draws_.below(daemons_.size());
     wish.ownDomain = DomainName("d" + std::to_string(daemon % speeds_.size()));
-    const UpstreamEntry* picked = pickUpstream(*tables_[daemon], wish, at(now));
+    const UpstreamEntry* picked = pickUpstream(daemons_.table(daemon), wish, at(now));
     CPPUNIT_ASSERT(picked != nullptr);
     const std::size_t u = std::stoul(picked->record.id.str().substr(1));
-    tables_[daemon]->noteDispatched(picked->record.id);
+    daemons_.table(daemon).noteDispatched(picked->record.id);
     const double work = workMs * (0.5 + draws_.next()) / speeds_[u];
     Upstream& upstream = upstreams_[u];
     const Request request{daemon, u, now, work};
@@ -121,7 +156,7 @@
       upstream.waiting.push_back(request);
     } else {
       ++outcome_.rejected;
-      tables_[daemon]->noteEnded(picked->record.id, DispatchResult::rejected, at(now));
+      daemons_.table(daemon).noteEnded(picked->record.id, DispatchResult::rejected, at(now));
     }
   }
   void begin(const Request& request, int now) {
@@ -134,7 +169,7 @@
       const Request request = ends_.begin()->second;
       ends_.erase(ends_.begin());
       const UpstreamId id("u" + std::to_string(request.upstream));
-      tables_[request.daemon]->noteEnded(id, DispatchResult::answered, at(now));
+      daemons_.table(request.daemon).noteEnded(id, DispatchResult::answered, at(now));
       Upstream& upstream = upstreams_[request.upstream];
       --upstream.busy;
       if (upstream.waiting.empty()) continue;
@@ -143,28 +178,10 @@
       begin(next, now);
     }
   }
-  /// Every daemon hears the others' loads of a moment ago; its own it knows.
-  void exchangeReports(int now) {
-    told_[now] = {};
-    for (const auto& table : tables_) told_[now].push_back(table->ownLoads());
-    const auto then = told_.upper_bound(now - kNewsLag);
-    if (then == told_.begin()) return;
-    const std::vector<UpstreamLoads>& heard = std::prev(then)->second;
-    UpstreamLoads sum;
-    for (const UpstreamLoads& loads : heard) {
-      for (const auto& [id, load] : loads) sum[id] += load;
-    }
-    for (std::size_t i = 0; i < tables_.size(); ++i) {
-      UpstreamLoads others = sum;
-      for (const auto& [id, load] : heard[i]) others[id].requests -= load.requests;
-      tables_[i]->setLoadsElsewhere(others);
-    }
-  }
 
   std::vector<double> speeds_;
   std::vector<Upstream> upstreams_;
-  std::vector<std::unique_ptr<UpstreamTable>> tables_;
-  std::map<int, std::vector<UpstreamLoads>> told_;
+  Daemons daemons_;
   std::multimap<int, Request> ends_;
   PlainOutcome outcome_;
   Draws draws_;
@@ -200,10 +217,7 @@
       record.slots = 48;
       records.push_back(record);
     }
-    for (std::size_t i = 0; i < daemons; ++i) {
-      tables_.push_back(std::make_unique<UpstreamTable>());
-      tables_.back()->replace(records, at(0));
-    }
+    daemons_.start(daemons, records);
   }
 
   /// \param load of the engines together with nothing kept, by the time in ms.
@@ -212,7 +226,7 @@
     const double perMs = kTokensPerMs * static_cast<double>(engines_.size()) / (kShared + kOwn);
     for (int now = 0; now < ms; ++now) {
       endReading(now);
-      if (now % kReportPeriod == 0) exchangeReports(now);
+      if (now % kReportPeriod == 0) daemons_.exchangeReports(now);
       owed_ += load(now) * perMs;
       for (; owed_ >= 1; owed_ -= 1) place(now);
     }
@@ -245,12 +259,12 @@
     wish.requestId = "r" + std::to_string(outcome_.asked);
     wish.affinity = "subject" + std::to_string(subject);
     wish.sharedTokens = static_cast<std::uint64_t>(kShared);
-    const std::size_t daemon = draws_.below(tables_.size());
-    const UpstreamEntry* picked = pickUpstream(*tables_[daemon], wish, at(now));
+    const std::size_t daemon = draws_.below(daemons_.size());
+    const UpstreamEntry* picked = pickUpstream(daemons_.table(daemon), wish, at(now));
     CPPUNIT_ASSERT(picked != nullptr);
     const std::size_t e = std::stoul(picked->record.id.str().substr(1));
     const auto announced = static_cast<std::uint64_t>(kShared + kOwn);
-    tables_[daemon]->noteDispatched(picked->record.id, announced);
+    daemons_.table(daemon).noteDispatched(picked->record.id, announced);
     Engine& engine = engines_[e];
     const auto kept = std::find(engine.kept.begin(), engine.kept.end(), subject);
     double tokens = kOwn;
@@ -274,33 +288,13 @@
       const Reading reading = ends_.begin()->second;
       ends_.erase(ends_.begin());
       const UpstreamId id("e" + std::to_string(reading.engine));
-      tables_[reading.daemon]->notePromptDone(id, reading.tokens);
-      tables_[reading.daemon]->noteEnded(id, DispatchResult::answered, at(now));
-    }
-  }
-  void exchangeReports(int now) {
-    std::vector<UpstreamLoads>& told = told_[now];
-    for (const auto& table : tables_) told.push_back(table->ownLoads());
-    const auto then = told_.upper_bound(now - kNewsLag);
-    if (then == told_.begin()) return;
-    const std::vector<UpstreamLoads>& heard = std::prev(then)->second;
-    UpstreamLoads sum;
-    for (const UpstreamLoads& loads : heard) {
-      for (const auto& [id, load] : loads) sum[id] += load;
-    }
-    for (std::size_t i = 0; i < tables_.size(); ++i) {
-      UpstreamLoads others = sum;
-      for (const auto& [id, load] : heard[i]) {
-        others[id].requests -= load.requests;
-        others[id].unreadTokens -= load.unreadTokens;
-      }
-      tables_[i]->setLoadsElsewhere(others);
+      daemons_.table(reading.daemon).notePromptDone(id, reading.tokens);
+      daemons_.table(reading.daemon).noteEnded(id, DispatchResult::answered, at(now));
     }
   }
 
   std::vector<Engine> engines_;
-  std::vector<std::unique_ptr<UpstreamTable>> tables_;
-  std::map<int, std::vector<UpstreamLoads>> told_;
+  Daemons daemons_;
   std::multimap<int, Reading> ends_;
   std::set<std::size_t> readBefore_;
   ModelOutcome outcome_;
