--- a/Hallchute/src/Fleet/FleetView.cpp
+++ b/Hallchute/src/Fleet/FleetView.cpp
@@ -4,6 +4,9 @@
 #include "Hallchute/src/Fleet/FleetView.h"
 
 #include <algorithm>
+#include <utility>
+
+#include "Hallchute/src/Fleet/ReportSums.h"
 
 namespace Hallchute {
 namespace {
@@ -46,35 +49,6 @@
   return a->capacity != b->capacity ? a->capacity > b->capacity : a->daemon < b->daemon;
 }
 
-void takeOff(UpstreamLoads& total, const UpstreamLoads& part) {
-  for (const auto& [upstream, load] : part) {
-    const auto it = total.find(upstream);
-    if (it == total.end()) continue;
-    it->second.requests -= load.requests;
-    it->second.unreadTokens -= load.unreadTokens;
-    if (it->second == UpstreamLoad{}) total.erase(it);
-  }
-}
-
-void takeOff(UsageByWindow& total, const UsageByWindow& part) {
-  for (const auto& [window, counts] : part) {
-    UsageCounts& left = total[window];
-    for (const auto& [organisation, count] : counts) left[organisation] -= count;
-  }
-}
-
-void addSpent(SpentQuota& total, const SpentQuota& more) {
-  for (const auto& [organisation, amount] : more) total[organisation] += amount;
-}
-
-void takeOff(SpentQuota& total, const SpentQuota& part) {
-  for (const auto& [organisation, amount] : part) total[organisation] -= amount;
-}
-
-void addLoads(UpstreamLoads& total, const UpstreamLoads& more) {
-  for (const auto& [upstream, load] : more) total[upstream] += load;
-}
-
 }  // namespace
 
 void FleetView::addAddresses(std::span<const std::string> addresses) {
@@ -212,16 +186,17 @@
       news.draining.push_back(upstream);
     }
   }
-  const std::vector<FleetMember> members = report.membersUnchanged ? last.members : report.members;
+  std::vector<FleetMember> members = report.members;
+  if (report.membersUnchanged) members = std::move(last.members);
   // Its word may make or end a relay.
   if (news.newIncarnation || report.leaving || !alive(known, now) || last.self != report.self) {
     election_.reset();
   }
   known.report = report;
-  known.report.members = members;
   known.reported = now;
   known.seen = now;
-  learnMembers(known.report.scope, members, now);
+  learnMembers(report.scope, members, now);
+  known.report.members = std::move(members);
   for (const PastUsage& past : report.pastUsage) learnPastUsage(past);
   return news;
 }
@@ -323,17 +298,13 @@
 
 FleetView::Round FleetView::beginRound(const FleetReport& own, Instant now) {
   Round round;
-  round.small = isSmall(now);
-  round.relay = !round.small && isRelay(now);
+  const bool small = isSmall(now);
+  round.relay = !small && isRelay(now);
   round.common = own;
   round.common.self = self_;
-  std::vector<FleetMember> members = membersToTell(round.small, now);
-  const bool sameMembers = fleetMembers_ != nullptr && *fleetMembers_ == members;
-  if (!sameMembers) {
-    fleetMembers_ = std::make_shared<const std::vector<FleetMember>>(std::move(members));
-  }
-  round.members = fleetMembers_;
-  if (!round.small) round.common.scope = ReportScope::member;
+  membersTold_ = sameOrNew(membersTold_, membersToTell(small, now));
+  round.members = membersTold_;
+  if (!small) round.common.scope = ReportScope::member;
   if (!round.relay) return round;
   round.domain = round.common;
   addDomain(round.domain, now);
@@ -358,28 +329,43 @@
   return members;
 }
 
+/// \param target null if nobody is known at the address.
 FleetReport FleetView::reportFor(const Round& round, Known* target, Instant now) {
-  const bool sameDomain = target != nullptr && target->report.self.domain == self_.domain;
-  if (round.relay && !sameDomain) {
-    FleetReport report = round.domain;
-    if (target == nullptr) return report;
-    addRelayOf(report, target->report.self, now);
-    auto members = std::make_shared<const std::vector<FleetMember>>(std::move(report.members));
-    if (target->sentMembers && *target->sentMembers == *members) members = target->sentMembers;
-    tellMembers(report, std::move(members), *target, now);
-    return report;
-  }
-  FleetReport report = round.relay ? fleetReport(round, *target, now) : round.common;
-  if (target == nullptr) {
-    report.members = *round.members;
+  if (target == nullptr) return reportToStranger(round);
+  if (!round.relay) {
+    FleetReport report = round.common;
+    tellMembers(report, round.members, *target, now);
     return report;
   }
-  tellMembers(report, round.members, *target, now);
+  const bool sameDomain = target->report.self.domain == self_.domain;
+  return sameDomain ? fleetReport(round, *target, now) : domainReport(round, *target, now);
+}
+
+FleetReport FleetView::reportToStranger(const Round& round) {
+  if (round.relay) return round.domain;
+  FleetReport report = round.common;
+  report.members = *round.members;
   return report;
 }
 
-/// \param members the list that \p target was last sent, if it is the same.
-void FleetView::tellMembers(FleetReport& report, MemberList members, Known& target, Instant now) {
+/// What another domain is told: the own domain's sums, and who the receiver's relay is.
+FleetReport FleetView::domainReport(const Round& round, Known& receiver, Instant now) const {
+  FleetReport report = round.domain;
+  addRelayOf(report, receiver.report.self, now);
+  tellMembers(report, sameOrNew(receiver.sentMembers, std::move(report.members)), receiver, now);
+  return report;
+}
+
+/// \returns \p before if it holds the same: who was sent a list is known by the list itself.
+FleetView::MemberList FleetView::sameOrNew(const MemberList& before,
+                                           std::vector<FleetMember> members) {
+  if (before != nullptr && *before == members) return before;
+  return std::make_shared<const std::vector<FleetMember>>(std::move(members));
+}
+
+/// \param members the very list that \p target was last sent, if it holds the same.
+void FleetView::tellMembers(FleetReport& report, MemberList members, Known& target,
+                            Instant now) const {
   const bool unchanged = target.sentMembers == members;
   report.membersUnchanged = unchanged && within(target.membersSent, now, kMembersEvery);
   report.members.clear();
@@ -438,14 +424,16 @@
 }
 
 /// What a member of the own domain is told: all sums but its own part.
-FleetReport FleetView::fleetReport(const Round& round, const Known& receiver, Instant now) const {
+FleetReport FleetView::fleetReport(const Round& round, Known& receiver, Instant now) const {
   FleetReport report = round.common;
   const FleetReport& told = receiver.report;
   takeOff(report.spent, receiver.spentAsMember);
   takeOff(report.usage, pastUsage_.of(told.self.daemon));
-  if (receiver.reported == Instant{} || !counts(told, now)) return report;
-  takeOff(report.loads, told.loads);
-  takeOff(report.usage, told.usage);
+  if (receiver.reported != Instant{} && counts(told, now)) {
+    takeOff(report.loads, told.loads);
+    takeOff(report.usage, told.usage);
+  }
+  tellMembers(report, round.members, receiver, now);
   return report;
 }
 
@@ -503,12 +491,9 @@
 UsageByWindow FleetView::usageElsewhere(Instant now) const {
   UsageByWindow total = pastUsage_.total();
   for (const auto& [daemon, known] : daemons_) {
-    // The sums of a relay that fell silent stand until another one tells its own.
-    const bool sums =
-        known.report.scope == ReportScope::domain || known.report.scope == ReportScope::fleet;
-    if (sums && !counts(known.report, now)) continue;
-    if (known.report.scope == ReportScope::member && !counts(known.report, now)) continue;
-    addUsage(total, known.report.usage);
+    // Who speaks for itself alone counts for good; sums count while their sender is a relay.
+    const bool forItself = known.report.scope == ReportScope::everybody;
+    if (forItself || counts(known.report, now)) addUsage(total, known.report.usage);
   }
   return total;
 }
--- a/Hallchute/src/Fleet/FleetView.h
+++ b/Hallchute/src/Fleet/FleetView.h
@@ -110,7 +110,6 @@
   };
   /// The reports of one period, before what differs by receiver.
   struct Round {
-    bool small = true;
     bool relay = false;
     /// Of the scope of `common`: one list for all its receivers.
     MemberList members;
@@ -138,8 +137,11 @@
   void addLostDomains(std::set<std::string>& wanted, Instant now) const;
   Round beginRound(const FleetReport& own, Instant now);
   FleetReport reportFor(const Round& round, Known* target, Instant now);
-  FleetReport fleetReport(const Round& round, const Known& receiver, Instant now) const;
-  void tellMembers(FleetReport& report, MemberList members, Known& target, Instant now);
+  static FleetReport reportToStranger(const Round& round);
+  FleetReport domainReport(const Round& round, Known& receiver, Instant now) const;
+  FleetReport fleetReport(const Round& round, Known& receiver, Instant now) const;
+  static MemberList sameOrNew(const MemberList& before, std::vector<FleetMember> members);
+  void tellMembers(FleetReport& report, MemberList members, Known& target, Instant now) const;
   std::vector<FleetMember> membersToTell(bool small, Instant now) const;
   void addRelayOf(FleetReport& report, const FleetMember& receiver, Instant now) const;
   void addDomain(FleetReport& report, Instant now) const;
@@ -155,8 +157,8 @@
   std::map<DaemonId, Known> daemons_;
   /// Found anew when it is old, or a report may have changed it.
   mutable std::optional<Election> election_;
-  /// What members were last told to be the fleet.
-  MemberList fleetMembers_;
+  /// The list that receivers had most in common in the last period.
+  MemberList membersTold_;
   /// What this daemon heard of spending as a relay: by its domain's daemons, and by other domains.
   /// Both only rise, whoever is heard now: receivers take each rise of a relay's sums for spending,
   /// and a sum that fell with a lost domain would count as spent once more when it is back.
--- a/Hallchute/src/Fleet/PastUsageLedger.cpp
+++ b/Hallchute/src/Fleet/PastUsageLedger.cpp
@@ -3,27 +3,11 @@
 
 #include "Hallchute/src/Fleet/PastUsageLedger.h"
 
-#include <algorithm>
-
 #include "Hallchute/src/Fleet/FleetReport.h"
+#include "Hallchute/src/Fleet/ReportSums.h"
 
 namespace Hallchute {
 
-void addUsage(UsageByWindow& total, const UsageByWindow& more) {
-  for (const auto& [window, counts] : more) {
-    for (const auto& [organisation, count] : counts) total[window][organisation] += count;
-  }
-}
-
-void raiseUsage(UsageByWindow& known, const UsageByWindow& told) {
-  for (const auto& [window, counts] : told) {
-    for (const auto& [organisation, count] : counts) {
-      std::uint64_t& most = known[window][organisation];
-      most = std::max(most, count);
-    }
-  }
-}
-
 void PastUsageLedger::note(const DaemonId& daemon, std::uint64_t incarnation,
                            const UsageByWindow& usage) {
   if (!usage.empty()) raiseUsage(byLife_[{daemon, incarnation}], usage);
--- a/Hallchute/src/Fleet/PastUsageLedger.h
+++ b/Hallchute/src/Fleet/PastUsageLedger.h
@@ -37,14 +37,6 @@
   std::map<std::pair<DaemonId, std::uint64_t>, UsageByWindow> byLife_;
 };
 
-/// \brief Adds the counts of \p more to \p total.
-/// \ingroup Fleet
-void addUsage(UsageByWindow& total, const UsageByWindow& more);
-
-/// \brief Raises counts of \p known to those of \p told where they are higher.
-/// \ingroup Fleet
-void raiseUsage(UsageByWindow& known, const UsageByWindow& told);
-
 }  // namespace Hallchute
 
 #endif  // HALLCHUTE_FLEET_PASTUSAGELEDGER_H
--- /dev/null
+++ b/Hallchute/src/Fleet/ReportSums.cpp
@@ -0,0 +1,54 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Fleet/ReportSums.h"
+
+#include <algorithm>
+
+namespace Hallchute {
+
+void addSpent(SpentQuota& total, const SpentQuota& more) {
+  for (const auto& [organisation, amount] : more) total[organisation] += amount;
+}
+
+void addLoads(UpstreamLoads& total, const UpstreamLoads& more) {
+  for (const auto& [upstream, load] : more) total[upstream] += load;
+}
+
+void addUsage(UsageByWindow& total, const UsageByWindow& more) {
+  for (const auto& [window, counts] : more) {
+    for (const auto& [organisation, count] : counts) total[window][organisation] += count;
+  }
+}
+
+void takeOff(SpentQuota& total, const SpentQuota& part) {
+  for (const auto& [organisation, amount] : part) total[organisation] -= amount;
+}
+
+void takeOff(UpstreamLoads& total, const UpstreamLoads& part) {
+  for (const auto& [upstream, load] : part) {
+    const auto it = total.find(upstream);
+    if (it == total.end()) continue;
+    it->second.requests -= load.requests;
+    it->second.unreadTokens -= load.unreadTokens;
+    if (it->second == UpstreamLoad{}) total.erase(it);
+  }
+}
+
+void takeOff(UsageByWindow& total, const UsageByWindow& part) {
+  for (const auto& [window, counts] : part) {
+    UsageCounts& left = total[window];
+    for (const auto& [organisation, count] : counts) left[organisation] -= count;
+  }
+}
+
+void raiseUsage(UsageByWindow& known, const UsageByWindow& told) {
+  for (const auto& [window, counts] : told) {
+    for (const auto& [organisation, count] : counts) {
+      std::uint64_t& most = known[window][organisation];
+      most = std::max(most, count);
+    }
+  }
+}
+
+}  // namespace Hallchute
--- a/Hallchute/src/Gateway/QuotaLedger.cpp
+++ b/Hallchute/src/Gateway/QuotaLedger.cpp
@@ -28,8 +28,7 @@
 /// The part of the tolerance that late news may use up; the rest is for restarts and cuts.
 constexpr double kToleranceUsed = 0.5;
 /// What late news may use up in the first window after a start: what was overdrawn before it is not
-/// known any more. With a
-/// half here, the fleets of that test admit up to 10.7.
+/// known any more. With a half here, the fleets of that test admit up to 10.7.
 constexpr double kToleranceUsedAtStart = 0.1;
 /// Over how many seconds the rate of what is asked for here is taken: long enough that one request
 /// doesn't look like many, short enough to follow a jump of the demand.
--- a/Hallchute/src/Gateway/UpstreamPick.cpp
+++ b/Hallchute/src/Gateway/UpstreamPick.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <span>
+#include <utility>
 #include <vector>
 
 #include "Hallchute/src/Core/StableHash.h"
@@ -82,7 +84,7 @@
   }
 }
 
-const UpstreamEntry* pickHome(const std::vector<const UpstreamEntry*>& entries,
+const UpstreamEntry* pickHome(std::span<const UpstreamEntry* const> entries,
                               const UpstreamWish& wish) {
   double total = 0;
   for (const UpstreamEntry* entry : entries) total += entry->load();
@@ -104,49 +106,53 @@
   return best;
 }
 
+double slotsOf(const UpstreamEntry& entry) {
+  return std::max<std::uint32_t>(1, entry.record.slots);
+}
+
 /// What of an upstream is taken, in parts of its slots, with what its distance counts.
 double taken(const UpstreamEntry& entry, const UpstreamWish& wish, double requests) {
-  const double slots = std::max<std::uint32_t>(1, entry.record.slots);
   const double foreign = entry.record.domain == wish.ownDomain ? 0 : kForeignCost;
-  return requests / slots + foreign;
+  return requests / slotsOf(entry) + foreign;
 }
 
-const UpstreamEntry* pickLeastLoaded(const std::vector<const UpstreamEntry*>& entries,
-                                     const UpstreamWish& wish) {
-  const UpstreamEntry* best = nullptr;
-  double bestCost = 0;
-  for (const UpstreamEntry* entry : entries) {
-    // The draw only breaks ties: it is worth less than one request.
-    const double cost = taken(*entry, wish, entry->load() + draw(*entry, wish.requestId));
-    if (best != nullptr && cost >= bestCost) continue;
+/// The first of the entries for which \p cost is least; \p entries is not empty.
+template <typename Cost>
+const UpstreamEntry* cheapest(std::span<const UpstreamEntry* const> entries, Cost cost) {
+  const UpstreamEntry* best = entries.front();
+  double bestCost = cost(*best);
+  for (const UpstreamEntry* entry : entries.subspan(1)) {
+    const double entryCost = cost(*entry);
+    if (entryCost >= bestCost) continue;
     best = entry;
-    bestCost = cost;
+    bestCost = entryCost;
   }
   return best;
 }
 
+const UpstreamEntry* pickLeastLoaded(std::span<const UpstreamEntry* const> entries,
+                                     const UpstreamWish& wish) {
+  return cheapest(entries, [&](const UpstreamEntry& entry) {
+    // The draw only breaks ties: it is worth less than one request.
+    return taken(entry, wish, entry.load() + draw(entry, wish.requestId));
+  });
+}
+
 /// A draw in which each upstream's chance is its free room. What others placed is old news: daemons
 /// that all turned to the least loaded upstream would overrun it until the next word. 295 daemons
 /// before five upstreams of six slots, half of them taken (virtual time): 0.4% of requests rejected
 /// and 168 ms waited by the 95th of 100 with the least loaded one, none and 16 ms with draws; with
 /// one upstream at a third of its speed 1.2% and 355 ms, none and 66 ms.
-const UpstreamEntry* pickByRoom(const std::vector<const UpstreamEntry*>& entries,
+const UpstreamEntry* pickByRoom(std::span<const UpstreamEntry* const> entries,
                                 const UpstreamWish& wish) {
-  const UpstreamEntry* best = nullptr;
-  double bestKey = 0;
-  for (const UpstreamEntry* entry : entries) {
-    const double room = std::max(kLeastRoom, 1 - taken(*entry, wish, entry->load()));
-    const double slots = std::max<std::uint32_t>(1, entry->record.slots);
+  return cheapest(entries, [&](const UpstreamEntry& entry) {
+    const double room = std::max(kLeastRoom, 1 - taken(entry, wish, entry.load()));
     // The first of several exponential clocks: each wins in proportion to its rate.
-    const double key = -std::log1p(-draw(*entry, wish.requestId)) / (room * slots);
-    if (best != nullptr && key >= bestKey) continue;
-    best = entry;
-    bestKey = key;
-  }
-  return best;
+    return -std::log1p(-draw(entry, wish.requestId)) / (room * slotsOf(entry));
+  });
 }
 
-const UpstreamEntry* pickFree(const std::vector<const UpstreamEntry*>& entries,
+const UpstreamEntry* pickFree(std::span<const UpstreamEntry* const> entries,
                               const UpstreamWish& wish) {
   double own = 0;
   double all = 0;
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -8,6 +8,7 @@
 #include <sstream>
 #include <utility>
 
+#include "Hallchute/src/Fleet/ReportSums.h"
 #include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Observability/LogLine.h"
 
--- a/Hallchute/src/Node/ObjectFollower.cpp
+++ b/Hallchute/src/Node/ObjectFollower.cpp
@@ -87,11 +87,15 @@
       continue;
     }
     if (refresh_.exchange(false)) listed_ = false;
-    const bool answered = starting_ ? listFirst() : listed_ ? watchOnce() : listAll();
-    if (!answered) pause(mode_ == FollowMode::following ? kRetryPause : kProbePause);
+    if (!ask()) pause(mode_ == FollowMode::following ? kRetryPause : kProbePause);
   }
 }
 
+bool ObjectFollower::ask() {
+  if (starting_) return listFirst();
+  return listed_ ? watchOnce() : listAll();
+}
+
 void ObjectFollower::noteContact(bool reachable, const absl::Status& status) {
   if (mode_ == FollowMode::off || reachable_.exchange(reachable) == reachable) return;
   LogLine(reachable ? LogLevel::info : LogLevel::warning,
@@ -104,23 +108,23 @@
 }
 
 bool ObjectFollower::listAll() {
-  return take(source_.list(ReadAge::newest));
+  return takeList(source_.list(ReadAge::newest));
 }
 
 bool ObjectFollower::listFirst() {
-  if (!take(source_.list(ReadAge::maybeOld))) return false;
+  if (!takeList(source_.list(ReadAge::maybeOld))) return false;
   starting_ = false;
   pause(pace_.startPause);
   return true;
 }
 
-bool ObjectFollower::take(const absl::StatusOr<SourceBatch>& batch) {
+bool ObjectFollower::takeList(absl::StatusOr<SourceBatch> batch) {
   noteContact(batch.ok(), batch.status());
   if (!batch.ok()) return false;
   objects_.clear();
   asOf_ = batch->asOf;
   listed_ = true;
-  for (const SourceObject& object : batch->objects) objects_[object.name] = object;
+  for (SourceObject& object : batch->objects) objects_[object.name] = std::move(object);
   callbacks_.onChange(objects_, asOf_);
   return true;
 }
@@ -130,7 +134,7 @@
   if (batch.ok()) {
     noteContact(true, batch.status());
     apply(*batch);
-    if (!batch->objects.empty() && pace_.gather > Millis(0)) pause(pace_.gather);
+    if (!batch->objects.empty()) pause(pace_.gather);
     return true;
   }
   listed_ = false;
--- a/Hallchute/src/Node/ObjectFollower.h
+++ b/Hallchute/src/Node/ObjectFollower.h
@@ -63,9 +63,11 @@
 
  private:
   void run();
+  /// One call of the store. \returns whether it answered, as all that it uses do.
+  bool ask();
   bool listAll();
   bool listFirst();
-  bool take(const absl::StatusOr<SourceBatch>& batch);
+  bool takeList(absl::StatusOr<SourceBatch> batch);
   bool watchOnce();
   void apply(const SourceBatch& batch);
   void noteContact(bool reachable, const absl::Status& status);
--- a/Hallchute/src/Ports/DutyPort.h
+++ b/Hallchute/src/Ports/DutyPort.h
@@ -8,7 +8,7 @@
 
 #include "Hallchute/src/Capacity/ReplicaOrder.h"
 #include "Hallchute/src/Duty/DutyRecord.h"
-#include "Hallchute/src/Ports/ObjectSource.h"
+#include "Hallchute/src/Ports/ReadAge.h"
 
 namespace Hallchute {
 
--- a/Hallchute/src/Ports/ObjectSource.h
+++ b/Hallchute/src/Ports/ObjectSource.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "Hallchute/src/Core/Time.h"
+#include "Hallchute/src/Ports/ReadAge.h"
 #include "Hallchute/src/Settings/JsonTree.h"
 
 namespace Hallchute {
@@ -30,14 +31,6 @@
   std::uint64_t asOf = 0;
 };
 
-/// \brief Which state of the store a read may show. \ingroup Ports
-enum class ReadAge {
-  /// The newest.
-  newest,
-  /// Maybe some seconds old: the store may answer it from a copy, for less.
-  maybeOld,
-};
-
 /// \brief The objects of one kind in a platform's store: a list, and what changes after it.
 /// \ingroup Ports
 ///
--- a/test/FleetQuotaTest.cpp
+++ b/test/FleetQuotaTest.cpp
@@ -189,6 +189,17 @@
   /// Rate over the window, burst, a tenth, and the fixed tolerance of 72,000 tokens.
   const double allowed_ = 9 * (1 + kTolerance.part) + kTolerance.slack / kRate;
 
+  /// All daemons end twice within a window while callers ask for two and a half times the quota.
+  static void restartTwice(SpendingFleet& fleet, void (SpendingFleet::*startAll)(int ms)) {
+    fleet.run(0, 12'000, 0.5);
+    fleet.run(12'000, 13'000, 2.5);
+    for (const int ms : {13'000, 17'000}) {
+      (fleet.*startAll)(ms);
+      fleet.run(ms, ms + 4'000, 2.5);
+    }
+    fleet.run(21'000, 30'000, 2.5);
+  }
+
  public:
   void aWholeFleetKeepsTheQuota() {
     SpendingFleet fleet;
@@ -212,16 +223,9 @@
     CPPUNIT_ASSERT_MESSAGE(std::to_string(given), given >= 0.97 * 0.5 * 50);
   }
 
-  /// All daemons end twice within a window while callers ask for two and a half times the quota.
   void aFleetThatRestartsKeepsTheQuota() {
     SpendingFleet fleet;
-    fleet.run(0, 12'000, 0.5);
-    fleet.run(12'000, 13'000, 2.5);
-    for (const int ms : {13'000, 17'000}) {
-      fleet.start(ms);
-      fleet.run(ms, ms + 4'000, 2.5);
-    }
-    fleet.run(21'000, 30'000, 2.5);
+    restartTwice(fleet, &SpendingFleet::start);
     const double worst = fleet.worstWindow(6'000);
     CPPUNIT_ASSERT_MESSAGE(std::to_string(worst), worst <= allowed_);
     const double given = fleet.admittedIn(22'000, 30'000);
@@ -238,18 +242,11 @@
     CPPUNIT_ASSERT_MESSAGE(std::to_string(given), given >= 0.97 * 0.55 * 1.2);
   }
 
-  /// As above in fleets of several sizes, twice within a window, without a pause between their end
-  /// and start, and while callers ask for two and a half times the quota.
+  /// In fleets of several sizes, without a pause between their end and start.
   void aFleetThatKnowsItsSizeKeepsTheQuota() {
     for (const int daemons : {1, 2, 3, 5, 7, 9, 12, 13, 20, 40, 77}) {
       SpendingFleet fleet(kRate, daemons);
-      fleet.run(0, 12'000, 0.5);
-      fleet.run(12'000, 13'000, 2.5);
-      for (const int ms : {13'000, 17'000}) {
-        fleet.startKnowingItsSize(ms);
-        fleet.run(ms, ms + 4'000, 2.5);
-      }
-      fleet.run(21'000, 30'000, 2.5);
+      restartTwice(fleet, &SpendingFleet::startKnowingItsSize);
       const double worst = fleet.worstWindow(6'000);
       const std::string told = std::to_string(daemons) + ": " + std::to_string(worst);
       CPPUNIT_ASSERT_MESSAGE(told, worst <= allowed_);
