Usage is told by incarnation, sums only rise, and a relay that steps down hands its domain over

Causes, as listed: (a) a relay that restarts has its last report, the sums of its domain, kept as its own past; (b) a domain's sums count for nobody while its relay changes; (c) a relay that a stronger daemon takes over from falls silent, and its daemons take themselves for relays for a second. Change: FleetUsage takes every word as a lower bound of what it speaks for, and of two words the higher one stands: words of incarnations on themselves, on others (told once a second between relays, with the strongest of the own domain and in small fleets), sums of domains and of the fleet. PastUsageLedger goes. A relay that steps down tells its domain of its successor for three more periods.

--- a/Hallchute/src/Fleet/FleetReport.h
+++ b/Hallchute/src/Fleet/FleetReport.h
@@ -60,12 +60,13 @@
   bool operator==(const DutyHolder&) const = default;
 };
 
-/// \brief What an incarnation that ended, or fell silent, told of its usage. \ingroup Fleet
-struct PastUsage {
+/// \brief The usage of one incarnation of a daemon, as another one tells it. \ingroup Fleet
+struct IncarnationUsage {
   DaemonId daemon;
   std::uint64_t incarnation = 0;
+  DomainName domain;
   UsageByWindow usage;
-  bool operator==(const PastUsage&) const = default;
+  bool operator==(const IncarnationUsage&) const = default;
 };
 
 /// \brief The age of what was never heard.
@@ -85,15 +86,17 @@
   Millis storeAge{kNeverHeard};
   SpentQuota spent;
   UpstreamLoads loads;
+  /// Of those that the scope names.
   UsageByWindow usage;
   /// Upstreams that it knows to take no new work.
   std::vector<UpstreamId> draining;
   DutyHolder duties;
   /// Daemons in the scope that the sender hears; with `everybody`, all addresses it knows.
   std::vector<FleetMember> members;
-  /// With `everybody` and `members`: what the sender heard of incarnations that can't tell it any
-  /// more, for daemons that started after them.
-  std::vector<PastUsage> pastUsage;
+  /// Now and then, from and to the strongest daemons: usage of single incarnations, which counts
+  /// once however many tell it: of those that can't tell it any more, for daemons that started
+  /// after them, and by relays of those whose relay may end.
+  std::vector<IncarnationUsage> incarnations;
   /// `members` is left out as it is what the last report held.
   bool membersUnchanged = false;
   /// It is about to stop.
--- a/Hallchute/src/Fleet/FleetView.cpp
+++ b/Hallchute/src/Fleet/FleetView.cpp
@@ -22,6 +22,14 @@
 constexpr Millis kElectionAge{50};
 /// How often unchanged members are told again, for receivers that missed them.
 constexpr Millis kMembersEvery{2'000};
+/// How often usage is told by incarnation: well within the time from a window's end until its
+/// counts are taken, and seldom enough that a relay of sixty daemons needs a hundredth of a
+/// processor for it.
+constexpr Millis kUsageEvery{1'000};
+/// How long a relay that a stronger daemon took over from still tells its domain of all others,
+/// that daemon among them: three report periods. Without it they hear nobody until the old one
+/// counts as silent, and take themselves for relays.
+constexpr Millis kHandOver{600};
 
 /// Daemons of an unheard domain that a relay tries at a time: the strongest may be down.
 constexpr std::size_t kTriedOfDomain = 3;
@@ -162,9 +170,6 @@
   const bool heardBefore = known.reported != Instant{};
   const bool sameLife = report.self.incarnation == last.self.incarnation;
   news.newIncarnation = !heardBefore || !sameLife;
-  if (!sameLife) pastUsage_.note(last.self.daemon, last.self.incarnation, last.usage);
-  // It speaks for itself again: what others kept of it must not count twice.
-  pastUsage_.forget(report.self.daemon, report.self.incarnation);
   // What a daemon spent before it was first heard of, or summed over another scope, was not spent
   // just now; what one spent out of reach came out of the part that was left to it; what one spent
   // since its restart counts.
@@ -197,7 +202,7 @@
   known.seen = now;
   learnMembers(report.scope, members, now);
   known.report.members = std::move(members);
-  for (const PastUsage& past : report.pastUsage) learnPastUsage(past);
+  learnUsage(report);
   return news;
 }
 
@@ -208,33 +213,54 @@
   addSpent(sender.spentAsMember, more);
 }
 
-void FleetView::learnPastUsage(const PastUsage& past) {
-  if (past.daemon == self_.daemon && past.incarnation == self_.incarnation) return;
-  const auto it = daemons_.find(past.daemon);
-  const bool sameLife =
-      it != daemons_.end() && it->second.report.self.incarnation == past.incarnation;
-  if (sameLife && it->second.reported != Instant{}) {
-    raiseUsage(it->second.report.usage, past.usage);
-  } else {
-    pastUsage_.note(past.daemon, past.incarnation, past.usage);
+void FleetView::learnUsage(const FleetReport& report) {
+  switch (report.scope) {
+    case ReportScope::everybody:
+    case ReportScope::member:
+      usage_.noteOwnWord(report.self, report.usage);
+      break;
+    case ReportScope::domain:
+      usage_.noteDomainSums(report.self.domain, report.usage);
+      break;
+    case ReportScope::fleet:
+      usage_.noteFleetSums(report.usage);
+      break;
   }
+  for (const IncarnationUsage& word : report.incarnations) usage_.noteHearsay(word);
 }
 
-std::vector<PastUsage> FleetView::pastUsageToTell(Instant now) const {
-  std::vector<PastUsage> told = pastUsage_.all();
-  for (const auto& [daemon, known] : daemons_) {
-    const FleetReport& report = known.report;
-    if (report.usage.empty() || alive(known, now)) continue;
-    if (report.scope == ReportScope::everybody) {
-      told.push_back({daemon, report.self.incarnation, report.usage});
-    }
-  }
+bool FleetView::speaksForItself(const DaemonId& daemon, std::uint64_t incarnation,
+                                Instant now) const {
+  const auto it = daemons_.find(daemon);
+  if (it == daemons_.end() || !alive(it->second, now)) return false;
+  return it->second.report.self.incarnation == incarnation;
+}
+
+/// Incarnations that can't tell their usage any more, and those whose word ends with this relay.
+std::vector<IncarnationUsage> FleetView::incarnationsToTell(const Round& round, Instant now) const {
+  const auto chosen = [&](const DaemonId& daemon, std::uint64_t incarnation,
+                          const DomainName& domain) {
+    if (round.relay && domain == self_.domain) return true;
+    return !speaksForItself(daemon, incarnation, now);
+  };
+  std::vector<IncarnationUsage> told = usage_.incarnations(chosen);
+  if (round.relay) told.push_back(ownUsage(round));
   return told;
 }
 
+IncarnationUsage FleetView::ownUsage(const Round& round) const {
+  return {self_.daemon, self_.incarnation, self_.domain, round.own.usage};
+}
+
+DaemonId FleetView::deputy(Instant now) const {
+  const std::vector<DaemonId> strongest = strongestOf(self_.domain, kFollowersOfDomain, now);
+  return strongest.size() == kFollowersOfDomain ? strongest.back() : DaemonId();
+}
+
 std::set<std::string> FleetView::targets(Instant now) const {
   const bool small = isSmall(now);
   const bool relay = !small && isRelay(now);
+  const bool wards = tellsDomain(now);
   const DaemonId ownRelay = relayOf(self_.domain, now);
   std::set<std::string> wanted;
   std::size_t heardDirectly = 0;
@@ -243,7 +269,7 @@
     if (direct) ++heardDirectly;
     // One that reports to everybody doesn't know yet that there are relays.
     const bool newcomer = known.report.scope == ReportScope::everybody;
-    const bool ward = relay && known.report.self.domain == self_.domain;
+    const bool ward = wards && known.report.self.domain == self_.domain;
     bool chosen = (direct && (newcomer || ward || misled(known, now))) || daemon == ownRelay;
     if (small) chosen = within(known.seen, now, kTriedFor);
     if (relay && relayOf(known.report.self.domain, now) == daemon) chosen = true;
@@ -306,58 +332,81 @@
   return reports;
 }
 
+bool FleetView::tellsDomain(Instant now) const {
+  return !isSmall(now) && (isRelay(now) || within(relayedAt_, now, kHandOver));
+}
+
 FleetView::Round FleetView::beginRound(const FleetReport& own, Instant now) {
   Round round;
-  const bool small = isSmall(now);
-  round.relay = !small && isRelay(now);
-  round.common = own;
-  round.common.self = self_;
-  membersTold_ = sameOrNew(membersTold_, membersToTell(small, now));
+  round.small = isSmall(now);
+  round.relay = !round.small && isRelay(now);
+  if (round.relay) relayedAt_ = now;
+  round.tellsDomain = tellsDomain(now);
+  round.own = own;
+  round.own.self = self_;
+  if (!round.small) round.own.scope = ReportScope::member;
+  membersTold_ = sameOrNew(membersTold_, membersToTell(round, now));
   round.members = membersTold_;
-  if (!small) round.common.scope = ReportScope::member;
-  if (!round.relay) return round;
-  round.domain = round.common;
-  addDomain(round.domain, now);
-  addFleet(round.common, now);
+  if (now - usageTold_ >= kUsageEvery) {
+    usageTold_ = now;
+    round.deputy = deputy(now);
+    round.incarnations = incarnationsToTell(round, now);
+  }
+  if (round.relay) {
+    round.domain = round.own;
+    addDomain(round.domain, now);
+    round.domain.incarnations = round.incarnations;
+  }
+  if (round.tellsDomain) {
+    round.fleet = round.own;
+    addFleet(round.fleet, now);
+  }
   return round;
 }
 
 /// Whom a report names to a receiver that it has most in common with: small fleets name all, a
 /// relay the daemons that are heard, any other daemon the relays.
-std::vector<FleetMember> FleetView::membersToTell(bool small, Instant now) const {
+std::vector<FleetMember> FleetView::membersToTell(const Round& round, Instant now) const {
   std::vector<FleetMember> members;
-  if (!small) members.push_back(self_);
-  const bool relay = !small && isRelay(now);
+  if (!round.small) members.push_back(self_);
   for (const auto& [daemon, known] : daemons_) {
     const FleetMember& member = known.report.self;
     // Whoever asks a daemon that is no relay learns whom to turn to.
-    const bool named = small   ? within(known.seen, now, kKnownFor)
-                       : relay ? alive(known, now)
-                               : relayOf(member.domain, now) == daemon;
+    const bool named = round.small         ? within(known.seen, now, kKnownFor)
+                       : round.tellsDomain ? alive(known, now)
+                                           : relayOf(member.domain, now) == daemon;
     if (named) members.push_back(member);
   }
   return members;
 }
 
 /// \param target null if nobody is known at the address.
-FleetReport FleetView::reportFor(const Round& round, Known* target, Instant now) {
+FleetReport FleetView::reportFor(const Round& round, Known* target, Instant now) const {
   if (target == nullptr) return reportToStranger(round);
-  if (!round.relay) {
-    FleetReport report = round.common;
-    tellMembers(report, round.members, *target, now);
-    return report;
+  const FleetMember& receiver = target->report.self;
+  if (receiver.domain != self_.domain) {
+    return round.relay ? domainReport(round, *target, now) : ownReport(round, *target, now);
   }
-  const bool sameDomain = target->report.self.domain == self_.domain;
-  return sameDomain ? fleetReport(round, *target, now) : domainReport(round, *target, now);
+  // The relay that took this one's place is told as by any other daemon.
+  const bool toRelay = !round.relay && relayOf(self_.domain, now) == receiver.daemon;
+  const bool tellsAll = round.tellsDomain && !toRelay;
+  return tellsAll ? fleetReport(round, *target, now) : ownReport(round, *target, now);
 }
 
 FleetReport FleetView::reportToStranger(const Round& round) {
   if (round.relay) return round.domain;
-  FleetReport report = round.common;
+  FleetReport report = round.own;
   report.members = *round.members;
   return report;
 }
 
+FleetReport FleetView::ownReport(const Round& round, Known& receiver, Instant now) const {
+  FleetReport report = round.own;
+  if (round.small || round.deputy == self_.daemon) report.incarnations = round.incarnations;
+  tellMembers(report, round.members, receiver, now);
+  return report;
+}
+
 /// What another domain is told: the own domain's sums, and who the receiver's relay is.
 FleetReport FleetView::domainReport(const Round& round, Known& receiver, Instant now) const {
   FleetReport report = round.domain;
@@ -383,7 +432,6 @@
   report.members = *members;
   target.sentMembers = std::move(members);
   target.membersSent = now;
-  if (report.scope == ReportScope::everybody) report.pastUsage = pastUsageToTell(now);
 }
 
 /// A daemon of a domain without seeds meets its own relay by those of other domains.
@@ -396,7 +444,6 @@
 
 void FleetView::addSums(FleetReport& report, const Known& source) const {
   addLoads(report.loads, source.report.loads);
-  addUsage(report.usage, source.report.usage);
   for (const UpstreamId& upstream : source.report.draining) {
     if (std::find(report.draining.begin(), report.draining.end(), upstream) ==
         report.draining.end()) {
@@ -409,14 +456,11 @@
   report.scope = ReportScope::domain;
   report.members = {self_};
   addSpent(report.spent, spentByMembers_);
+  addUsage(report.usage, usage_.ownDomain());
   for (const auto& [daemon, known] : daemons_) {
     if (known.report.self.domain != self_.domain) continue;
     if (known.report.scope != ReportScope::member) continue;
-    addUsage(report.usage, pastUsage_.of(daemon));
-    if (!within(known.reported, now, kHeardFor)) {
-      addUsage(report.usage, known.report.usage);
-      continue;
-    }
+    if (!within(known.reported, now, kHeardFor)) continue;
     report.members.push_back(known.report.self);
     addSums(report, known);
   }
@@ -427,7 +471,7 @@
   report.scope = ReportScope::fleet;
   addSpent(report.spent, spentByMembers_);
   addSpent(report.spent, spentByDomains_);
-  addUsage(report.usage, pastUsage_.total());
+  addUsage(report.usage, usage_.tellable());
   for (const auto& [daemon, known] : daemons_) {
     if (known.reported != Instant{} && counts(known.report, now)) addSums(report, known);
   }
@@ -435,14 +479,14 @@
 
 /// What a member of the own domain is told: all sums but its own part.
 FleetReport FleetView::fleetReport(const Round& round, Known& receiver, Instant now) const {
-  FleetReport report = round.common;
+  FleetReport report = round.fleet;
   const FleetReport& told = receiver.report;
   takeOff(report.spent, receiver.spentAsMember);
-  takeOff(report.usage, pastUsage_.of(told.self.daemon));
-  if (receiver.reported != Instant{} && counts(told, now)) {
-    takeOff(report.loads, told.loads);
-    takeOff(report.usage, told.usage);
-  }
+  takeOff(report.usage, usage_.since(told.self));
+  if (receiver.reported != Instant{} && counts(told, now)) takeOff(report.loads, told.loads);
+  if (round.deputy == told.self.daemon) report.incarnations = round.incarnations;
+  // Its successor hears nothing else of what this daemon serves while it leaves.
+  if (report.leaving) report.incarnations.push_back(ownUsage(round));
   tellMembers(report, round.members, receiver, now);
   return report;
 }
@@ -498,20 +542,6 @@
   return loads;
 }
 
-UsageByWindow FleetView::usageElsewhere(Instant now) const {
-  UsageByWindow total = pastUsage_.total();
-  for (const auto& [daemon, known] : daemons_) {
-    // Who speaks for itself alone counts for good; sums count while their sender is a relay.
-    const bool forItself = known.report.scope == ReportScope::everybody;
-    if (forItself || counts(known.report, now)) addUsage(total, known.report.usage);
-  }
-  return total;
-}
-
-void FleetView::forgetUsageBefore(std::int64_t firstWindow) {
-  pastUsage_.forgetBefore(firstWindow);
-}
-
 std::uint64_t FleetView::heardIncarnation(const DaemonId& daemon, Instant now) const {
   const auto it = daemons_.find(daemon);
   if (it == daemons_.end() || !alive(it->second, now)) return 0;
--- a/Hallchute/src/Fleet/FleetView.h
+++ b/Hallchute/src/Fleet/FleetView.h
@@ -14,7 +14,7 @@
 
 #include "Hallchute/src/Core/Time.h"
 #include "Hallchute/src/Fleet/FleetReport.h"
-#include "Hallchute/src/Fleet/PastUsageLedger.h"
+#include "Hallchute/src/Fleet/FleetUsage.h"
 #include "Hallchute/src/Gateway/QuotaFleet.h"
 
 namespace Hallchute {
@@ -50,7 +50,7 @@
 
   /// \param started when this daemon began: it needs a moment to meet the others.
   explicit FleetView(FleetMember self, Instant started = {})
-      : self_(std::move(self)), started_(started) {}
+      : self_(std::move(self)), started_(started), usage_(self_) {}
 
   /// \brief Addresses to report to until their daemons are known.
   void addAddresses(std::span<const std::string> addresses);
@@ -68,9 +68,10 @@
   /// nothing tells of their number.
   QuotaFleet quotaFleet(Instant now) const;
   UpstreamLoads loadsElsewhere(Instant now) const;
-  /// \brief Usage of all daemons and their earlier incarnations, without this one's own.
-  UsageByWindow usageElsewhere(Instant now) const;
-  void forgetUsageBefore(std::int64_t firstWindow);
+  /// \brief Usage of all daemons and their earlier incarnations, without this one's own. What was
+  /// counted doesn't age: the moment changes nothing.
+  UsageByWindow usageElsewhere(Instant) const { return usage_.elsewhere(); }
+  void forgetUsageBefore(std::int64_t firstWindow) { usage_.forgetBefore(firstWindow); }
   /// \brief Whether \p daemon was heard of lately, directly or by a relay; 0 if not, else its
   /// incarnation.
   std::uint64_t heardIncarnation(const DaemonId& daemon, Instant now) const;
@@ -110,11 +111,23 @@
   };
   /// The reports of one period, before what differs by receiver.
   struct Round {
+    bool small = true;
     bool relay = false;
-    /// Of the scope of `common`: one list for all its receivers.
+    /// Whether the daemons of the own domain are told of all others: a relay does, and for a while
+    /// one that was.
+    bool tellsDomain = false;
+    /// One list for all receivers in the own domain.
     MemberList members;
-    FleetReport common;
-    /// A relay's report to other domains.
+    /// Told this time, if any; see FleetReport::incarnations.
+    std::vector<IncarnationUsage> incarnations;
+    /// Set with them: it learns what the relay knows of the own domain and tells what it knows, as
+    /// the relays of all domains may end at once.
+    DaemonId deputy;
+    /// What this daemon tells of itself.
+    FleetReport own;
+    /// What the own domain's daemons are told.
+    FleetReport fleet;
+    /// What other domains are told.
     FleetReport domain;
   };
 
@@ -130,20 +143,26 @@
   DaemonId relayOf(const DomainName& domain, Instant now) const;
   /// Whether a report of \p sender counts for sums here, so that nothing counts twice.
   bool counts(const FleetReport& report, Instant now) const;
-  std::vector<PastUsage> pastUsageToTell(Instant now) const;
-  void learnPastUsage(const PastUsage& past);
+  void learnUsage(const FleetReport& report);
+  bool speaksForItself(const DaemonId& daemon, std::uint64_t incarnation, Instant now) const;
+  std::vector<IncarnationUsage> incarnationsToTell(const Round& round, Instant now) const;
+  IncarnationUsage ownUsage(const Round& round) const;
+  /// The one that is to follow on the own domain's relay.
+  DaemonId deputy(Instant now) const;
+  bool tellsDomain(Instant now) const;
   void learnMembers(ReportScope scope, std::span<const FleetMember> members, Instant now);
   std::set<std::string> targets(Instant now) const;
   bool misled(const Known& known, Instant now) const;
   void addLostDomains(std::set<std::string>& wanted, Instant now) const;
   Round beginRound(const FleetReport& own, Instant now);
-  FleetReport reportFor(const Round& round, Known* target, Instant now);
+  FleetReport reportFor(const Round& round, Known* target, Instant now) const;
   static FleetReport reportToStranger(const Round& round);
+  FleetReport ownReport(const Round& round, Known& receiver, Instant now) const;
   FleetReport domainReport(const Round& round, Known& receiver, Instant now) const;
   FleetReport fleetReport(const Round& round, Known& receiver, Instant now) const;
   static MemberList sameOrNew(const MemberList& before, std::vector<FleetMember> members);
   void tellMembers(FleetReport& report, MemberList members, Known& target, Instant now) const;
-  std::vector<FleetMember> membersToTell(bool small, Instant now) const;
+  std::vector<FleetMember> membersToTell(const Round& round, Instant now) const;
   void addRelayOf(FleetReport& report, const FleetMember& receiver, Instant now) const;
   void addDomain(FleetReport& report, Instant now) const;
   void addFleet(FleetReport& report, Instant now) const;
@@ -168,7 +187,11 @@
   std::set<std::string> addresses_;
   /// 0 if nothing tells.
   std::size_t earlierSize_ = 0;
-  PastUsageLedger pastUsage_;
+  FleetUsage usage_;
+  /// When incarnations' usage was told last.
+  Instant usageTold_{};
+  /// When this daemon was a relay last.
+  Instant relayedAt_{};
 };
 
 }  // namespace Hallchute
--- a/Hallchute/src/Node/FleetWire.h
+++ b/Hallchute/src/Node/FleetWire.h
@@ -24,12 +24,12 @@
 inline auto wireFields(DutyHolder& m) {
   return std::tie(m.daemon, m.incarnation, m.epoch);
 }
-inline auto wireFields(PastUsage& m) {
-  return std::tie(m.daemon, m.incarnation, m.usage);
+inline auto wireFields(IncarnationUsage& m) {
+  return std::tie(m.daemon, m.incarnation, m.domain, m.usage);
 }
 inline auto wireFields(FleetReport& m) {
   return std::tie(m.self, m.scope, m.settingsVersion, m.upstreamsVersion, m.storeAge, m.spent,
-                  m.loads, m.usage, m.draining, m.duties, m.members, m.pastUsage,
+                  m.loads, m.usage, m.draining, m.duties, m.members, m.incarnations,
                   m.membersUnchanged, m.leaving);
 }
 inline auto wireFields(UpstreamRecord& m) {
--- a/test/FleetRelayTest.cpp
+++ b/test/FleetRelayTest.cpp
@@ -120,11 +120,88 @@
 
 class FleetRelayTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FleetRelayTest);
+  CPPUNIT_TEST(aWordCountsOnceWhoeverTellsIt);
   CPPUNIT_TEST(relaysThatEndTakeNoCountsWithThem);
   CPPUNIT_TEST(aRelayThatIsBackIsFoundWithoutAGap);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void aWordCountsOnceWhoeverTellsIt() {
+    const FleetMember self{DaemonId("self"), "self:1", 1, DomainName("d0")};
+    const FleetMember near{DaemonId("near"), "near:1", 5, DomainName("d0")};
+    const FleetMember far{DaemonId("far"), "far:1", 5, DomainName("d1")};
+    FleetMember again = near;
+    again.incarnation = 6;
+    const auto word = [](const FleetMember& m, std::uint64_t count) {
+      return IncarnationUsage{m.daemon, m.incarnation, m.domain, counted(count)};
+    };
+    struct Row {
+      const char* story;
+      std::function<void(FleetUsage&)> told;
+      std::uint64_t expected;
+    };
+    const std::vector<Row> rows{
+        {"its own word", [&](FleetUsage& u) { u.noteOwnWord(near, counted(3)); }, 3},
+        {"its own word and another's",
+         [&](FleetUsage& u) {
+           u.noteOwnWord(near, counted(3));
+           u.noteHearsay(word(near, 2));
+         },
+         3},
+        {"another's newer word",
+         [&](FleetUsage& u) {
+           u.noteOwnWord(near, counted(3));
+           u.noteHearsay(word(near, 4));
+         },
+         4},
+        {"two incarnations",
+         [&](FleetUsage& u) {
+           u.noteHearsay(word(near, 3));
+           u.noteOwnWord(again, counted(2));
+         },
+         5},
+        {"what it told itself comes back", [&](FleetUsage& u) { u.noteHearsay(word(self, 9)); }, 0},
+        {"an earlier incarnation of its own",
+         [&](FleetUsage& u) {
+           FleetMember before = self;
+           before.incarnation = 0;
+           u.noteHearsay(word(before, 9));
+         },
+         9},
+        {"a domain's sum and one of its daemons",
+         [&](FleetUsage& u) {
+           u.noteDomainSums(DomainName("d1"), counted(10));
+           u.noteHearsay(word(far, 4));
+         },
+         10},
+        {"a new relay's sum is lower",
+         [&](FleetUsage& u) {
+           u.noteDomainSums(DomainName("d1"), counted(10));
+           u.noteDomainSums(DomainName("d1"), counted(1));
+         },
+         10},
+        {"sums of the own domain may hold the own count",
+         [&](FleetUsage& u) { u.noteDomainSums(DomainName("d0"), counted(10)); }, 0},
+        {"a fleet's sum holds what was heard directly",
+         [&](FleetUsage& u) {
+           u.noteOwnWord(near, counted(3));
+           u.noteFleetSums(counted(20));
+           u.noteFleetSums(counted(2));
+         },
+         20},
+    };
+    for (const Row& row : rows) {
+      FleetUsage usage(self);
+      row.told(usage);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.story, row.expected, countOf(usage.elsewhere()));
+      // Daemons whose clocks differ tell each other of windows that one has dropped.
+      usage.forgetBefore(kWindow + 1);
+      usage.forgetBefore(kWindow + 2);
+      usage.noteHearsay(word(far, 4));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.story, std::uint64_t{0}, countOf(usage.elsewhere()));
+    }
+  }
+
   /// Each row ends a relay of domain 0 in another way, together with a member that only it had
   /// heard; every daemon of the fleet counts the same afterwards, whoever would report.
   void relaysThatEndTakeNoCountsWithThem() {
