--- a/Hallchute/src/Gateway/UpstreamRecord.h
+++ b/Hallchute/src/Gateway/UpstreamRecord.h
@@ -17,7 +17,7 @@
 
 /// \brief An upstream as the platform's directory tells of it. \ingroup Gateway
 struct UpstreamRecord {
-  /// Names one lifetime: a restarted upstream has another one.
+  /// A restarted upstream may keep it.
   UpstreamId id;
   ServiceName service;
   /// `ip:port`.
@@ -30,6 +30,9 @@
   bool reclaimable = false;
   /// How much longer it is slow from its start.
   Millis coldFor{0};
+  /// When it started, in ms since 1970; 0 if it doesn't tell. With another one it is a new process
+  /// that holds and knows nothing of the one before.
+  std::uint64_t incarnation = 0;
   bool operator==(const UpstreamRecord&) const = default;
 };
 
--- a/Hallchute/src/Node/FleetWire.h
+++ b/Hallchute/src/Node/FleetWire.h
@@ -33,7 +33,8 @@
                   m.membersUnchanged, m.leaving);
 }
 inline auto wireFields(UpstreamRecord& m) {
-  return std::tie(m.id, m.service, m.address, m.domain, m.slots, m.state, m.reclaimable, m.coldFor);
+  return std::tie(m.id, m.service, m.address, m.domain, m.slots, m.state, m.reclaimable, m.coldFor,
+                  m.incarnation);
 }
 inline auto wireFields(FleetSnapshot& m) {
   return std::tie(m.settingsVersion, m.settingsText, m.upstreamsVersion, m.upstreams);
--- a/Hallchute/src/Settings/JsonTree.cpp
+++ b/Hallchute/src/Settings/JsonTree.cpp
@@ -5,7 +5,9 @@
 
 #include <Poco/JSON/Parser.h>
 #include <Poco/JSON/Stringifier.h>
+#include <Poco/UTF8Encoding.h>
 
+#include <algorithm>
 #include <set>
 #include <sstream>
 
@@ -104,6 +106,24 @@
   return {};
 }
 
+std::string withoutBrokenText(std::string_view text) {
+  std::string clean(text);
+  std::size_t i = 0;
+  while (i < clean.size()) {
+    const auto* bytes = reinterpret_cast<const unsigned char*>(clean.data()) + i;
+    const int needed = Poco::UTF8Encoding().sequenceLength(bytes, 1);
+    const auto length = static_cast<std::size_t>(std::max(1, needed));
+    const bool whole = needed > 0 && i + length <= clean.size();
+    if (whole && Poco::UTF8Encoding::isLegal(bytes, needed)) {
+      i += length;
+    } else {
+      clean[i] = '?';
+      ++i;
+    }
+  }
+  return clean;
+}
+
 std::string jsonText(const Var& value) {
   std::ostringstream out;
   writeSorted(value, out);
--- a/Hallchute/src/Settings/JsonTree.h
+++ b/Hallchute/src/Settings/JsonTree.h
@@ -23,6 +23,11 @@
 /// \returns null after adding a finding that names line and cause, if \p text is no object.
 JsonObject parseJsonObject(std::string_view text, Findings& findings);
 
+/// \brief \p text with a question mark for each byte that belongs to no UTF-8 character: one member
+/// that holds such bytes must not make a whole document unreadable.
+/// \ingroup Settings
+std::string withoutBrokenText(std::string_view text);
+
 /// \brief The text of \p value on one line, keys in alphabetical order.
 /// \ingroup Settings
 std::string jsonText(const Poco::Dynamic::Var& value);
