UpstreamRestartTest: an upstream that starts again under its id (red)

The one before had said that it leaves: never picked again. Its connections are kept, its shuns, failures and load are held against the new process, and its cache is taken to be full.

--- /dev/null
+++ b/test/UpstreamRestartTest.cpp
@@ -0,0 +1,125 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+// An upstream that crashes may start again under the id that it had. The new process holds no
+// cache, runs none of the requests of before and has failed nothing: what was believed of the old
+// one must go. Before, an upstream that had said that it leaves was left alone for good after it
+// had started again, a shun earned by the crash kept work away from the new process, and requests
+// that the crash had broken off were taken off its load.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "GatewayRig.h"
+#include "Hallchute/Fleet"
+#include "Hallchute/Gateway"
+
+namespace {
+
+using namespace Hallchute;
+
+const Instant kStart = Instant(std::chrono::hours(1));
+const UpstreamId kId("a");
+
+Instant at(int ms) {
+  return kStart + Millis(ms);
+}
+
+UpstreamRecord record(std::uint64_t incarnation, UpstreamState state = UpstreamState::ready) {
+  UpstreamRecord made = upstreamAt("a", "10.0.0.1:80");
+  made.incarnation = incarnation;
+  made.state = state;
+  return made;
+}
+
+const UpstreamEntry* pick(const UpstreamTable& table, int ms) {
+  UpstreamWish wish;
+  wish.service = ServiceName("s");
+  return pickUpstream(table, wish, at(ms));
+}
+
+class UpstreamRestartTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(UpstreamRestartTest);
+  CPPUNIT_TEST(nothingOfBeforeIsBelieved);
+  CPPUNIT_TEST(aRestartTellsTheOwnersOfConnections);
+  CPPUNIT_TEST(itsCacheIsEmpty);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void nothingOfBeforeIsBelieved() {
+    struct Row {
+      const char* story;
+      std::function<void(UpstreamTable&)> before;
+    };
+    const std::vector<Row> rows{
+        {"it was leaving", [](UpstreamTable& t) { t.noteDraining(kId); }},
+        {"it told the directory that it leaves",
+         [](UpstreamTable& t) {
+           t.replace(std::vector<UpstreamRecord>{record(100, UpstreamState::draining)}, at(10));
+         }},
+        {"it had failed",
+         [](UpstreamTable& t) {
+           for (int i = 0; i < 8; ++i) {
+             t.noteDispatched(kId);
+             t.noteEnded(kId, DispatchResult::broken, at(10));
+           }
+         }},
+        {"its entry was gone",
+         [](UpstreamTable& t) { t.replace(std::vector<UpstreamRecord>{}, at(10)); }},
+        {"another was at its address", [](UpstreamTable& t) { t.noteReplaced(kId, at(10)); }},
+        {"it was at work", [](UpstreamTable& t) { t.noteDispatched(kId, 5'000); }},
+    };
+    for (const Row& row : rows) {
+      UpstreamTable table;
+      table.replace(std::vector<UpstreamRecord>{record(100)}, at(0));
+      row.before(table);
+      table.replace(std::vector<UpstreamRecord>{record(200)}, at(500));
+      const UpstreamEntry* entry = pick(table, 500);
+      CPPUNIT_ASSERT_MESSAGE(row.story, entry != nullptr);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.story, 0U, entry->failuresInARow);
+      CPPUNIT_ASSERT_MESSAGE(row.story, entry->shunnedUntil <= at(500));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.story, 0U, entry->own.requests);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.story, std::uint64_t{0}, entry->own.unreadTokens);
+      CPPUNIT_ASSERT_MESSAGE(row.story, entry->knownSince == at(500));
+    }
+  }
+
+  void aRestartTellsTheOwnersOfConnections() {
+    UpstreamTable table;
+    table.replace(std::vector<UpstreamRecord>{record(100)}, at(0));
+    CPPUNIT_ASSERT(table.replace(std::vector<UpstreamRecord>{record(100)}, at(100)).empty());
+    const std::vector<UpstreamId> ended =
+        table.replace(std::vector<UpstreamRecord>{record(200)}, at(200));
+    CPPUNIT_ASSERT(ended == std::vector<UpstreamId>{kId});
+    // A list that doesn't tell: the process known last stays.
+    CPPUNIT_ASSERT(table.replace(std::vector<UpstreamRecord>{record(0)}, at(400)).empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{200}, table.find(kId)->record.incarnation);
+    // Lists only get newer: a lower number is a start after the host's clock was set back.
+    CPPUNIT_ASSERT(!table.replace(std::vector<UpstreamRecord>{record(150)}, at(500)).empty());
+  }
+
+  /// Its subjects come back to it, and it copies what it lacks from where they were meanwhile.
+  void itsCacheIsEmpty() {
+    UpstreamTable table;
+    UpstreamRecord other = record(50);
+    other.id = UpstreamId("b");
+    table.replace(std::vector<UpstreamRecord>{record(100), other}, at(0));
+    table.replace(std::vector<UpstreamRecord>{record(200), other}, at(60'000));
+    UpstreamWish wish;
+    wish.service = ServiceName("s");
+    wish.sharedTokens = 5'000;
+    for (int i = 0; i < 50; ++i) {
+      wish.affinity = "subject " + std::to_string(i);
+      const UpstreamEntry* source = cacheSource(table, wish, *table.find(kId), at(61'000));
+      CPPUNIT_ASSERT_MESSAGE(wish.affinity, source == table.find(other.id));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamRestartTest);
+
+}  // namespace
