An upstream that starts again under its id is a new process

Symptom: UpstreamRestartTest. Change: an upstream's start, which its entry tells, is its incarnation. With another one connections, breakers, counts and the time since which its cache fills begin anew; endings of requests sent to the one before, and peers' late words on it, change nothing; reports name the incarnation that leaves. A list that tells no start changes nothing.

--- a/Hallchute/src/Fleet/FleetReport.h
+++ b/Hallchute/src/Fleet/FleetReport.h
@@ -89,7 +89,7 @@
   /// Of those that the scope names.
   UsageByWindow usage;
   /// Upstreams that it knows to take no new work.
-  std::vector<UpstreamId> draining;
+  std::vector<UpstreamIncarnation> draining;
   DutyHolder duties;
   /// Daemons in the scope that the sender hears; with `everybody`, all addresses it knows.
   std::vector<FleetMember> members;
--- a/Hallchute/src/Fleet/FleetView.cpp
+++ b/Hallchute/src/Fleet/FleetView.cpp
@@ -185,7 +185,7 @@
     }
     countSpent(known, report.scope, news.spentMore);
   }
-  for (const UpstreamId& upstream : report.draining) {
+  for (const UpstreamIncarnation& upstream : report.draining) {
     const auto& seen = last.draining;
     if (std::find(seen.begin(), seen.end(), upstream) == seen.end()) {
       news.draining.push_back(upstream);
@@ -444,7 +444,7 @@
 
 void FleetView::addSums(FleetReport& report, const Known& source) const {
   addLoads(report.loads, source.report.loads);
-  for (const UpstreamId& upstream : source.report.draining) {
+  for (const UpstreamIncarnation& upstream : source.report.draining) {
     if (std::find(report.draining.begin(), report.draining.end(), upstream) ==
         report.draining.end()) {
       report.draining.push_back(upstream);
--- a/Hallchute/src/Fleet/FleetView.h
+++ b/Hallchute/src/Fleet/FleetView.h
@@ -22,7 +22,7 @@
 /// \brief What a report told that was not known before. \ingroup Fleet
 struct FleetNews {
   SpentQuota spentMore;
-  std::vector<UpstreamId> draining;
+  std::vector<UpstreamIncarnation> draining;
   /// The sender was not heard of, or has restarted.
   bool newIncarnation = false;
 };
--- a/Hallchute/src/Gateway/UpstreamRecord.h
+++ b/Hallchute/src/Gateway/UpstreamRecord.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 
 #include "Hallchute/src/Core/Id.h"
 #include "Hallchute/src/Core/Time.h"
@@ -15,6 +16,18 @@
 /// \brief Whether an upstream takes new work. \ingroup Gateway
 enum class UpstreamState { ready, draining };
 
+/// \brief One process of an upstream. \ingroup Gateway
+struct UpstreamIncarnation {
+  UpstreamIncarnation() = default;
+  // NOLINTNEXTLINE(google-explicit-constructor): an upstream that doesn't tell its start.
+  UpstreamIncarnation(UpstreamId upstream, std::uint64_t start = 0)
+      : id(std::move(upstream)), incarnation(start) {}
+  UpstreamId id;
+  /// See UpstreamRecord.
+  std::uint64_t incarnation = 0;
+  bool operator==(const UpstreamIncarnation&) const = default;
+};
+
 /// \brief An upstream as the platform's directory tells of it. \ingroup Gateway
 struct UpstreamRecord {
   /// A restarted upstream may keep it.
--- a/Hallchute/src/Gateway/UpstreamTable.cpp
+++ b/Hallchute/src/Gateway/UpstreamTable.cpp
@@ -30,19 +30,29 @@
 std::vector<UpstreamId> UpstreamTable::replace(std::span<const UpstreamRecord> records,
                                                Instant now) {
   std::set<UpstreamId> listed;
+  std::vector<UpstreamId> gone;
   const bool first = entries_.empty();
   for (const UpstreamRecord& record : records) {
     listed.insert(record.id);
     UpstreamEntry& entry = entries_[record.id];
-    const bool fresh = entry.record.id.empty();
-    if (fresh && !first) entry.knownSince = now;
-    // An upstream that once said that it leaves doesn't come back.
-    const bool draining = !entry.record.id.empty() && entry.record.state == UpstreamState::draining;
+    const bool known = !entry.record.id.empty();
+    const std::uint64_t before = entry.record.incarnation;
+    const bool restarted = known && record.incarnation > 0 && record.incarnation != before;
+    if (restarted) {
+      gone.push_back(record.id);
+      UpstreamEntry fresh;
+      fresh.leaving = entry.leaving;
+      entry = std::move(fresh);
+    }
+    if ((!known && !first) || restarted) entry.knownSince = now;
     entry.record = record;
-    if (draining) entry.record.state = UpstreamState::draining;
+    if (!restarted && record.incarnation == 0) entry.record.incarnation = before;
     entry.goneSince.reset();
+    // One that once said that it leaves doesn't come back as the same process.
+    const bool left = entry.leaving == entry.record.incarnation;
+    if (left) entry.record.state = UpstreamState::draining;
+    if (entry.record.state == UpstreamState::draining) entry.leaving = entry.record.incarnation;
   }
-  std::vector<UpstreamId> gone;
   for (auto& [id, entry] : entries_) {
     if (listed.contains(id) || entry.goneSince) continue;
     entry.goneSince = now;
@@ -51,9 +61,23 @@
   return gone;
 }
 
-void UpstreamTable::noteDraining(const UpstreamId& upstream) {
+void UpstreamTable::noteDraining(const UpstreamId& upstream, std::uint64_t incarnation) {
+  const auto it = entries_.find(upstream);
+  if (it == entries_.end()) return;
+  UpstreamEntry& entry = it->second;
+  const std::uint64_t present = entry.record.incarnation;
+  // A late word on the process before; one of a later process means that this one has ended.
+  if (incarnation > 0 && incarnation < present) return;
+  entry.leaving = incarnation > 0 ? incarnation : present;
+  entry.record.state = UpstreamState::draining;
+}
+
+UpstreamEntry* UpstreamTable::findIncarnation(const UpstreamId& upstream,
+                                              std::optional<std::uint64_t> incarnation) {
   const auto it = entries_.find(upstream);
-  if (it != entries_.end()) it->second.record.state = UpstreamState::draining;
+  if (it == entries_.end()) return nullptr;
+  const bool present = !incarnation || *incarnation == it->second.record.incarnation;
+  return present ? &it->second : nullptr;
 }
 
 void UpstreamTable::noteDispatched(const UpstreamId& upstream, std::uint64_t promptTokens) {
@@ -61,10 +85,11 @@
   if (it != entries_.end()) it->second.own += {1, promptTokens};
 }
 
-void UpstreamTable::notePromptDone(const UpstreamId& upstream, std::uint64_t promptTokens) {
-  const auto it = entries_.find(upstream);
-  if (it == entries_.end()) return;
-  std::uint64_t& unread = it->second.own.unreadTokens;
+void UpstreamTable::notePromptDone(const UpstreamId& upstream, std::uint64_t promptTokens,
+                                   std::optional<std::uint64_t> incarnation) {
+  UpstreamEntry* const entry = findIncarnation(upstream, incarnation);
+  if (entry == nullptr) return;
+  std::uint64_t& unread = entry->own.unreadTokens;
   unread -= std::min(unread, promptTokens);
 }
 
@@ -78,10 +103,11 @@
   entry.shunnedUntil = now + std::min(shun, kLongestShun);
 }
 
-void UpstreamTable::noteEnded(const UpstreamId& upstream, DispatchResult result, Instant now) {
-  const auto it = entries_.find(upstream);
-  if (it == entries_.end()) return;
-  UpstreamEntry& entry = it->second;
+void UpstreamTable::noteEnded(const UpstreamId& upstream, DispatchResult result, Instant now,
+                              std::optional<std::uint64_t> incarnation) {
+  UpstreamEntry* const found = findIncarnation(upstream, incarnation);
+  if (found == nullptr) return;
+  UpstreamEntry& entry = *found;
   if (entry.own.requests > 0) --entry.own.requests;
   switch (result) {
     case DispatchResult::answered:
--- a/Hallchute/src/Gateway/UpstreamTable.h
+++ b/Hallchute/src/Gateway/UpstreamTable.h
@@ -43,6 +43,8 @@
   /// No work goes there until then, unless there is nobody else.
   Instant shunnedUntil{};
   std::uint32_t failuresInARow = 0;
+  /// The last incarnation that is known to take no new work, by the directory or a peer.
+  std::optional<std::uint64_t> leaving;
   /// What it has to do for this daemon.
   UpstreamLoad own;
   /// For the others, as last heard.
@@ -57,15 +59,21 @@
 class UpstreamTable {
  public:
   /// \brief Takes the whole directory.
-  /// \returns the upstreams that it no longer lists.
+  /// \returns the upstreams that it no longer lists, and those that started anew under their name:
+  /// nothing that was known of the process before holds for the new one.
   std::vector<UpstreamId> replace(std::span<const UpstreamRecord> records, Instant now);
   /// \brief Another daemon learned that an upstream takes no new work.
-  void noteDraining(const UpstreamId& upstream);
+  /// \param incarnation of which it is true; 0 if it doesn't tell its start.
+  void noteDraining(const UpstreamId& upstream, std::uint64_t incarnation = 0);
   /// \param promptTokens what the upstream reads before it answers; 0 if unknown.
   void noteDispatched(const UpstreamId& upstream, std::uint64_t promptTokens = 0);
   /// \brief A prompt was read, or is not going to be.
-  void notePromptDone(const UpstreamId& upstream, std::uint64_t promptTokens);
-  void noteEnded(const UpstreamId& upstream, DispatchResult result, Instant now);
+  /// \param incarnation to which the request was sent; the present one if left out.
+  void notePromptDone(const UpstreamId& upstream, std::uint64_t promptTokens,
+                      std::optional<std::uint64_t> incarnation = {});
+  /// \param incarnation as above.
+  void noteEnded(const UpstreamId& upstream, DispatchResult result, Instant now,
+                 std::optional<std::uint64_t> incarnation = {});
   /// \brief The address belongs to another upstream now.
   void noteReplaced(const UpstreamId& upstream, Instant now);
   void setLoadsElsewhere(const UpstreamLoads& loads);
@@ -86,6 +94,9 @@
     Instant until{};
   };
 
+  /// Null if it is not known, or runs as another incarnation now.
+  UpstreamEntry* findIncarnation(const UpstreamId& upstream,
+                                 std::optional<std::uint64_t> incarnation);
   void noteFailure(UpstreamEntry& entry, Instant now);
   void noteUnreachable(const UpstreamEntry& entry, Instant now);
 
--- a/Hallchute/src/Node/FleetWire.h
+++ b/Hallchute/src/Node/FleetWire.h
@@ -21,6 +21,9 @@
 inline auto wireFields(UpstreamLoad& m) {
   return std::tie(m.requests, m.unreadTokens);
 }
+inline auto wireFields(UpstreamIncarnation& m) {
+  return std::tie(m.id, m.incarnation);
+}
 inline auto wireFields(DutyHolder& m) {
   return std::tie(m.daemon, m.incarnation, m.epoch);
 }
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -170,7 +170,8 @@
   LocalReport local{
       engine_.quota().spent(), engine_.upstreams().ownLoads(), engine_.usage().counts(), {}};
   for (const auto& [id, entry] : engine_.upstreams().entries()) {
-    if (entry.record.state == UpstreamState::draining) local.draining.push_back(id);
+    if (entry.record.state != UpstreamState::draining) continue;
+    local.draining.emplace_back(id, entry.leaving.value_or(entry.record.incarnation));
   }
   controlLoop_.post([this, window, local = std::move(local)] {
     fleet_.forgetUsageBefore(window - kWindowsKept);
@@ -239,7 +240,7 @@
     for (const auto& [organisation, amount] : news.spentMore) {
       engine_.noteSpentElsewhere(organisation, amount);
     }
-    for (const UpstreamId& upstream : news.draining) engine_.noteDraining(upstream);
+    for (const UpstreamIncarnation& upstream : news.draining) engine_.noteDraining(upstream);
   });
 }
 
--- a/Hallchute/src/Node/GatewayNode.h
+++ b/Hallchute/src/Node/GatewayNode.h
@@ -52,7 +52,7 @@
     SpentQuota spent;
     UpstreamLoads loads;
     UsageByWindow usage;
-    std::vector<UpstreamId> draining;
+    std::vector<UpstreamIncarnation> draining;
   };
 
   TrafficOptions trafficOptions() const;
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -71,13 +71,17 @@
 void TrafficEngine::setUpstreams(std::span<const UpstreamRecord> records) {
   const Instant now = clockNow();
   for (const UpstreamId& gone : upstreams_.replace(records, now)) {
-    LogLine(LogLevel::info, "upstream.gone").with("upstream", gone.str());
+    const UpstreamEntry* entry = upstreams_.find(gone);
+    const bool restarted = entry != nullptr && !entry->goneSince;
+    LogLine(LogLevel::info, restarted ? "upstream.restarted" : "upstream.gone")
+        .with("upstream", gone.str())
+        .with("incarnation", entry == nullptr ? 0 : entry->record.incarnation);
     pool_.forget(gone);
   }
 }
 
-void TrafficEngine::noteDraining(const UpstreamId& upstream) {
-  upstreams_.noteDraining(upstream);
+void TrafficEngine::noteDraining(const UpstreamIncarnation& upstream) {
+  upstreams_.noteDraining(upstream.id, upstream.incarnation);
 }
 
 void TrafficEngine::setFleet(const FleetTold& told) {
--- a/Hallchute/src/Traffic/TrafficEngine.h
+++ b/Hallchute/src/Traffic/TrafficEngine.h
@@ -54,7 +54,7 @@
   /// \brief Puts settings in force; older ones than those in force are ignored.
   void setSettings(std::shared_ptr<const RouteTable> routes);
   void setUpstreams(std::span<const UpstreamRecord> records);
-  void noteDraining(const UpstreamId& upstream);
+  void noteDraining(const UpstreamIncarnation& upstream);
   /// \brief Whether newer settings may exist that this daemon can't hear of.
   void setSettingsMayBeOld(bool old) { settingsMayBeOld_ = old; }
   /// \brief From now on new requests are refused: they could not end before the daemon does.
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -167,6 +167,7 @@
   const HttpHead& head = exchange_->head();
   const HttpFields fields = engine_.codec().dispatchFields(head, terms);
   upstream_ = id;
+  upstreamIncarnation_ = upstream.record.incarnation;
   dispatched_ = true;
   runCounted_ = false;
   dispatchedAt_ = now;
@@ -254,7 +255,7 @@
 }
 
 void TrafficSession::notePromptDone() {
-  engine_.table().notePromptDone(upstream_, std::exchange(unreadTokens_, 0));
+  engine_.table().notePromptDone(upstream_, std::exchange(unreadTokens_, 0), upstreamIncarnation_);
 }
 
 void TrafficSession::upstreamDone() {
@@ -319,7 +320,7 @@
   notePromptDone();
   engine_.loop().cancel(std::exchange(silenceTimer_, 0));
   const Instant now = clockNow();
-  engine_.table().noteEnded(upstream_, result, now);
+  engine_.table().noteEnded(upstream_, result, now, upstreamIncarnation_);
   engine_.metrics().time("hallchute_dispatch_ms", "service=\"" + service_.str() + "\"",
                          now - dispatchedAt_);
   if (keepChannel) {
--- a/Hallchute/src/Traffic/TrafficSession.h
+++ b/Hallchute/src/Traffic/TrafficSession.h
@@ -86,6 +86,7 @@
 
   std::unique_ptr<UpstreamChannel> channel_;
   UpstreamId upstream_;
+  std::uint64_t upstreamIncarnation_ = 0;
   bool dispatched_ = false;
   bool runCounted_ = false;
   /// Tokens that the upstream still has to read before its answer begins.
--- a/test/UpstreamRestartTest.cpp
+++ b/test/UpstreamRestartTest.cpp
@@ -46,6 +46,7 @@
   CPPUNIT_TEST_SUITE(UpstreamRestartTest);
   CPPUNIT_TEST(nothingOfBeforeIsBelieved);
   CPPUNIT_TEST(aRestartTellsTheOwnersOfConnections);
+  CPPUNIT_TEST(wordsOnTheOneBeforeChangeNothing);
   CPPUNIT_TEST(itsCacheIsEmpty);
   CPPUNIT_TEST_SUITE_END();
 
@@ -102,6 +103,34 @@
     CPPUNIT_ASSERT(!table.replace(std::vector<UpstreamRecord>{record(150)}, at(500)).empty());
   }
 
+  void wordsOnTheOneBeforeChangeNothing() {
+    UpstreamTable table;
+    table.replace(std::vector<UpstreamRecord>{record(100)}, at(0));
+    table.noteDispatched(kId, 700);
+    table.replace(std::vector<UpstreamRecord>{record(200)}, at(500));
+    table.noteDispatched(kId, 300);
+    // What the crash broke off ends later, and a peer's word on the old process comes late.
+    for (int i = 0; i < 3; ++i) table.noteEnded(kId, DispatchResult::broken, at(510), 100);
+    table.notePromptDone(kId, 700, 100);
+    table.noteDraining(kId, 100);
+    const UpstreamEntry* entry = pick(table, 520);
+    CPPUNIT_ASSERT(entry != nullptr);
+    CPPUNIT_ASSERT_EQUAL(1U, entry->own.requests);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{300}, entry->own.unreadTokens);
+    CPPUNIT_ASSERT_EQUAL(0U, entry->failuresInARow);
+    table.noteDraining(kId, 200);
+    CPPUNIT_ASSERT(pick(table, 530) == nullptr);
+    // A daemon that knows it by an older list must not take the new process for the old one.
+    UpstreamTable behind;
+    behind.replace(std::vector<UpstreamRecord>{record(100)}, at(0));
+    behind.noteDraining(kId, 200);
+    CPPUNIT_ASSERT(pick(behind, 10) == nullptr);
+    behind.replace(std::vector<UpstreamRecord>{record(200)}, at(20));
+    CPPUNIT_ASSERT(pick(behind, 30) == nullptr);
+    behind.replace(std::vector<UpstreamRecord>{record(300)}, at(40));
+    CPPUNIT_ASSERT(pick(behind, 50) != nullptr);
+  }
+
   /// Its subjects come back to it, and it copies what it lacks from where they were meanwhile.
   void itsCacheIsEmpty() {
     UpstreamTable table;
