A daemon's first, old list doesn't speak for the store

Symptom: aFollowerBeginsWithAnOldList, settingsBehindAPeersMayBeOld. Cause: any answer of the store counted as contact, and settings counted as new while the store was heard of, though a peer named newer ones. Change: contact begins with a list of the newest or a watch; settings that are behind any report's may be old. Until then an unknown key or route gets 503, which callers try again, in place of 401 or 404, which they don't.

--- a/Hallchute/src/Fleet/StoreNews.cpp
+++ b/Hallchute/src/Fleet/StoreNews.cpp
@@ -33,6 +33,7 @@
 
 void StoreNews::noteReport(const FleetReport& report, Instant now) {
   heard_ = std::max(heard_, now - report.storeAge);
+  newestSettings_ = std::max(newestSettings_, report.settingsVersion);
 }
 
 Millis StoreNews::age(const StoreState& own, Instant now) const {
@@ -41,7 +42,7 @@
 }
 
 bool StoreNews::mayBeOld(const StoreState& own, Instant now) const {
-  return age(own, now) > kOldAfter;
+  return own.settingsVersion < newestSettings_ || age(own, now) > kOldAfter;
 }
 
 bool StoreNews::wasAway(Instant now) const {
--- a/Hallchute/src/Fleet/StoreNews.h
+++ b/Hallchute/src/Fleet/StoreNews.h
@@ -60,6 +60,8 @@
   Instant started_;
   /// When the store last answered anybody; long before the start if that was never heard of.
   Instant heard_;
+  /// The newest settings that any report named.
+  std::uint64_t newestSettings_ = 0;
   Instant asked_{};
   /// Since when a peer has been ahead of a daemon that watches itself, and of which versions.
   std::optional<Instant> behindSince_;
--- a/Hallchute/src/Node/ObjectFollower.cpp
+++ b/Hallchute/src/Node/ObjectFollower.cpp
@@ -75,7 +75,10 @@
       .with("mode", modeText(mode));
   // What was known before the rest may be older than the store's history.
   if (before == FollowMode::off) refresh_ = true;
-  if (mode == FollowMode::off) reachable_ = false;
+  if (mode == FollowMode::off) {
+    reachable_ = false;
+    current_ = false;
+  }
   const std::lock_guard lock(mutex_);
   wake_.notify_all();
 }
@@ -108,7 +111,9 @@
 }
 
 bool ObjectFollower::listAll() {
-  return takeList(source_.list(ReadAge::newest));
+  const bool answered = takeList(source_.list(ReadAge::newest));
+  if (answered && mode_ != FollowMode::off) current_ = true;
+  return answered;
 }
 
 bool ObjectFollower::listFirst() {
@@ -134,6 +139,7 @@
   if (batch.ok()) {
     noteContact(true, batch.status());
     apply(*batch);
+    if (mode_ != FollowMode::off) current_ = true;
     if (!batch->objects.empty()) pause(pace_.gather);
     return true;
   }
--- a/Hallchute/src/Node/ObjectFollower.h
+++ b/Hallchute/src/Node/ObjectFollower.h
@@ -56,8 +56,9 @@
   void stop();
   /// \brief Whether it watches, asks now and then, or rests. It starts by watching. Any thread.
   void setMode(FollowMode mode);
-  /// \brief Whether it doesn't rest and the store answered last time. Any thread.
-  bool inContact() const { return reachable_; }
+  /// \brief Whether it doesn't rest, the store answered last time, and the copy is not just an old
+  /// first list. Any thread.
+  bool inContact() const { return reachable_ && current_; }
   /// \brief The store may be ahead of this copy: it is listed as soon as the pending call ends.
   void refresh() { refresh_ = true; }
 
@@ -86,6 +87,8 @@
   bool starting_ = true;
   bool wasLost_ = false;
   std::atomic<bool> reachable_{false};
+  /// A list of the newest, or a watch, was answered since it began or rested.
+  std::atomic<bool> current_{false};
   std::atomic<FollowMode> mode_{FollowMode::following};
   std::atomic<bool> refresh_{false};
   std::atomic<bool> stopping_{false};
