Starts: clocks that were set back are heard, refusals end with the meeting

Symptoms: aDaemonWhoseClockWasSetBackIsHeard (never heard until the clock has caught up: its spending and load count for nobody); quotaOfAnUnknownFleetBringsCallersBackAfterTheMeeting (told 75 s in place of 2.6). Causes: a lower incarnation was always taken for a late word; the wait was reckoned with the hundredth of the rate that a fleet of unknown size spends, as if it stayed. Changes: a lower incarnation counts once the higher one is silent; the wait is at most what is left of the meeting and the time in which the whole rate fills what is missing.

--- a/Hallchute/src/Fleet/FleetView.cpp
+++ b/Hallchute/src/Fleet/FleetView.cpp
@@ -144,12 +144,20 @@
   return false;
 }
 
+/// Whether hearsay of a daemon is of another process than the one that is known.
+bool FleetView::isAnother(const Known& known, const FleetMember& member, bool vouched,
+                          Instant now) const {
+  const std::uint64_t present = known.report.self.incarnation;
+  if (member.incarnation == present || within(known.reported, now, kHeardFor)) return false;
+  return member.incarnation > present || (vouched && !alive(known, now));
+}
+
 void FleetView::learnMembers(ReportScope scope, std::span<const FleetMember> members, Instant now) {
   const bool vouched = scope == ReportScope::domain || scope == ReportScope::fleet;
   for (const FleetMember& member : members) {
     if (member.daemon == self_.daemon) continue;
     Known& known = daemons_[member.daemon];
-    if (member.incarnation > known.report.self.incarnation) {
+    if (isAnother(known, member, vouched, now)) {
       known.report = FleetReport{};
       known.report.self = member;
       known.reported = Instant{};
@@ -166,7 +174,10 @@
   if (report.self.daemon == self_.daemon) return news;
   Known& known = daemons_[report.self.daemon];
   FleetReport& last = known.report;
-  if (report.self.incarnation < last.self.incarnation) return news;
+  // A late word of the process before; a lower one that stays is a start after the host's clock was
+  // set back.
+  const bool earlier = report.self.incarnation < last.self.incarnation;
+  if (earlier && within(known.reported, now, kHeardFor)) return news;
   const bool heardBefore = known.reported != Instant{};
   const bool sameLife = report.self.incarnation == last.self.incarnation;
   news.newIncarnation = !heardBefore || !sameLife;
@@ -526,6 +537,9 @@
   fleet.newsLag = newsLag(now);
   const auto all = static_cast<double>(std::max<std::size_t>(1, known(now)));
   fleet.meeting = !hasMet(now);
+  if (fleet.meeting) {
+    fleet.meetingLeft = std::chrono::duration_cast<Millis>(started_ + kMeetTime - now);
+  }
   if (!fleet.meeting || earlierSize_ > 0) fleet.ownPart = 1 / all;
   fleet.heardPart = fleet.meeting ? fleet.ownPart.value_or(kUnmetPart)
                                   : std::min(1.0, static_cast<double>(fleet.heard) / all);
--- a/Hallchute/src/Fleet/FleetView.h
+++ b/Hallchute/src/Fleet/FleetView.h
@@ -150,6 +150,7 @@
   /// The one that is to follow on the own domain's relay.
   DaemonId deputy(Instant now) const;
   bool tellsDomain(Instant now) const;
+  bool isAnother(const Known& known, const FleetMember& member, bool vouched, Instant now) const;
   void learnMembers(ReportScope scope, std::span<const FleetMember> members, Instant now);
   std::set<std::string> targets(Instant now) const;
   bool misled(const Known& known, Instant now) const;
--- a/Hallchute/src/Gateway/QuotaFleet.h
+++ b/Hallchute/src/Gateway/QuotaFleet.h
@@ -23,6 +23,8 @@
   /// The others have not been met yet: each daemon spends its own share, and what others spend
   /// comes out of theirs.
   bool meeting = false;
+  /// How long that takes yet at most.
+  Millis meetingLeft{0};
   /// How long what one daemon spends takes to be known to all.
   Millis newsLag{0};
 };
--- a/Hallchute/src/Gateway/QuotaLedger.cpp
+++ b/Hallchute/src/Gateway/QuotaLedger.cpp
@@ -99,6 +99,16 @@
   return std::max(0.0, asked - tolerated(bucket) * part);
 }
 
+/// How long a bucket takes to gain an amount. A fleet of unknown size spends next to nothing until
+/// it has met: by that alone callers were told to wait up to a hundred times as long as needed.
+double QuotaLedger::fillMs(const Bucket& bucket, double amount) const {
+  constexpr double kMsPerS = 1'000;
+  const double wholeRate = amount / bucket.rate * kMsPerS;
+  const double byHeard = wholeRate / fleet_.heardPart;
+  if (!fleet_.meeting || fleet_.ownPart) return byHeard;
+  return std::min(byHeard, static_cast<double>(fleet_.meetingLeft.count()) + wholeRate);
+}
+
 std::optional<QuotaShortage> QuotaLedger::take(const GatewayOrganisation& organisation,
                                                double amount, Instant now, double draw) {
   if (organisation.rate <= 0) return std::nullopt;
@@ -113,9 +123,8 @@
     spent_[organisation.name] += amount;
     return std::nullopt;
   }
-  const double perMs = bucket.rate * fleet_.heardPart / 1000;
   const double missing = std::min(needed + ahead, bucket.burst) - bucket.level;
-  const double waitMs = std::max(kLeastWaitMs, std::ceil(missing / perMs));
+  const double waitMs = std::max(kLeastWaitMs, std::ceil(fillMs(bucket, missing)));
   // All that are refused at a time must not come back at a time.
   const Millis comeBack(static_cast<Millis::rep>(waitMs * (1 + draw)));
   return QuotaShortage{comeBack, bucket.level, needed, ahead};
--- a/Hallchute/src/Gateway/QuotaLedger.h
+++ b/Hallchute/src/Gateway/QuotaLedger.h
@@ -85,6 +85,7 @@
   void noteHeardPart(double part, Instant now);
   /// What the fleet is likely to admit before this daemon hears of it, beyond what is tolerated.
   double unheard(const Bucket& bucket, Instant now) const;
+  double fillMs(const Bucket& bucket, double amount) const;
   void refill(Bucket& bucket, Instant now) const;
   Bucket& bucketOf(const GatewayOrganisation& organisation, Instant now);
 
