fleet.heard names the relay that a daemon takes for its domain's

A domain with two relays showed in no line: everybody heard of everybody. Daemons that name different relays for long are split. No test: a log line.

--- a/Hallchute/src/Fleet/FleetView.h
+++ b/Hallchute/src/Fleet/FleetView.h
@@ -80,6 +80,8 @@
   /// \brief Reports of daemons that were heard directly lately, by name.
   std::vector<const FleetReport*> reports(Instant now) const;
   bool isRelay(Instant now) const;
+  /// \brief The relay of the own failure domain, as far as is heard.
+  DaemonId ownRelay(Instant now) const { return relayOf(self_.domain, now); }
   /// \brief How long what a daemon tells takes to reach all others.
   Millis newsLag(Instant now) const;
   /// \brief Whether the others count on this daemon's watching the store: everybody in a small
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -213,15 +213,19 @@
 
 /// How much of the fleet is heard decides this daemon's part of quotas and of the retry budget.
 void GatewayNode::logFleet(const FleetTold& told, Instant now) {
-  const bool changed = told.quota.heard != loggedHeard_ || told.known != loggedKnown_;
+  const DaemonId relay = fleet_.ownRelay(now);
+  const bool changed =
+      told.quota.heard != loggedHeard_ || told.known != loggedKnown_ || relay != loggedRelay_;
   if (!changed || now - fleetLogged_ < kFleetLogPause) return;
   loggedHeard_ = told.quota.heard;
   loggedKnown_ = told.known;
+  loggedRelay_ = relay;
   fleetLogged_ = now;
   LogLine(LogLevel::info, "fleet.heard")
       .with("heard", told.quota.heard)
       .with("known", told.known)
       .with("relay", fleet_.isRelay(now))
+      .with("domainRelay", relay.str())
       .with("storeAgeMs", copy_.age(now));
 }
 
--- a/Hallchute/src/Node/GatewayNode.h
+++ b/Hallchute/src/Node/GatewayNode.h
@@ -93,6 +93,7 @@
   bool leaving_ = false;
   std::size_t loggedHeard_ = 0;
   std::size_t loggedKnown_ = 0;
+  DaemonId loggedRelay_;
   Instant fleetLogged_{};
 
   std::unique_ptr<DutyRunner> duties_;
