--- a/test/DutyTest.cpp
+++ b/test/DutyTest.cpp
@@ -117,9 +117,45 @@
   CPPUNIT_TEST(aLostWriteIsReadAgain);
   CPPUNIT_TEST(aHolderThatLostAWriteGoesOnThoughItIsNotFirst);
   CPPUNIT_TEST(reportsStayTheSameThroughAnyTakeOver);
+  CPPUNIT_TEST(aWindowWaitsForDaemonsThatAreNotHeard);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// A domain is cut off for four seconds around the end of a window. Its daemons serve on, and
+  /// what they counted is heard half a second after the cut has healed: the log then told
+  /// `duty.usageChanged` from 935 to 1141 requests, as the window had been fixed 2.5 s after its
+  /// end. Its report is due 10 s after it: there is time to wait, though not for those that never
+  /// come.
+  void aWindowWaitsForDaemonsThatAreNotHeard() {
+    struct Row {
+      const char* story;
+      int heardAgain;
+      std::uint64_t reported;
+      int latest;
+    };
+    const std::vector<Row> rows{
+        {"all are heard", 0, 30, 8'000},
+        {"one comes back in time", 9'500, 30, 10'500},
+        {"one never comes back", 60'000, 20, 12'000},
+    };
+    for (const Row& row : rows) {
+      World world;
+      Daemon a("a", 1);
+      int reportedAt = 0;
+      for (int ms = 0; ms <= 20'000 && reportedAt == 0; ms += 100) {
+        const bool cut = ms >= 3'000 && ms < row.heardAgain;
+        DutyFacts facts = factsAt(ms, {{"a", 1}});
+        if (!cut) facts.heard[DaemonId("b")] = 1;
+        facts.known = 2;
+        facts.usage[200][kOrg] = cut ? 20 : 30;
+        a.turn(world, facts, ms);
+        if (world.reports.contains(200)) reportedAt = ms;
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.story, row.reported, world.reports.at(200).at(kOrg));
+      CPPUNIT_ASSERT_MESSAGE(row.story + std::to_string(reportedAt), reportedAt <= row.latest);
+    }
+  }
+
   void theFirstByNameTakesAndReports() {
     World world;
     Daemon a("a", 1);
