--- a/Hallchute/src/Fleet/FleetReport.h
+++ b/Hallchute/src/Fleet/FleetReport.h
@@ -93,9 +93,9 @@
   DutyHolder duties;
   /// Daemons in the scope that the sender hears; with `everybody`, all addresses it knows.
   std::vector<FleetMember> members;
-  /// Now and then, from and to the strongest daemons: usage of single incarnations, which counts
-  /// once however many tell it: of those that can't tell it any more, for daemons that started
-  /// after them, and by relays of those whose relay may end.
+  /// Usage of single incarnations, which counts once however many tell it. Told once a second: of
+  /// incarnations that ended, for daemons that started after them; by relays to each other and to
+  /// the daemon that would follow them, of their domain too, as a relay may end.
   std::vector<IncarnationUsage> incarnations;
   /// `members` is left out as it is what the last report held.
   bool membersUnchanged = false;
--- a/Hallchute/src/Fleet/FleetView.cpp
+++ b/Hallchute/src/Fleet/FleetView.cpp
@@ -22,9 +22,8 @@
 constexpr Millis kElectionAge{50};
 /// How often unchanged members are told again, for receivers that missed them.
 constexpr Millis kMembersEvery{2'000};
-/// How often usage is told by incarnation: well within the time from a window's end until its
-/// counts are taken, and seldom enough that a relay of sixty daemons needs a hundredth of a
-/// processor for it.
+/// How often usage is told by incarnation, which is many times the length of the sums that every
+/// report holds: well within the 2.5 s from a window's end until its counts are taken.
 constexpr Millis kUsageEvery{1'000};
 /// How long a relay that a stronger daemon took over from still tells its domain of all others,
 /// that daemon among them: three report periods. Without it they hear nobody until the old one
@@ -271,7 +270,7 @@
 std::set<std::string> FleetView::targets(Instant now) const {
   const bool small = isSmall(now);
   const bool relay = !small && isRelay(now);
-  const bool wards = tellsDomain(now);
+  const bool tellsWards = tellsDomain(now);
   const DaemonId ownRelay = relayOf(self_.domain, now);
   std::set<std::string> wanted;
   std::size_t heardDirectly = 0;
@@ -280,7 +279,7 @@
     if (direct) ++heardDirectly;
     // One that reports to everybody doesn't know yet that there are relays.
     const bool newcomer = known.report.scope == ReportScope::everybody;
-    const bool ward = wards && known.report.self.domain == self_.domain;
+    const bool ward = tellsWards && known.report.self.domain == self_.domain;
     bool chosen = (direct && (newcomer || ward || misled(known, now))) || daemon == ownRelay;
     if (small) chosen = within(known.seen, now, kTriedFor);
     if (relay && relayOf(known.report.self.domain, now) == daemon) chosen = true;
