--- a/test/UpstreamRestartTest.cpp
+++ b/test/UpstreamRestartTest.cpp
@@ -79,13 +79,13 @@
       table.replace(std::vector<UpstreamRecord>{record(100)}, at(0));
       row.before(table);
       table.replace(std::vector<UpstreamRecord>{record(200)}, at(500));
-      const UpstreamEntry* entry = pick(table, 500);
-      CPPUNIT_ASSERT_MESSAGE(row.story, entry != nullptr);
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.story, 0U, entry->failuresInARow);
-      CPPUNIT_ASSERT_MESSAGE(row.story, entry->shunnedUntil <= at(500));
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.story, 0U, entry->own.requests);
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.story, std::uint64_t{0}, entry->own.unreadTokens);
-      CPPUNIT_ASSERT_MESSAGE(row.story, entry->knownSince == at(500));
+      CPPUNIT_ASSERT_MESSAGE(row.story, pick(table, 500) != nullptr);
+      const UpstreamEntry& entry = table.entries().at(kId);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.story, 0U, entry.failuresInARow);
+      CPPUNIT_ASSERT_MESSAGE(row.story, entry.shunnedUntil <= at(500));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.story, 0U, entry.own.requests);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.story, std::uint64_t{0}, entry.own.unreadTokens);
+      CPPUNIT_ASSERT_MESSAGE(row.story, entry.knownSince == at(500));
     }
   }
 
@@ -98,7 +98,7 @@
     CPPUNIT_ASSERT(ended == std::vector<UpstreamId>{kId});
     // A list that doesn't tell: the process known last stays.
     CPPUNIT_ASSERT(table.replace(std::vector<UpstreamRecord>{record(0)}, at(400)).empty());
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{200}, table.find(kId)->record.incarnation);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{200}, table.entries().at(kId).record.incarnation);
     // Lists only get newer: a lower number is a start after the host's clock was set back.
     CPPUNIT_ASSERT(!table.replace(std::vector<UpstreamRecord>{record(150)}, at(500)).empty());
   }
@@ -113,11 +113,11 @@
     for (int i = 0; i < 3; ++i) table.noteEnded(kId, DispatchResult::broken, at(510), 100);
     table.notePromptDone(kId, 700, 100);
     table.noteDraining(kId, 100);
-    const UpstreamEntry* entry = pick(table, 520);
-    CPPUNIT_ASSERT(entry != nullptr);
-    CPPUNIT_ASSERT_EQUAL(1U, entry->own.requests);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{300}, entry->own.unreadTokens);
-    CPPUNIT_ASSERT_EQUAL(0U, entry->failuresInARow);
+    CPPUNIT_ASSERT(pick(table, 520) != nullptr);
+    const UpstreamEntry& entry = table.entries().at(kId);
+    CPPUNIT_ASSERT_EQUAL(1U, entry.own.requests);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{300}, entry.own.unreadTokens);
+    CPPUNIT_ASSERT_EQUAL(0U, entry.failuresInARow);
     table.noteDraining(kId, 200);
     CPPUNIT_ASSERT(pick(table, 530) == nullptr);
     // A daemon that knows it by an older list must not take the new process for the old one.
@@ -143,8 +143,9 @@
     wish.sharedTokens = 5'000;
     for (int i = 0; i < 50; ++i) {
       wish.affinity = "subject " + std::to_string(i);
-      const UpstreamEntry* source = cacheSource(table, wish, *table.find(kId), at(61'000));
-      CPPUNIT_ASSERT_MESSAGE(wish.affinity, source == table.find(other.id));
+      const auto& entries = table.entries();
+      const UpstreamEntry* source = cacheSource(table, wish, entries.at(kId), at(61'000));
+      CPPUNIT_ASSERT_MESSAGE(wish.affinity, source == &entries.at(other.id));
     }
   }
 };
