A list of upstreams goes to peers as the store gave it; each daemon holds lapsed entries by itself

Cause: after the cut of a failure domain its daemons that watch the store take it for back from an outage and hold entries that its list lacks. They passed the merged list on under the newest revision, and daemons of other domains took entries from it that they had rightly dropped.

Ruled out: a change of the daemons that watch (in that domain it came 5 s before), a late answer of the store, a lost report of draining.

Why it works: what a peer is told is now only what the store said at that revision. An outage is still bridged on daemons that don't watch: they know of it by the reports (a peer said that the store answers nobody, then one is fresh).

The decision moves from StoreCopy (threads, follower) to UpstreamCopy (no I/O, no clock).

--- a/Hallchute/src/Fleet/StoreNews.cpp
+++ b/Hallchute/src/Fleet/StoreNews.cpp
@@ -29,11 +29,16 @@
 
 }  // namespace
 
-StoreNews::StoreNews(Instant started) : started_(started), heard_(started - kNeverHeard) {}
+StoreNews::StoreNews(Instant started)
+    : started_(started), heard_(started - kNeverHeard), toldAway_(heard_) {}
 
-void StoreNews::noteReport(const FleetReport& report, Instant now) {
+bool StoreNews::noteReport(const FleetReport& report, const StoreState& own, Instant now) {
+  const bool away = age(own, now) > kOldAfter;
   heard_ = std::max(heard_, now - report.storeAge);
   newestSettings_ = std::max(newestSettings_, report.settingsVersion);
+  if (report.storeAge > kOldAfter) toldAway_ = now;
+  // Without peers that said so, this daemon was out of reach and the store may have been there.
+  return away && age(own, now) <= kOldAfter && now - toldAway_ <= kOldAfter;
 }
 
 Millis StoreNews::age(const StoreState& own, Instant now) const {
--- a/Hallchute/src/Fleet/StoreNews.h
+++ b/Hallchute/src/Fleet/StoreNews.h
@@ -43,7 +43,8 @@
   /// \param started a daemon that starts has a moment to meet its peers before it probes.
   explicit StoreNews(Instant started);
 
-  void noteReport(const FleetReport& report, Instant now);
+  /// \returns whether it brings the store back: before, peers said that it answered none of them.
+  bool noteReport(const FleetReport& report, const StoreState& own, Instant now);
   /// \brief How long ago the store last answered anybody this daemon hears of.
   Millis age(const StoreState& own, Instant now) const;
   /// \brief Whether the store was away from all peers too, as far as their reports tell.
@@ -60,6 +61,8 @@
   Instant started_;
   /// When the store last answered anybody; long before the start if that was never heard of.
   Instant heard_;
+  /// When a peer last said that the store answers nobody it receives reports of.
+  Instant toldAway_;
   /// The newest settings that any report named.
   std::uint64_t newestSettings_ = 0;
   Instant asked_{};
--- a/Hallchute/src/Node/StoreCopy.cpp
+++ b/Hallchute/src/Node/StoreCopy.cpp
@@ -52,7 +52,7 @@
 
 StoreState StoreCopy::state() const {
   // Settings decide what a request may do: contact counts for them.
-  return {settingsVersion_, upstreamsVersion_, settingsFollower_.inContact()};
+  return {settingsVersion_, upstreams_.version(), settingsFollower_.inContact()};
 }
 
 void StoreCopy::turn(const FleetView& fleet, FleetLink& link, Instant now) {
@@ -64,7 +64,7 @@
   if (!address) return;
   // A pending watch may hang on a lost path.
   settingsFollower_.refresh();
-  link.askSnapshot(*address, {settingsVersion_, upstreamsVersion_},
+  link.askSnapshot(*address, {settingsVersion_, upstreams_.version()},
                    [this](const FleetSnapshot& snapshot) { takeSnapshot(snapshot); });
 }
 
@@ -74,9 +74,9 @@
     snapshot.settingsVersion = settingsVersion_;
     snapshot.settingsText = settingsText_;
   }
-  if (upstreamsVersion_ > ask.upstreamsVersion) {
-    snapshot.upstreamsVersion = upstreamsVersion_;
-    snapshot.upstreams = upstreams_;
+  if (upstreams_.version() > ask.upstreamsVersion) {
+    snapshot.upstreamsVersion = upstreams_.version();
+    snapshot.upstreams = upstreams_.listed();
   }
   return snapshot;
 }
@@ -112,36 +112,30 @@
   if (!findings.empty()) {
     LogLine(LogLevel::error, "upstreams.faulty").with("findings", describe(findings));
   }
-  loop_.post([this, records = std::move(records), asOf] { takeListed(records, asOf); });
+  loop_.post([this, records = std::move(records), asOf] {
+    publishUpstreams(upstreams_.take(records, asOf, clockNow()));
+  });
 }
 
-void StoreCopy::noteReturn() {
-  const Instant now = clockNow();
-  // A store that peers heard all the while has let no living upstream's entry lapse.
-  if (upstreams_.empty() || !news_.wasAway(now)) return;
-  lapsed_.noteReturn(now);
-  LogLine(LogLevel::info, "upstreams.held").with("forMs", LapsedUpstreams::kBackWithin);
-  loop_.after(LapsedUpstreams::kBackWithin, [this] { dropLapsed(); });
+void StoreCopy::noteReport(const FleetReport& report, Instant now) {
+  if (news_.noteReport(report, state(), now)) holdLapsed(now);
 }
 
-void StoreCopy::takeListed(std::vector<UpstreamRecord> upstreams, std::uint64_t asOf) {
-  listed_ = std::move(upstreams);
-  listedVersion_ = 2 * asOf;
-  takeUpstreams(lapsed_.merge(listed_, upstreams_, clockNow()), listedVersion_);
+void StoreCopy::noteReturn() {
+  const Instant now = clockNow();
+  // A store that answered peers all the while has let no living upstream's entry lapse.
+  if (news_.wasAway(now)) holdLapsed(now);
 }
 
-void StoreCopy::dropLapsed() {
-  // The store was lost once more, or a peer's newer copy came: that one decides.
-  if (lapsed_.holds(clockNow()) || upstreamsVersion_ > listedVersion_) return;
-  takeUpstreams(listed_, listedVersion_ + 1);
+void StoreCopy::holdLapsed(Instant now) {
+  if (!upstreams_.noteReturn(now)) return;
+  LogLine(LogLevel::info, "upstreams.held").with("forMs", LapsedUpstreams::kBackWithin);
+  loop_.after(LapsedUpstreams::kBackWithin,
+              [this] { publishUpstreams(upstreams_.dropLapsed(clockNow())); });
 }
 
-void StoreCopy::takeUpstreams(std::vector<UpstreamRecord> upstreams, std::uint64_t version) {
-  // A new list that says the same is no news for peers either.
-  if (version <= upstreamsVersion_ || (upstreamsVersion_ > 0 && upstreams == upstreams_)) return;
-  upstreamsVersion_ = version;
-  upstreams_ = std::move(upstreams);
-  callbacks_.onUpstreams(upstreams_);
+void StoreCopy::publishUpstreams(bool changed) {
+  if (changed) callbacks_.onUpstreams(upstreams_.upstreams());
 }
 
 void StoreCopy::takeSnapshot(const FleetSnapshot& snapshot) {
@@ -156,7 +150,7 @@
           .with("findings", describe(findings));
     }
   }
-  takeUpstreams(snapshot.upstreams, snapshot.upstreamsVersion);
+  publishUpstreams(upstreams_.take(snapshot.upstreams, snapshot.upstreamsVersion, clockNow()));
 }
 
 }  // namespace Hallchute
--- a/Hallchute/src/Node/StoreCopy.h
+++ b/Hallchute/src/Node/StoreCopy.h
@@ -11,8 +11,8 @@
 #include <vector>
 
 #include "Hallchute/src/Core/Time.h"
-#include "Hallchute/src/Fleet/LapsedUpstreams.h"
 #include "Hallchute/src/Fleet/StoreNews.h"
+#include "Hallchute/src/Fleet/UpstreamCopy.h"
 #include "Hallchute/src/Gateway/UpstreamRecord.h"
 #include "Hallchute/src/Node/FleetSnapshot.h"
 #include "Hallchute/src/Node/NodePorts.h"
@@ -46,7 +46,7 @@
   void stop();
   /// \brief One turn: follows or rests as the fleet needs, asks a peer that is ahead.
   void turn(const FleetView& fleet, FleetLink& link, Instant now);
-  void noteReport(const FleetReport& report, Instant now) { news_.noteReport(report, now); }
+  void noteReport(const FleetReport& report, Instant now);
   /// \brief What a peer lacks of this copy.
   FleetSnapshot snapshot(const SnapshotAsk& ask) const;
   StoreState state() const;
@@ -54,16 +54,16 @@
   Millis age(Instant now) const { return news_.age(state(), now); }
   /// \brief Whether newer settings may exist that this daemon can't hear of.
   bool mayBeOld(Instant now) const { return news_.mayBeOld(state(), now); }
-  const std::vector<UpstreamRecord>& upstreams() const { return upstreams_; }
+  const std::vector<UpstreamRecord>& upstreams() const { return upstreams_.upstreams(); }
 
  private:
   void decodeSettings(const JsonObject& content, std::string_view source);
   void decodeUpstreams(const ObjectFollower::Objects& objects, std::uint64_t asOf);
   void takeSettings(const GatewaySettings& settings, const std::string& text);
   void noteReturn();
-  void takeListed(std::vector<UpstreamRecord> upstreams, std::uint64_t asOf);
-  void dropLapsed();
-  void takeUpstreams(std::vector<UpstreamRecord> upstreams, std::uint64_t version);
+  void holdLapsed(Instant now);
+  /// \param changed whether the upstreams did; the callback learns of them.
+  void publishUpstreams(bool changed);
   void takeSnapshot(const FleetSnapshot& snapshot);
 
   EventLoop& loop_;
@@ -72,13 +72,7 @@
   StoreNews news_;
   std::uint64_t settingsVersion_ = 0;
   std::string settingsText_;
-  /// Twice the store's revision, plus one once entries that lapsed before it are given up.
-  std::uint64_t upstreamsVersion_ = 0;
-  LapsedUpstreams lapsed_;
-  /// The last list as the store gave it, and its version.
-  std::vector<UpstreamRecord> listed_;
-  std::uint64_t listedVersion_ = 0;
-  std::vector<UpstreamRecord> upstreams_;
+  UpstreamCopy upstreams_;
   ObjectFollower settingsFollower_;
   ObjectFollower upstreamFollower_;
 };
--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -340,13 +340,13 @@
     CPPUNIT_ASSERT(news.age(alone, at(100)) >= kNeverHeard);
     FleetReport report = reportOf("a", 1);
     report.storeAge = Millis(300);
-    news.noteReport(report, at(1'000));
+    news.noteReport(report, {}, at(1'000));
     CPPUNIT_ASSERT(Millis(500) == news.age(alone, at(1'200)));
     CPPUNIT_ASSERT(!news.mayBeOld(alone, at(1'200)));
     CPPUNIT_ASSERT(news.mayBeOld(alone, at(2'000)));
     // An older word changes nothing.
     report.storeAge = Millis(5'000);
-    news.noteReport(report, at(1'300));
+    news.noteReport(report, {}, at(1'300));
     CPPUNIT_ASSERT(Millis(600) == news.age(alone, at(1'300)));
     CPPUNIT_ASSERT(Millis(0) == news.age({1, 1, true}, at(60'000)));
   }
@@ -360,7 +360,7 @@
     FleetReport report = reportOf("a", 1);
     report.storeAge = Millis(0);
     report.settingsVersion = 4;
-    news.noteReport(report, at(200));
+    news.noteReport(report, {}, at(200));
     CPPUNIT_ASSERT(news.mayBeOld(own, at(300)));
     CPPUNIT_ASSERT(!news.mayBeOld({4, 10, false}, at(300)));
     // Its own watch may be a moment behind a peer's.
@@ -417,7 +417,7 @@
       StoreNews news(at(0));
       FleetReport report = reportOf("a", 1);
       report.storeAge = Millis(0);
-      if (row.reportedAt >= 0) news.noteReport(report, at(row.reportedAt));
+      if (row.reportedAt >= 0) news.noteReport(report, {}, at(row.reportedAt));
       CPPUNIT_ASSERT(row.mode == news.mode(row.follows, row.own, at(row.now)));
     }
   }
