A window's counts wait for daemons that run and are not heard

Cause: counts were taken 2.5 s after the end of a window, whoever was heard by then; the report is due after 10 s.

Change: while fewer daemons are heard than run, counts are taken as late as leaves a successor the lease, its margin and a second and a half to report: due - lease - 2.5 s, 4.5 s with the bounds of the sites. All heard: 2.5 s as before.

--- a/Hallchute/src/Duty/DutyKeeper.cpp
+++ b/Hallchute/src/Duty/DutyKeeper.cpp
@@ -17,6 +17,9 @@
 constexpr Millis kLeaseMargin{1'000};
 /// Between two tries at a call that failed.
 constexpr Millis kRetry{400};
+/// A successor takes the duties over, reads the record and sends a window's counts within this time
+/// after the lease, its margin included.
+constexpr Millis kTakeOver{2'500};
 /// Windows kept in the record: those that may still be due, and one more.
 constexpr std::int64_t kFixedKept = 4;
 
@@ -107,10 +110,17 @@
   return first;
 }
 
+/// How long after its end a window's counts are taken. Daemons that run and are not heard have more
+/// time, but a successor must still be able to report if this daemon ends.
+Millis DutyKeeper::settleTime(const DutyFacts& facts) const {
+  if (facts.heard.size() >= facts.known) return kSettle;
+  return std::max(kSettle, policy_.due - policy_.lease - kTakeOver);
+}
+
 /// Adds the counts of windows that ended long enough ago. \returns whether there were any.
 bool DutyKeeper::fixWindows(const DutyFacts& facts, DutyRecord& record) const {
   if (record.sentThrough == 0 && facts.usage.empty()) return false;
-  const std::int64_t last = (facts.wallClock - kSettle) / policy_.window - 1;
+  const std::int64_t last = (facts.wallClock - settleTime(facts)) / policy_.window - 1;
   bool added = false;
   for (std::int64_t window = firstWindow(facts); window <= last; ++window) {
     if (record.fixed.contains(window)) continue;
--- a/Hallchute/src/Duty/DutyKeeper.h
+++ b/Hallchute/src/Duty/DutyKeeper.h
@@ -66,6 +66,7 @@
   bool isFirst(const DutyFacts& facts) const;
   DutyStep nextAsHolder(const DutyFacts& facts);
   DutyStep nextAsOther(const DutyFacts& facts, Instant now);
+  Millis settleTime(const DutyFacts& facts) const;
   bool fixWindows(const DutyFacts& facts, DutyRecord& record) const;
   std::int64_t firstWindow(const DutyFacts& facts) const;
   DutyRecord taken(const DutyRecord& before) const;
