A request counts as a run only if its upstream's host has acknowledged it

What callers saw: usage told too high around the cut of a domain: of 1141 requests of a window 1048 had begun to run.

Cause: a request without an answer counted as a run once it had waited as long as an upstream takes to begin. One that is sent into a cut waits in the kernel's queue and is dropped by the reset that ends its connection: it ran nowhere.

Change: TcpChannel::acknowledged() asks the kernel (SIOCOUTQ) whether bytes are unacknowledged; a dispatch without an answer counts only if none are. Where the kernel doesn't tell, as before.

Evidence: TrafficContractTest::aRequestThatNeverArrivedIsNoRun without the change: expected 0, actual 1.

Ruled out: a longer wait before it counts, which counts runs too low where answers are lost after the upstream began.

--- a/Hallchute/src/Http/TcpChannel.cpp
+++ b/Hallchute/src/Http/TcpChannel.cpp
@@ -5,8 +5,10 @@
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -84,6 +86,12 @@
   if (fd_ >= 0 && !ended_) probeWhileIdle(socket_, idle);
 }
 
+bool TcpChannel::acknowledged() const {
+  if (fd_ < 0 || connecting_ || !out_.empty()) return false;
+  int unacknowledged = 0;
+  return ::ioctl(fd_, SIOCOUTQ, &unacknowledged) != 0 || unacknowledged == 0;
+}
+
 bool TcpChannel::quiet() const {
   if (ended_ || connecting_) return false;
   char byte = 0;
--- a/Hallchute/src/Http/TcpChannel.h
+++ b/Hallchute/src/Http/TcpChannel.h
@@ -70,6 +70,9 @@
   std::size_t unsent() const { return out_.size(); }
   /// \brief Bytes that the kernel has taken since the connection began.
   std::uint64_t sentBytes() const { return sentBytes_; }
+  /// \brief Whether the other side's kernel has acknowledged all bytes given to send(); true where
+  /// the kernel doesn't tell.
+  bool acknowledged() const;
   /// \brief Whether the other side has neither closed nor sent anything, by a look at the socket.
   bool quiet() const;
   /// \brief Ends the connection at once with a reset; no callback follows. Bytes that a cut holds
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -335,6 +335,8 @@
   if (result == DispatchResult::rejected || result == DispatchResult::unreachable) return;
   const bool stream = admission_.route->kind == WorkKind::stream;
   if (clockNow() - dispatchedAt_ < (stream ? kStreamBegins : kPlainBegins)) return;
+  // A cut holds the request up; the connection ends with a reset, which drops it.
+  if (channel_ != nullptr && !channel_->delivered()) return;
   if (std::exchange(runCounted_, true) || admission_.organisation == nullptr) return;
   engine_.noteRun(admission_.organisation->name);
 }
--- a/Hallchute/src/Upstream/UpstreamChannel.h
+++ b/Hallchute/src/Upstream/UpstreamChannel.h
@@ -47,6 +47,8 @@
   bool reusable() const;
   /// \brief Whether the kernel has heard nothing from the other side, not even its end.
   bool quiet() const { return channel_.quiet(); }
+  /// \brief Whether all of the request is known to have arrived at the upstream's host.
+  bool delivered() const { return channel_.acknowledged(); }
   /// \brief Called when the other side ends the connection, or sends something, between exchanges.
   std::function<void()> onIdleEnd;
   /// \brief How long the upstream says that it keeps an idle connection; zero if it doesn't say.
--- a/test/TcpChannelTest.cpp
+++ b/test/TcpChannelTest.cpp
@@ -40,6 +40,7 @@
   CPPUNIT_TEST_SUITE(TcpChannelTest);
   CPPUNIT_TEST(anAbortResetsEvenAfterTheOtherSideFinished);
   CPPUNIT_TEST(nothingIsSentWhereNobodyListens);
+  CPPUNIT_TEST(whatAPeerHasNoRoomForIsNotAcknowledged);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -86,7 +87,49 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, sent);
   }
 
+  /// The kernel takes bytes that the other side has no room for; only their acknowledgement tells
+  /// that they arrived.
+  void whatAPeerHasNoRoomForIsNotAcknowledged() {
+    Poco::Net::ServerSocket listener;
+    listener.bind(Poco::Net::SocketAddress("127.0.0.1", 0), true);
+    listener.setReceiveBufferSize(4'096);
+    listener.listen();
+    EventLoop loop;
+    Owner owner;
+    std::thread thread([&] { loop.run(); });
+    loop.call([&] {
+      owner.channel = std::make_unique<TcpChannel>(loop, listener.address().toString(), "127.0.0.1",
+                                                   kLimit, owner);
+      owner.channel->send("hello");
+    });
+    Poco::Net::StreamSocket peer = listener.acceptConnection();
+    const bool small = awaitAcknowledged(loop, owner);
+    bool full = true;
+    std::size_t unsent = 1;
+    loop.call([&] {
+      owner.channel->send(std::string(32'768, 'x'));
+      full = owner.channel->acknowledged();
+      unsent = owner.channel->unsent();
+    });
+    char buffer[4'096];
+    for (int got = 0; got < 32'773;) got += peer.receiveBytes(buffer, sizeof buffer);
+    const bool emptied = awaitAcknowledged(loop, owner);
+    stop(loop, thread, owner);
+    CPPUNIT_ASSERT(small);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, unsent);
+    CPPUNIT_ASSERT(!full);
+    CPPUNIT_ASSERT(emptied);
+  }
+
  private:
+  static bool awaitAcknowledged(EventLoop& loop, const Owner& owner) {
+    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    bool acknowledged = false;
+    while (!acknowledged && std::chrono::steady_clock::now() < limit) {
+      loop.call([&] { acknowledged = owner.channel->acknowledged(); });
+    }
+    return acknowledged;
+  }
   /// A channel whose end nobody tells would leave the test waiting for ever.
   static void awaitEnd(const Owner& owner) {
     const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(5);
--- a/test/TrafficContractTest.cpp
+++ b/test/TrafficContractTest.cpp
@@ -55,6 +55,7 @@
   CPPUNIT_TEST(hidesTheKeyAndSetsItsOwnFields);
   CPPUNIT_TEST(refusesByTable);
   CPPUNIT_TEST(callerLeavingStopsTheUpstream);
+  CPPUNIT_TEST(aRequestThatNeverArrivedIsNoRun);
   CPPUNIT_TEST(surplusAnswerIsNeverTakenForTheNext);
   CPPUNIT_TEST_SUITE_END();
 
@@ -327,6 +328,49 @@
     waitUntil([&] { return upstream.cancelled() == 1; });
   }
 
+  /// A request that is sent into a cut waits in the kernel's queue and is dropped with its
+  /// connection: nothing ran, however long its answer was waited for. Usage counted it as a run: of
+  /// 1141 requests told for a window around the cut of a domain 1048 had begun.
+  void aRequestThatNeverArrivedIsNoRun() {
+    struct Row {
+      const char* story;
+      bool upstreamReads;
+      std::uint64_t runs;
+    };
+    const std::vector<Row> rows{{"taken up and never answered", true, 1},
+                                {"held up on the way", false, 0}};
+    const std::string body(std::size_t{1} << 20U, 'x');
+    for (const Row& row : rows) {
+      ScriptedUpstream hangs({{"", Then::hang}});
+      Poco::Net::ServerSocket deaf;
+      deaf.bind(Poco::Net::SocketAddress("127.0.0.1", 0), true);
+      deaf.setReceiveBufferSize(4'096);
+      deaf.listen();
+      GatewayRig rig;
+      Route route = plainRoute(WorkKind::once);
+      route.timeLimit = Millis(300);
+      route.open = false;
+      GatewaySettings settings = settingsWith(route);
+      GatewayOrganisation organisation;
+      organisation.name = OrganisationName("org");
+      organisation.keys = {"key1"};
+      settings.organisations = {organisation};
+      rig.setSettings(settings);
+      rig.setUpstreams(
+          {upstreamAt("i-1", row.upstreamReads ? hangs.address() : deaf.address().toString())});
+      RawCaller caller(rig.address());
+      caller.send(requestText("POST", "Authorization: Bearer key1\r\n", body));
+      CPPUNIT_ASSERT_MESSAGE(row.story, caller.read("\r\n\r\n").starts_with("HTTP/1.1 504"));
+      std::uint64_t runs = 0;
+      rig.loop().call([&] {
+        for (const auto& [window, counts] : rig.engine().usage().counts()) {
+          for (const auto& [name, count] : counts) runs += count;
+        }
+      });
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.story, row.runs, runs);
+    }
+  }
+
   void surplusAnswerIsNeverTakenForTheNext() {
     const std::string late =
         whole(200, "late", "Hallchute-Attempt-Id: other\r\nHallchute-Replica-Signature: sig\r\n");
