--- a/Hallchute/src/Fleet/FleetView.h
+++ b/Hallchute/src/Fleet/FleetView.h
@@ -13,14 +13,16 @@
 #include <vector>
 
 #include "Hallchute/src/Core/Time.h"
+#include "Hallchute/src/Fleet/FleetPeer.h"
 #include "Hallchute/src/Fleet/FleetReport.h"
+#include "Hallchute/src/Fleet/FleetRoster.h"
 #include "Hallchute/src/Fleet/FleetUsage.h"
 #include "Hallchute/src/Gateway/QuotaFleet.h"
 
 namespace Hallchute {
 
 /// \brief What a report told that was not known before. \ingroup Fleet
-struct FleetNews {
+struct FleetUpdate {
   SpentQuota spentMore;
   std::vector<UpstreamIncarnation> draining;
   /// The sender was not heard of, or has restarted.
@@ -44,29 +46,25 @@
 /// pass over all daemons for the sums that they hold.
 class FleetView {
  public:
-  /// Above it, relays carry the reports: with twelve daemons the reports to all cost each about
-  /// half a hundredth of a processor, and the cost grows with the square.
-  static constexpr std::size_t kSmallFleet = 12;
-
   /// \param started when this daemon began: it needs a moment to meet the others.
   explicit FleetView(FleetMember self, Instant started = {})
-      : self_(std::move(self)), started_(started), usage_(self_) {}
+      : roster_(std::move(self), started), usage_(roster_.self()) {}
 
   /// \brief Addresses to report to until their daemons are known.
-  void addAddresses(std::span<const std::string> addresses);
-  FleetNews receive(const FleetReport& report, Instant now);
+  void addAddresses(std::span<const std::string> addresses) { roster_.addAddresses(addresses); }
+  FleetUpdate receive(const FleetReport& report, Instant now);
   /// \brief The reports to send now. \param own what this daemon tells of itself.
   std::vector<AddressedReport> compose(const FleetReport& own, Instant now);
   /// \brief Daemons that are heard of, directly or by a relay, this one included.
-  std::size_t heard(Instant now) const;
+  std::size_t heard(Instant now) const { return roster_.heard(now); }
   /// \brief Daemons that are likely to run, heard or not, this one included.
-  std::size_t known(Instant now) const;
+  std::size_t known(Instant now) const { return roster_.known(now); }
   /// \brief How many daemons the fleet had before this one began, as the store tells. While
   /// its daemons may still be unheard, the fleet is taken to have at least that many.
-  void noteEarlierSize(std::size_t daemons) { earlierSize_ = daemons; }
+  void noteEarlierSize(std::size_t daemons) { roster_.noteEarlierSize(daemons); }
   /// \brief What quotas are kept by: the part of the daemons that is heard, next to nothing while
   /// nothing tells of their number.
-  QuotaFleet quotaFleet(Instant now) const;
+  QuotaFleet quotaFleet(Instant now) const { return roster_.quotaFleet(now); }
   UpstreamLoads loadsElsewhere(Instant now) const;
   /// \brief Usage of all daemons and their earlier incarnations, without this one's own. What was
   /// counted doesn't age: the moment changes nothing.
@@ -74,43 +72,26 @@
   void forgetUsageBefore(std::int64_t firstWindow) { usage_.forgetBefore(firstWindow); }
   /// \brief Whether \p daemon was heard of lately, directly or by a relay; 0 if not, else its
   /// incarnation.
-  std::uint64_t heardIncarnation(const DaemonId& daemon, Instant now) const;
+  std::uint64_t heardIncarnation(const DaemonId& daemon, Instant now) const {
+    return roster_.heardIncarnation(daemon, now);
+  }
   /// \brief All daemons heard of lately with their incarnations, but this one.
-  std::map<DaemonId, std::uint64_t> heardOthers(Instant now) const;
+  std::map<DaemonId, std::uint64_t> heardOthers(Instant now) const {
+    return roster_.heardOthers(now);
+  }
   /// \brief Reports of daemons that were heard directly lately, by name.
-  std::vector<const FleetReport*> reports(Instant now) const;
-  bool isRelay(Instant now) const;
+  std::vector<const FleetReport*> reports(Instant now) const { return roster_.reports(now); }
+  bool isRelay(Instant now) const { return roster_.isRelay(now); }
   /// \brief The relay of the own failure domain, as far as is heard.
-  DaemonId ownRelay(Instant now) const { return relayOf(self_.domain, now); }
+  DaemonId ownRelay(Instant now) const { return roster_.relayOf(self().domain, now); }
   /// \brief How long what a daemon tells takes to reach all others.
-  Millis newsLag(Instant now) const;
+  Millis reportLag(Instant now) const { return roster_.reportLag(now); }
   /// \brief Whether the others count on this daemon's watching the store: everybody in a small
   /// fleet, the two strongest of each failure domain in a larger one.
-  bool followsStore(Instant now) const;
+  bool followsStore(Instant now) const { return roster_.followsStore(now); }
 
  private:
-  /// Shared by all who were sent the same: 59 copies of 295 members took a relay 40 MB.
-  using MemberList = std::shared_ptr<const std::vector<FleetMember>>;
-  struct Known {
-    /// The last report of its own; only `self` is set before the first.
-    FleetReport report;
-    /// When a report of its own came, and when a relay last told of it.
-    Instant reported{};
-    Instant told{};
-    /// When anything was learned of it, hearsay too.
-    Instant seen{};
-    /// What it spent by its own reports as a member, as counted in `spentByMembers_`.
-    SpentQuota spentAsMember;
-    /// When it was last sent a report with members, and which.
-    Instant membersSent{};
-    MemberList sentMembers;
-  };
-  /// Who carries reports, as daemons are heard at a moment.
-  struct Election {
-    Instant at{};
-    bool small = true;
-    std::map<DomainName, DaemonId> relays;
-  };
+  const FleetMember& self() const { return roster_.self(); }
   /// The reports of one period, before what differs by receiver.
   struct Round {
     bool small = true;
@@ -119,7 +100,7 @@
     /// one that was.
     bool tellsDomain = false;
     /// One list for all receivers in the own domain.
-    MemberList members;
+    FleetPeer::MemberList members;
     /// Told this time, if any; see FleetReport::incarnations.
     std::vector<IncarnationUsage> incarnations;
     /// Set with them: it learns what the relay knows of the own domain and tells what it knows, as
@@ -133,63 +114,40 @@
     FleetReport domain;
   };
 
-  static bool within(Instant then, Instant now, Millis limit) {
-    return then != Instant{} && now - then <= limit;
-  }
-  bool alive(const Known& known, Instant now) const;
-  const Election& election(Instant now) const;
-  bool isSmall(Instant now) const;
-  /// The daemons of a domain that are heard of, strongest first; \p most of them.
-  std::vector<DaemonId> strongestOf(const DomainName& domain, std::size_t most, Instant now) const;
-  /// The strongest daemon of a domain that is heard of; empty if none is.
-  DaemonId relayOf(const DomainName& domain, Instant now) const;
   /// Whether a report of \p sender counts for sums here, so that nothing counts twice.
   bool counts(const FleetReport& report, Instant now) const;
   void learnUsage(const FleetReport& report);
-  bool speaksForItself(const DaemonId& daemon, std::uint64_t incarnation, Instant now) const;
   std::vector<IncarnationUsage> incarnationsToTell(const Round& round, Instant now) const;
   IncarnationUsage ownUsage(const Round& round) const;
-  /// The one that is to follow on the own domain's relay.
-  DaemonId deputy(Instant now) const;
   bool tellsDomain(Instant now) const;
-  bool isAnother(const Known& known, const FleetMember& member, bool vouched, Instant now) const;
-  void learnMembers(ReportScope scope, std::span<const FleetMember> members, Instant now);
   std::set<std::string> targets(Instant now) const;
-  bool misled(const Known& known, Instant now) const;
+  bool misled(const FleetPeer& peer, Instant now) const;
   void addLostDomains(std::set<std::string>& wanted, Instant now) const;
   Round beginRound(const FleetReport& own, Instant now);
-  FleetReport reportFor(const Round& round, Known* target, Instant now) const;
+  FleetReport reportFor(const Round& round, FleetPeer* target, Instant now) const;
   static FleetReport reportToStranger(const Round& round);
-  FleetReport ownReport(const Round& round, Known& receiver, Instant now) const;
-  FleetReport domainReport(const Round& round, Known& receiver, Instant now) const;
-  FleetReport fleetReport(const Round& round, Known& receiver, Instant now) const;
-  static MemberList sameOrNew(const MemberList& before, std::vector<FleetMember> members);
-  void tellMembers(FleetReport& report, MemberList members, Known& target, Instant now) const;
+  FleetReport ownReport(const Round& round, FleetPeer& receiver, Instant now) const;
+  FleetReport domainReport(const Round& round, FleetPeer& receiver, Instant now) const;
+  FleetReport fleetReport(const Round& round, FleetPeer& receiver, Instant now) const;
+  static FleetPeer::MemberList sameOrNew(const FleetPeer::MemberList& before,
+                                         std::vector<FleetMember> members);
+  void tellMembers(FleetReport& report, FleetPeer::MemberList members, FleetPeer& target,
+                   Instant now) const;
   std::vector<FleetMember> membersToTell(const Round& round, Instant now) const;
   void addRelayOf(FleetReport& report, const FleetMember& receiver, Instant now) const;
   void addDomain(FleetReport& report, Instant now) const;
   void addFleet(FleetReport& report, Instant now) const;
-  void addSums(FleetReport& report, const Known& source) const;
-  void countSpent(Known& sender, ReportScope scope, const SpentQuota& more);
-
-  /// Whether the others are likely to be known.
-  bool hasMet(Instant now) const;
+  void addSums(FleetReport& report, const FleetPeer& source) const;
+  void countSpent(FleetPeer& sender, ReportScope scope, const SpentQuota& more);
 
-  FleetMember self_;
-  Instant started_;
-  std::map<DaemonId, Known> daemons_;
-  /// Found anew when it is old, or a report may have changed it.
-  mutable std::optional<Election> election_;
+  FleetRoster roster_;
   /// The list that receivers had most in common in the last period.
-  MemberList membersTold_;
+  FleetPeer::MemberList membersTold_;
   /// What this daemon heard of spending as a relay: by its domain's daemons, and by other domains.
   /// Both only rise, whoever is heard now: receivers take each rise of a relay's sums for spending,
   /// and a sum that fell with a lost domain would count as spent once more when it is back.
   SpentQuota spentByMembers_;
   SpentQuota spentByDomains_;
-  std::set<std::string> addresses_;
-  /// 0 if nothing tells.
-  std::size_t earlierSize_ = 0;
   FleetUsage usage_;
   /// When incarnations' usage was told last.
   Instant usageTold_{};
--- a/Hallchute/src/Gateway/QuotaFleet.h
+++ b/Hallchute/src/Gateway/QuotaFleet.h
@@ -26,7 +26,7 @@
   /// How long that takes yet at most.
   Millis meetingLeft{0};
   /// How long what one daemon spends takes to be known to all.
-  Millis newsLag{0};
+  Millis reportLag{0};
 };
 
 }  // namespace Hallchute
--- a/Hallchute/src/Gateway/QuotaLedger.cpp
+++ b/Hallchute/src/Gateway/QuotaLedger.cpp
@@ -92,7 +92,7 @@
   // stays behind what they are asked while quotas bind.
   const double byOwn = bucket.asked * static_cast<double>(fleet_.heard);
   const double byOthers = bucket.elsewhere * kAskedOverSpent;
-  const std::chrono::duration<double> lag = fleet_.heard > 1 ? fleet_.newsLag : Millis(0);
+  const std::chrono::duration<double> lag = fleet_.heard > 1 ? fleet_.reportLag : Millis(0);
   const double asked = std::min(byOwn, byOthers) * lag.count();
   const bool early = now - started_ < tolerance_.window;
   const double part = early ? kToleranceUsedAtStart : kToleranceUsed;
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -231,7 +231,7 @@
 
 void GatewayNode::takeReport(const FleetReport& report) {
   const Instant now = clockNow();
-  FleetNews news = fleet_.receive(report, now);
+  FleetUpdate news = fleet_.receive(report, now);
   copy_.noteReport(report, now);
   if (news.newIncarnation) {
     LogLine(LogLevel::info, "fleet.member")
--- a/test/FleetQuotaTest.cpp
+++ b/test/FleetQuotaTest.cpp
@@ -158,7 +158,7 @@
   }
   void deliver(const Sent& sent, int ms) {
     Host& host = *hosts_[sent.to];
-    const FleetNews news = host.view.receive(sent.report, at(ms));
+    const FleetUpdate news = host.view.receive(sent.report, at(ms));
     for (const auto& [name, amount] : news.spentMore) {
       host.ledger.noteSpentElsewhere(name, amount, at(ms));
     }
--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -73,7 +73,7 @@
     // A new life counts from nothing.
     report.self.incarnation = 2;
     report.spent[kOrg] = 5;
-    const FleetNews news = view.receive(report, at(5'400));
+    const FleetUpdate news = view.receive(report, at(5'400));
     CPPUNIT_ASSERT(news.newIncarnation);
     CPPUNIT_ASSERT_EQUAL(5.0, news.spentMore.at(kOrg));
   }
@@ -269,7 +269,7 @@
       }
       messages = sent.size();
       for (auto& [receiver, report] : sent) {
-        const FleetNews news = receiver->view.receive(report, at(ms));
+        const FleetUpdate news = receiver->view.receive(report, at(ms));
         const auto more = news.spentMore.find(kOrg);
         if (more != news.spentMore.end()) receiver->toldElsewhere += more->second;
       }
@@ -381,7 +381,7 @@
     // A word of the process before may come late.
     view.receive(after, at(300));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{9'000}, view.heardIncarnation(DaemonId("a"), at(400)));
-    const FleetNews news = view.receive(after, at(1'500));
+    const FleetUpdate news = view.receive(after, at(1'500));
     CPPUNIT_ASSERT(news.newIncarnation);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2'000}, view.heardIncarnation(DaemonId("a"), at(1'600)));
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, view.heard(at(1'600)));
