Peers that have just started are no sign of an outage

Cause: daemons that restart report the age of a store that they never heard of, 24 hours. Others took that for an outage, and the first fresh report for its end, and held entries for 2.2 s.

UpstreamCopyTest, row "peers have just started", fails without the change.

Why it works: an outage is only what a peer tells of a store that it did hear of.

--- a/Hallchute/src/Fleet/StoreNews.cpp
+++ b/Hallchute/src/Fleet/StoreNews.cpp
@@ -36,7 +36,8 @@
   const bool away = age(own, now) > kOldAfter;
   heard_ = std::max(heard_, now - report.storeAge);
   newestSettings_ = std::max(newestSettings_, report.settingsVersion);
-  if (report.storeAge > kOldAfter) toldAway_ = now;
+  // Peers that have just started know nothing of an outage.
+  if (report.storeAge > kOldAfter && report.storeAge < kNeverHeard) toldAway_ = now;
   // Without peers that said so, this daemon was out of reach and the store may have been there.
   return away && age(own, now) <= kOldAfter && now - toldAway_ <= kOldAfter;
 }
