A relay names the relays of all domains that it hears, so that those without seeds find each other

Cause: seeds name daemons of three domains. A relay named its own domain's daemons and, to each receiver, the receiver's relay, but no third one.

Ruled out: the split of a domain (one relay a domain on every daemon).

FleetDiscoveryTest fails without the change in its second row (one domain starts late) and all after it.

Why it works: what a relay hears directly it vouches for, and any one domain that both hear is enough.

--- a/Hallchute/src/Fleet/FleetView.cpp
+++ b/Hallchute/src/Fleet/FleetView.cpp
@@ -283,10 +283,10 @@
   return report;
 }
 
-/// What another domain is told: the own domain's sums, and who the receiver's relay is.
+/// What another domain is told: the own domain's sums, and who the other domains' relays are.
 FleetReport FleetView::domainReport(const Round& round, FleetPeer& receiver, Instant now) const {
   FleetReport report = round.domain;
-  addRelayOf(report, receiver.report.self, now);
+  addRelays(report, receiver.report.self, now);
   tellMembers(report, sameOrNew(receiver.sentMembers, std::move(report.members)), receiver, now);
   return report;
 }
@@ -310,14 +310,17 @@
   target.membersSent = now;
 }
 
-/// A daemon of a domain without seeds meets its own relay by those of other domains.
-void FleetView::addRelayOf(FleetReport& report, const FleetMember& receiver, Instant now) const {
-  const auto it = roster_.peers().find(roster_.relayOf(receiver.domain, now));
-  // What was only told of is not vouched for: two relays would keep a daemon alive that ended.
-  if (it == roster_.peers().end() ||
-      !FleetPeer::within(it->second.reported, now, FleetPeer::kHeardFor))
-    return;
-  if (it->first != receiver.daemon) report.members.push_back(it->second.report.self);
+/// The relays of all domains that this one hears: those of two domains without seeds find each
+/// other by a third one, and a daemon of such a domain its own relay.
+void FleetView::addRelays(FleetReport& report, const FleetMember& receiver, Instant now) const {
+  for (const auto& [daemon, peer] : roster_.peers()) {
+    const DomainName& domain = peer.report.self.domain;
+    if (domain == self().domain || daemon == receiver.daemon) continue;
+    // One that is only named by others isn't vouched for: two relays would keep a daemon alive that
+    // ended.
+    if (!FleetPeer::within(peer.reported, now, FleetPeer::kHeardFor)) continue;
+    if (roster_.relayOf(domain, now) == daemon) report.members.push_back(peer.report.self);
+  }
 }
 
 void FleetView::addSums(FleetReport& report, const FleetPeer& source) const {
--- a/Hallchute/src/Fleet/FleetView.h
+++ b/Hallchute/src/Fleet/FleetView.h
@@ -134,7 +134,7 @@
   void tellMembers(FleetReport& report, FleetPeer::MemberList members, FleetPeer& target,
                    Instant now) const;
   std::vector<FleetMember> membersToTell(const Round& round, Instant now) const;
-  void addRelayOf(FleetReport& report, const FleetMember& receiver, Instant now) const;
+  void addRelays(FleetReport& report, const FleetMember& receiver, Instant now) const;
   void addDomain(FleetReport& report, Instant now) const;
   void addFleet(FleetReport& report, Instant now) const;
   void addSums(FleetReport& report, const FleetPeer& source) const;
