An outage of the store is one that is long enough for entries to lapse

An entry lapses only after three heartbeats of silence.

Change: only a peer that says that the store answered nobody for 2.4 s tells of an outage. Strictly fewer entries are held than before. UpstreamCopyTest has a row for the pause.

--- a/Hallchute/src/Fleet/StoreNews.cpp
+++ b/Hallchute/src/Fleet/StoreNews.cpp
@@ -12,6 +12,9 @@
 
 /// News passes two relays, a report period each: older than this it isn't just on its way.
 constexpr Millis kOldAfter{1'000};
+/// The shortest outage in which an upstream's entry can lapse, by three of its heartbeats of 1.2 s
+/// of which one may have been due just before. Daemons that start pause for less.
+constexpr Millis kLapsesAfter{2'400};
 /// A daemon whose peers have heard nothing for so long asks the store itself. A new relay takes a
 /// heartbeat's silence and a list to be in contact; before that many calls would be for nothing.
 constexpr Millis kProbeAfter{2'500};
@@ -37,7 +40,7 @@
   heard_ = std::max(heard_, now - report.storeAge);
   newestSettings_ = std::max(newestSettings_, report.settingsVersion);
   // Peers that have just started know nothing of an outage.
-  if (report.storeAge > kOldAfter && report.storeAge < kNeverHeard) toldAway_ = now;
+  if (report.storeAge > kLapsesAfter && report.storeAge < kNeverHeard) toldAway_ = now;
   // Without peers that said so, this daemon was out of reach and the store may have been there.
   return away && age(own, now) <= kOldAfter && now - toldAway_ <= kOldAfter;
 }
--- a/test/UpstreamCopyTest.cpp
+++ b/test/UpstreamCopyTest.cpp
@@ -112,6 +112,7 @@
         {"peers were not answered", false, 3'000, Millis(2'900), 3'200, Millis(100), true},
         {"peers have just started", false, 3'000, kNeverHeard + Millis(80), 3'200, Millis(100),
          false},
+        {"peers pause after their start", false, 3'000, Millis(1'900), 3'200, Millis(100), false},
         {"peers are silent", false, 100, Millis(50), 3'200, Millis(100), false},
         {"peers say no more than before", false, 3'000, Millis(2'900), 3'200, Millis(3'100), false},
         {"it watches the store itself", true, 3'000, Millis(2'900), 3'200, Millis(100), false},
