Counts of windows under way go into the duties' record once a second

Cause: counts lived in the daemons' memories alone until a window was fixed, 2.5 s or more after its end.

Why this works: the holder writes what it counts of windows that are not fixed about once a second. A successor adds it to what it hears if nobody that is heard has known a holder, so that all of its counters are gone, and takes the higher of both otherwise: a survivor tells the same counts again. A daemon waits with the duties until it has met the others, as it can't tell before. A live holder doesn't read its own checkpoint back. A write whose answer is lost no longer makes the planner start over.

What stays lost is what the last second before the end counted.

--- a/Hallchute/src/Duty/DutyKeeper.cpp
+++ b/Hallchute/src/Duty/DutyKeeper.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Hallchute/src/Fleet/ReportSums.h"
+
 namespace Hallchute {
 namespace {
 
@@ -20,6 +22,8 @@
 /// A successor takes the duties over, reads the record and sends a window's counts within this time
 /// after the lease, its margin included.
 constexpr Millis kTakeOver{2'500};
+/// Between two writes of what is counted of windows under way: what is lost if all daemons end.
+constexpr Millis kCheckpointEvery{1'000};
 /// Windows kept in the record: those that may still be due, and one more.
 constexpr std::int64_t kFixedKept = 4;
 
@@ -59,20 +63,24 @@
   return now - seenSince_ >= policy_.lease + kLeaseMargin;
 }
 
-DutyRecord DutyKeeper::taken(const DutyRecord& before) const {
+DutyRecord DutyKeeper::taken(const DutyRecord& before) {
+  inherited_ = before.counted;
   DutyRecord record = before;
   record.holder = self_;
   record.holder.epoch = before.holder.epoch + 1;
+  // Nobody is left who counted them: they add to what is counted from now on.
+  if (allAreNew_) record.orphaned = record.counted;
   return record;
 }
 
 DutyStep DutyKeeper::next(const DutyFacts& facts, Instant now) {
   if (now < retryAt_) return DutySteps::Nothing{};
   if (holds_ && facts.named.epoch > holder().epoch) stepDown();
-  return holds_ ? nextAsHolder(facts) : nextAsOther(facts, now);
+  return holds_ ? nextAsHolder(facts, now) : nextAsOther(facts, now);
 }
 
 DutyStep DutyKeeper::nextAsOther(const DutyFacts& facts, Instant now) {
+  if (!facts.met) return DutySteps::Nothing{};
   // A holder that no longer knows whether it holds is waited for by all others.
   const bool namedSelf =
       facts.named.daemon == self_.daemon && facts.named.incarnation == self_.incarnation;
@@ -94,7 +102,11 @@
     pending_ = taken({});
     return DutySteps::Create{*pending_};
   }
-  if (!known_) return DutySteps::Read{};
+  if (!known_) {
+    // Whoever runs since before the last holder's end names it.
+    allAreNew_ = facts.named.epoch == 0 && facts.heard.size() >= facts.known;
+    return DutySteps::Read{};
+  }
   if (!mayTake(facts, now)) return DutySteps::Nothing{};
   pending_ = taken(known_->record);
   return DutySteps::Write{*pending_, known_->revision};
@@ -104,10 +116,24 @@
   const std::int64_t oldest = (facts.wallClock - policy_.due - policy_.window) / policy_.window;
   const DutyRecord& record = known_->record;
   std::int64_t first = std::max(oldest, record.sentThrough + 1);
-  if (record.sentThrough == 0 && !facts.usage.empty()) {
-    first = std::max(first, facts.usage.begin()->first);
-  }
-  return first;
+  if (record.sentThrough > 0) return first;
+  // Nothing was reported yet: windows before the deployment's first requests are left out.
+  const UsageByWindow counted = this->counted(facts);
+  const UsageByWindow& earliest = record.fixed.empty() ? counted : record.fixed;
+  return earliest.empty() ? first : std::max(first, earliest.begin()->first);
+}
+
+/// Counts of all windows that are not fixed, by the daemons' reports and by what the record held
+/// when this daemon took the duties.
+UsageByWindow DutyKeeper::counted(const DutyFacts& facts) const {
+  const DutyRecord& record = known_->record;
+  UsageByWindow counted = record.orphaned;
+  addUsage(counted, facts.usage);
+  raiseUsage(counted, inherited_);
+  std::erase_if(counted, [&](const auto& entry) {
+    return entry.first <= record.sentThrough || record.fixed.contains(entry.first);
+  });
+  return counted;
 }
 
 /// How long after its end a window's counts are taken. Daemons that run and are not heard have more
@@ -119,13 +145,15 @@
 
 /// Adds the counts of windows that ended long enough ago. \returns whether there were any.
 bool DutyKeeper::fixWindows(const DutyFacts& facts, DutyRecord& record) const {
-  if (record.sentThrough == 0 && facts.usage.empty()) return false;
+  const UsageByWindow counted = this->counted(facts);
+  if (record.sentThrough == 0 && counted.empty()) return false;
   const std::int64_t last = (facts.wallClock - settleTime(facts)) / policy_.window - 1;
   bool added = false;
   for (std::int64_t window = firstWindow(facts); window <= last; ++window) {
     if (record.fixed.contains(window)) continue;
-    const auto counts = facts.usage.find(window);
-    record.fixed[window] = counts == facts.usage.end() ? UsageCounts{} : counts->second;
+    const auto counts = counted.find(window);
+    record.fixed[window] = counts == counted.end() ? UsageCounts{} : counts->second;
+    record.orphaned.erase(window);
     added = true;
   }
   record.fixed.erase(record.fixed.begin(),
@@ -133,7 +161,7 @@
   return added;
 }
 
-DutyStep DutyKeeper::nextAsHolder(const DutyFacts& facts) {
+DutyStep DutyKeeper::nextAsHolder(const DutyFacts& facts, Instant now) {
   const DutyRecord& record = known_->record;
   const std::int64_t first = firstWindow(facts);
   for (const auto& [window, counts] : record.fixed) {
@@ -142,8 +170,17 @@
     return DutySteps::SendUsage{record.holder.epoch, window, counts};
   }
   DutyRecord more = record;
-  if (!fixWindows(facts, more)) return DutySteps::Nothing{};
-  more.daemons = facts.known;
+  const bool fixes = fixWindows(facts, more);
+  if (!fixes && now - checkpointed_ < kCheckpointEvery) return DutySteps::Nothing{};
+  more.counted = counted(facts);
+  std::erase_if(more.counted, [&](const auto& entry) {
+    return more.fixed.contains(entry.first) || entry.first < first;
+  });
+  if (!fixes && more.counted == record.counted) return DutySteps::Nothing{};
+  // A holder that has just started may know of few.
+  const bool settled = now - taken_ >= policy_.lease;
+  more.daemons = settled ? facts.known : std::max(record.daemons, facts.known);
+  checkpointed_ = now;
   pending_ = std::move(more);
   return DutySteps::Write{*pending_, known_->revision};
 }
@@ -168,6 +205,7 @@
         known_ = StoredDutyRecord{*pending, revision};
         seenSince_ = now;
         renewed_ = now;
+        if (!holds_) taken_ = now;
         holds_ = true;
         absent_ = false;
       } else if (sending && known_) {
--- a/Hallchute/src/Duty/DutyKeeper.h
+++ b/Hallchute/src/Duty/DutyKeeper.h
@@ -30,6 +30,12 @@
   DutyHolder named;
   /// Daemons that are likely to run, heard or not, this one included.
   std::size_t known = 1;
+  /// Whether this daemon has had the time to meet the others. Before, it takes itself for the first
+  /// of all and knows nothing of what they counted.
+  bool met = true;
+  /// Whether all daemons that are likely to run have told what they counted and what they know of
+  /// those that ended.
+  bool usageComplete = true;
   /// Usage of the whole fleet by window.
   UsageByWindow usage;
   /// Time since the start of 1970; only the windows' numbers come from it.
@@ -42,7 +48,9 @@
 /// The first daemon by name of those heard takes the duties when their holder has restarted or was
 /// never there, or when it is unheard and its record stayed as it is for more than a lease. Every
 /// take-over raises the epoch. The holder fixes a window's counts in the record before it sends
-/// them; a write that fails tells it that it holds nothing any more.
+/// them; a write that fails tells it that it holds nothing any more. Counts that are not complete
+/// are fixed as late as leaves time to report them. What is counted of windows under way goes into
+/// the record about once a second, for the case that all daemons end at once.
 class DutyKeeper {
  public:
   DutyKeeper(DutyPolicy policy, DaemonId self, std::uint64_t incarnation);
@@ -60,16 +68,19 @@
   /// \brief The write that renews the holder's record, before it acts on something else.
   DutyStep renewal() const;
   DutyHolder holder() const;
+  /// \brief This daemon, as it would hold them.
+  const DutyHolder& self() const { return self_; }
 
  private:
   bool mayTake(const DutyFacts& facts, Instant now) const;
   bool isFirst(const DutyFacts& facts) const;
-  DutyStep nextAsHolder(const DutyFacts& facts);
+  DutyStep nextAsHolder(const DutyFacts& facts, Instant now);
   DutyStep nextAsOther(const DutyFacts& facts, Instant now);
   Millis settleTime(const DutyFacts& facts) const;
+  UsageByWindow counted(const DutyFacts& facts) const;
   bool fixWindows(const DutyFacts& facts, DutyRecord& record) const;
   std::int64_t firstWindow(const DutyFacts& facts) const;
-  DutyRecord taken(const DutyRecord& before) const;
+  DutyRecord taken(const DutyRecord& before);
 
   DutyPolicy policy_;
   DutyHolder self_;
@@ -77,10 +88,18 @@
   /// When the record was first seen at its present revision.
   Instant seenSince_{};
   Instant renewed_{};
+  /// When this daemon took the duties.
+  Instant taken_{};
   /// What the last step would make of the record.
   std::optional<DutyRecord> pending_;
   std::optional<std::int64_t> sending_;
   Instant retryAt_{};
+  /// When the counts under way were last written.
+  Instant checkpointed_{};
+  /// What the holder before had written of windows under way.
+  UsageByWindow inherited_;
+  /// When the record was asked for, all daemons that were heard had started after its last holder.
+  bool allAreNew_ = false;
   bool absent_ = false;
   bool holds_ = false;
 };
--- a/Hallchute/src/Duty/DutyRecord.h
+++ b/Hallchute/src/Duty/DutyRecord.h
@@ -21,7 +21,13 @@
   UsageByWindow fixed;
   /// The last window whose report was acknowledged, and all before it; 0 if none was.
   std::int64_t sentThrough = 0;
-  /// Daemons that its writer knew when it fixed counts last: those that start later learn from it
+  /// Counts of windows that are not fixed yet, as the holder knew them when it wrote last: all that
+  /// is left of them if every daemon ends.
+  UsageByWindow counted{};
+  /// The part of `counted` that is known from the record alone, as all daemons that counted it have
+  /// ended.
+  UsageByWindow orphaned{};
+  /// Daemons that its writer knew when it wrote counts last: those that start later learn from it
   /// how many share the quotas. 0 if none did yet.
   std::size_t daemons = 0;
 };
--- a/Hallchute/src/Fleet/FleetRoster.h
+++ b/Hallchute/src/Fleet/FleetRoster.h
@@ -58,6 +58,8 @@
 
   std::size_t heard(Instant now) const;
   std::size_t known(Instant now) const;
+  /// \brief Whether the others are likely to be known.
+  bool hasMet(Instant now) const;
   QuotaFleet quotaFleet(Instant now) const;
   std::uint64_t heardIncarnation(const DaemonId& daemon, Instant now) const;
   std::map<DaemonId, std::uint64_t> heardOthers(Instant now) const;
@@ -79,8 +81,6 @@
   /// The daemons of a domain that are heard of, strongest first; \p most of them.
   std::vector<DaemonId> strongestOf(const DomainName& domain, std::size_t most, Instant now) const;
   bool isAnother(const FleetPeer& peer, const FleetMember& member, bool vouched, Instant now) const;
-  /// Whether the others are likely to be known.
-  bool hasMet(Instant now) const;
 
   FleetMember self_;
   Instant started_;
--- a/Hallchute/src/Fleet/FleetView.cpp
+++ b/Hallchute/src/Fleet/FleetView.cpp
@@ -194,7 +194,19 @@
   }
 }
 
+void FleetView::noteWhoIsHeard(Instant now) {
+  const bool all = roster_.hasMet(now) && roster_.heard(now) >= roster_.known(now);
+  if (!all) hearsAllSince_.reset();
+  if (all && !hearsAllSince_) hearsAllSince_ = now;
+}
+
+bool FleetView::usageComplete(Instant now) const {
+  const Millis toTell = kUsageEvery + 2 * roster_.reportLag(now);
+  return hearsAllSince_ && now - *hearsAllSince_ >= toTell;
+}
+
 std::vector<AddressedReport> FleetView::compose(const FleetReport& own, Instant now) {
+  noteWhoIsHeard(now);
   std::map<std::string, FleetPeer*> byAddress;
   for (auto& [daemon, peer] : roster_.peers()) byAddress[peer.report.self.address] = &peer;
   const Round round = beginRound(own, now);
--- a/Hallchute/src/Fleet/FleetView.h
+++ b/Hallchute/src/Fleet/FleetView.h
@@ -59,6 +59,11 @@
   std::size_t heard(Instant now) const { return roster_.heard(now); }
   /// \brief Daemons that are likely to run, heard or not, this one included.
   std::size_t known(Instant now) const { return roster_.known(now); }
+  /// \brief Whether this daemon has had the time to meet the others since its start.
+  bool hasMet(Instant now) const { return roster_.hasMet(now); }
+  /// \brief Whether all daemons that are likely to run have been heard for as long as it takes them
+  /// to tell what they know of those that ended.
+  bool usageComplete(Instant now) const;
   /// \brief How many daemons the fleet had before this one began, as the store tells. While
   /// its daemons may still be unheard, the fleet is taken to have at least that many.
   void noteEarlierSize(std::size_t daemons) { roster_.noteEarlierSize(daemons); }
@@ -123,6 +128,7 @@
   std::set<std::string> targets(Instant now) const;
   bool misled(const FleetPeer& peer, Instant now) const;
   void addLostDomains(std::set<std::string>& wanted, Instant now) const;
+  void noteWhoIsHeard(Instant now);
   Round beginRound(const FleetReport& own, Instant now);
   FleetReport reportFor(const Round& round, FleetPeer* target, Instant now) const;
   static FleetReport reportToStranger(const Round& round);
@@ -149,6 +155,8 @@
   SpentQuota spentByMembers_;
   SpentQuota spentByDomains_;
   FleetUsage usage_;
+  /// Since when all that are likely to run are heard.
+  std::optional<Instant> hearsAllSince_;
   /// When incarnations' usage was told last.
   Instant usageTold_{};
   /// When this daemon was a relay last.
--- a/Hallchute/src/Node/DutyRunner.cpp
+++ b/Hallchute/src/Node/DutyRunner.cpp
@@ -81,10 +81,14 @@
   const bool holds = keeper_.holds();
   if (holds != held_) {
     held_ = holds;
-    planner_.startOver(keeper_.holder().epoch > kFirstEpoch);
     LogLine(LogLevel::info, holds ? "duty.taken" : "duty.left")
         .with("epoch", keeper_.holder().epoch);
   }
+  // A holder that lost a write's answer and found it done goes on with what it ordered.
+  if (holds && heldEpoch_ != keeper_.holder().epoch) {
+    heldEpoch_ = keeper_.holder().epoch;
+    planner_.startOver(heldEpoch_ > kFirstEpoch);
+  }
   const std::lock_guard lock(mutex_);
   const DutyHolder known = keeper_.holder();
   if (known.epoch >= holder_.epoch) holder_ = known;
@@ -168,7 +172,7 @@
   if (!lastReported_) return;
   const auto counts = facts.usage.find(lastReported_->window);
   const std::uint64_t known = counts == facts.usage.end() ? 0 : sumOf(counts->second);
-  if (known == lastReported_->requests) return;
+  if (known <= lastReported_->requests) return;
   LogLine(LogLevel::info, "duty.usageChanged")
       .with("window", lastReported_->window)
       .with("reported", lastReported_->requests)
--- a/Hallchute/src/Node/DutyRunner.h
+++ b/Hallchute/src/Node/DutyRunner.h
@@ -93,6 +93,8 @@
   std::map<ServiceName, std::uint32_t> loggedNeeds_;
   std::optional<ReportedWindow> lastReported_;
   bool held_ = false;
+  /// The last epoch under which this daemon held the duties.
+  std::uint64_t heldEpoch_ = 0;
   mutable std::mutex mutex_;
   DutyHolder holder_;
   std::atomic<bool> stopping_{false};
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -130,6 +130,8 @@
     DutyFacts& facts = input.facts;
     facts.wallClock = Millis(wallClockMs());
     facts.known = fleet_.known(now);
+    facts.met = fleet_.hasMet(now);
+    facts.usageComplete = fleet_.usageComplete(now);
     facts.usage = fleet_.usageElsewhere(now);
     addUsage(facts.usage, local_.usage);
     facts.heard = fleet_.heardOthers(now);
--- /dev/null
+++ b/test/DutyWindowsTest.cpp
@@ -0,0 +1,57 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+#include "DutyFleet.h"
+
+namespace {
+
+using namespace Hallchute;
+
+constexpr int kDaemons = 7;
+constexpr int kDomains = 3;
+constexpr int kLength = 45'000;
+/// Failures begin at all moments of a window, this far apart.
+constexpr int kMoment = 250;
+/// The windows before are those of the fleet's start.
+constexpr int kFirstFailure = 20'000;
+
+class DutyWindowsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DutyWindowsTest);
+  CPPUNIT_TEST(whatWasCountedBeforeAllDaemonsEndedIsReported);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  /// All daemons ended a second after a window's end, and it was reported as 0. What the last
+  /// second before the end counted is lost: a window of five that ends within it may be off.
+  void whatWasCountedBeforeAllDaemonsEndedIsReported() {
+    std::string wrong;
+    for (const int down : {800, 3'000}) {
+      for (int moment = 0; moment < DutyFleet::kWindow; moment += kMoment) {
+        DutyFleet fleet(kDaemons, kDomains);
+        const int from = kFirstFailure + moment;
+        fleet.powerOffAll(from, from + down);
+        fleet.run(kLength);
+        // Daemons, and so counts, of the window in which they ended.
+        const int killed = from / DutyFleet::kWindow;
+        const std::string story = "off at " + std::to_string(from) + " for " + std::to_string(down);
+        const int lost = fleet.uncounted(killed);
+        const int most = kDaemons * DutyFleet::kRunsPerSecond * 3 / 2;
+        if (lost < 0 || lost > most) wrong += story + ": " + std::to_string(lost) + " uncounted\n";
+        if (moment >= 1'500) {
+          const int before = fleet.uncounted(killed - 1);
+          if (before != 0) wrong += story + ": window before " + std::to_string(before) + "\n";
+        }
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(story, 0, fleet.contradictions());
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), wrong);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DutyWindowsTest);
+
+}  // namespace
