A window's counts wait until the daemons that are heard have told all they know

`DutyKeeper` compared the daemons heard with those known, and one that starts knows of nobody; nor do reports of a first moment hold what peers know of daemons that ended, which is told once a second. And with daemons unheard counts were fixed 4.5 s after the end, so that a successor could still report if this holder ended: a certain error was taken for one that is rare.

Evidence: `aHolderThatStartsAgainReportsWhatItsPeersKnow` and `aWindowWaitsForACutThatEndsBeforeItsReportIsDue` (new, virtual time, failures at 20 and 25 moments).

Why this works: counts are complete once all daemons that are likely to run have been heard for as long as they take to tell what they know (`FleetView::usageComplete`). Complete ones are fixed after 2.5 s as before, others 3.25 s before the report is due. What a holder that ends in that time has counted stands in the record.

--- a/Hallchute/src/Duty/DutyKeeper.cpp
+++ b/Hallchute/src/Duty/DutyKeeper.cpp
@@ -19,9 +19,9 @@
 constexpr Millis kLeaseMargin{1'000};
 /// Between two tries at a call that failed.
 constexpr Millis kRetry{400};
-/// A successor takes the duties over, reads the record and sends a window's counts within this time
-/// after the lease, its margin included.
-constexpr Millis kTakeOver{2'500};
+/// Left until a report is due when incomplete counts are fixed: a turn, the write and the call, each
+/// of which may time out once and be tried again.
+constexpr Millis kReportTime{3'250};
 /// Between two writes of what is counted of windows under way: what is lost if all daemons end.
 constexpr Millis kCheckpointEvery{1'000};
 /// Windows kept in the record: those that may still be due, and one more.
@@ -136,11 +136,11 @@
   return counted;
 }
 
-/// How long after its end a window's counts are taken. Daemons that run and are not heard have more
-/// time, but a successor must still be able to report if this daemon ends.
+/// How long after its end a window's counts are taken. Counts without daemons that run and are not
+/// heard are certain to be wrong; that this daemon ends in the time left to them is not.
 Millis DutyKeeper::settleTime(const DutyFacts& facts) const {
-  if (facts.heard.size() >= facts.known) return kSettle;
-  return std::max(kSettle, policy_.due - policy_.lease - kTakeOver);
+  const bool complete = facts.usageComplete && facts.heard.size() >= facts.known;
+  return complete ? kSettle : std::max(kSettle, policy_.due - kReportTime);
 }
 
 /// Adds the counts of windows that ended long enough ago. \returns whether there were any.
--- a/test/DutyWindowsTest.cpp
+++ b/test/DutyWindowsTest.cpp
@@ -21,6 +21,8 @@
 
 class DutyWindowsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DutyWindowsTest);
+  CPPUNIT_TEST(aHolderThatStartsAgainReportsWhatItsPeersKnow);
+  CPPUNIT_TEST(aWindowWaitsForACutThatEndsBeforeItsReportIsDue);
   CPPUNIT_TEST(whatWasCountedBeforeAllDaemonsEndedIsReported);
   CPPUNIT_TEST_SUITE_END();
 
@@ -50,6 +52,37 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::string(), wrong);
   }
+
+  /// A holder that had just started reported windows as 0 that all of its peers had counted.
+  void aHolderThatStartsAgainReportsWhatItsPeersKnow() {
+    std::string wrong;
+    for (const int down : {1'000, 4'000}) {
+      for (int moment = 0; moment < DutyFleet::kWindow; moment += kMoment) {
+        DutyFleet fleet(kDaemons, kDomains);
+        const int from = kFirstFailure + moment;
+        fleet.powerOffHolder(from, from + down);
+        fleet.run(kLength);
+        const std::string story = "off at " + std::to_string(from) + " for " + std::to_string(down);
+        if (!fleet.wrongWindows().empty()) wrong += story + ":" + fleet.wrongWindows() + "\n";
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(story, 0, fleet.contradictions());
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), wrong);
+  }
+
+  /// A domain that was cut off had told its counts too late, though the report was not due yet.
+  void aWindowWaitsForACutThatEndsBeforeItsReportIsDue() {
+    std::string wrong;
+    for (int afterWindow = 0; afterWindow <= 6'000; afterWindow += kMoment) {
+      DutyFleet fleet(kDaemons, kDomains);
+      fleet.cut(1, kFirstFailure + 3'000, kFirstFailure + DutyFleet::kWindow + afterWindow);
+      fleet.run(kLength);
+      const std::string story = "cut healed after " + std::to_string(afterWindow);
+      if (!fleet.wrongWindows().empty()) wrong += story + ":" + fleet.wrongWindows() + "\n";
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(story, 0, fleet.contradictions());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), wrong);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DutyWindowsTest);
