A holder that is stopped hands the duties over

Cause: a holder that leaves forgot the duties and its record still named it.

Why this works: it writes a record without a holder, under the same revision check as any write, with what it counted; the epoch stays, so that the successor's is higher. The successor reads again once a second while it waits, as it may have read the record just before.

--- a/Hallchute/src/Duty/DutyKeeper.cpp
+++ b/Hallchute/src/Duty/DutyKeeper.cpp
@@ -19,11 +19,14 @@
 constexpr Millis kLeaseMargin{1'000};
 /// Between two tries at a call that failed.
 constexpr Millis kRetry{400};
-/// Left until a report is due when incomplete counts are fixed: a turn, the write and the call, each
-/// of which may time out once and be tried again.
+/// Left until a report is due when incomplete counts are fixed: a turn, the write and the call,
+/// each of which may time out once and be tried again.
 constexpr Millis kReportTime{3'250};
 /// Between two writes of what is counted of windows under way: what is lost if all daemons end.
 constexpr Millis kCheckpointEvery{1'000};
+/// How often a daemon that waits for a holder's lease to end reads the record again: the holder may
+/// have given it up.
+constexpr Millis kReadEvery{1'000};
 /// Windows kept in the record: those that may still be due, and one more.
 constexpr std::int64_t kFixedKept = 4;
 
@@ -44,6 +47,13 @@
   return DutySteps::Write{known_->record, known_->revision};
 }
 
+DutyStep DutyKeeper::release(const DutyFacts& facts) const {
+  DutyRecord record = known_->record;
+  record.counted = unfixed(facts, record);
+  record.holder = DutyHolder{{}, 0, record.holder.epoch};
+  return DutySteps::Write{std::move(record), known_->revision};
+}
+
 void DutyKeeper::stepDown() {
   holds_ = false;
   known_.reset();
@@ -57,6 +67,7 @@
 
 bool DutyKeeper::mayTake(const DutyFacts& facts, Instant now) const {
   const DutyHolder& holder = known_->record.holder;
+  if (holder.daemon.empty()) return true;
   const auto heard = facts.heard.find(holder.daemon);
   // A later incarnation means that the one that held them is no more.
   if (heard != facts.heard.end()) return heard->second != holder.incarnation;
@@ -107,7 +118,10 @@
     allAreNew_ = facts.named.epoch == 0 && facts.heard.size() >= facts.known;
     return DutySteps::Read{};
   }
-  if (!mayTake(facts, now)) return DutySteps::Nothing{};
+  if (!mayTake(facts, now)) {
+    if (now - readAt_ < kReadEvery) return DutySteps::Nothing{};
+    return DutySteps::Read{};
+  }
   pending_ = taken(known_->record);
   return DutySteps::Write{*pending_, known_->revision};
 }
@@ -143,6 +157,16 @@
   return complete ? kSettle : std::max(kSettle, policy_.due - kReportTime);
 }
 
+/// What a record holds of windows that it doesn't hold as fixed.
+UsageByWindow DutyKeeper::unfixed(const DutyFacts& facts, const DutyRecord& record) const {
+  UsageByWindow counted = this->counted(facts);
+  const std::int64_t first = firstWindow(facts);
+  std::erase_if(counted, [&](const auto& entry) {
+    return record.fixed.contains(entry.first) || entry.first < first;
+  });
+  return counted;
+}
+
 /// Adds the counts of windows that ended long enough ago. \returns whether there were any.
 bool DutyKeeper::fixWindows(const DutyFacts& facts, DutyRecord& record) const {
   const UsageByWindow counted = this->counted(facts);
@@ -172,10 +196,7 @@
   DutyRecord more = record;
   const bool fixes = fixWindows(facts, more);
   if (!fixes && now - checkpointed_ < kCheckpointEvery) return DutySteps::Nothing{};
-  more.counted = counted(facts);
-  std::erase_if(more.counted, [&](const auto& entry) {
-    return more.fixed.contains(entry.first) || entry.first < first;
-  });
+  more.counted = unfixed(facts, more);
   if (!fixes && more.counted == record.counted) return DutySteps::Nothing{};
   // A holder that has just started may know of few.
   const bool settled = now - taken_ >= policy_.lease;
@@ -187,6 +208,7 @@
 
 void DutyKeeper::noteRead(const StoredDutyRecord& stored, Instant now) {
   absent_ = false;
+  readAt_ = now;
   const bool changed = !known_ || known_->revision != stored.revision;
   known_ = stored;
   if (changed) seenSince_ = now;
--- a/Hallchute/src/Duty/DutyKeeper.h
+++ b/Hallchute/src/Duty/DutyKeeper.h
@@ -45,12 +45,12 @@
 /// \brief Decides who holds the duties and what the holder does next. No I/O, no clock.
 /// \ingroup Duty
 ///
-/// The first daemon by name of those heard takes the duties when their holder has restarted or was
-/// never there, or when it is unheard and its record stayed as it is for more than a lease. Every
-/// take-over raises the epoch. The holder fixes a window's counts in the record before it sends
-/// them; a write that fails tells it that it holds nothing any more. Counts that are not complete
-/// are fixed as late as leaves time to report them. What is counted of windows under way goes into
-/// the record about once a second, for the case that all daemons end at once.
+/// The first daemon by name of those heard takes the duties when their holder has restarted, gave
+/// them up or was never there, or when it is unheard and its record stayed as it is for more than a
+/// lease. Every take-over raises the epoch. The holder fixes a window's counts in the record before
+/// it sends them; a write that fails tells it that it holds nothing any more. Counts that are not
+/// complete are fixed as late as leaves time to report them. What is counted of windows under way
+/// goes into the record about once a second, for the case that all daemons end at once.
 class DutyKeeper {
  public:
   DutyKeeper(DutyPolicy policy, DaemonId self, std::uint64_t incarnation);
@@ -67,6 +67,9 @@
   bool renewedWithin(Millis time, Instant now) const;
   /// \brief The write that renews the holder's record, before it acts on something else.
   DutyStep renewal() const;
+  /// \brief The write by which the holder gives the duties up before it ends: a successor need not
+  /// wait for its lease.
+  DutyStep release(const DutyFacts& facts) const;
   DutyHolder holder() const;
   /// \brief This daemon, as it would hold them.
   const DutyHolder& self() const { return self_; }
@@ -78,6 +81,7 @@
   DutyStep nextAsOther(const DutyFacts& facts, Instant now);
   Millis settleTime(const DutyFacts& facts) const;
   UsageByWindow counted(const DutyFacts& facts) const;
+  UsageByWindow unfixed(const DutyFacts& facts, const DutyRecord& record) const;
   bool fixWindows(const DutyFacts& facts, DutyRecord& record) const;
   std::int64_t firstWindow(const DutyFacts& facts) const;
   DutyRecord taken(const DutyRecord& before);
@@ -90,6 +94,8 @@
   Instant renewed_{};
   /// When this daemon took the duties.
   Instant taken_{};
+  /// When the record was read last.
+  Instant readAt_{};
   /// What the last step would make of the record.
   std::optional<DutyRecord> pending_;
   std::optional<std::int64_t> sending_;
--- a/Hallchute/src/Node/DutyRunner.cpp
+++ b/Hallchute/src/Node/DutyRunner.cpp
@@ -117,7 +117,7 @@
 void DutyRunner::turn() {
   const DutyInput input = callbacks_.input();
   if (input.leaving) {
-    if (keeper_.holds()) keeper_.stepDown();
+    if (keeper_.holds()) release(input.facts);
     noteHolder();
     return;
   }
@@ -126,6 +126,18 @@
   noteHolder();
 }
 
+void DutyRunner::release(const DutyFacts& facts) {
+  const auto write = std::get<DutySteps::Write>(keeper_.release(facts));
+  const absl::StatusOr<std::uint64_t> revision = port_.write(write.record, write.revision);
+  LogLine(LogLevel::info, "duty.released")
+      .with("epoch", write.record.holder.epoch)
+      .with("ok", revision.ok())
+      .with("detail", messageOf(revision.status()));
+  // The next turn tries again.
+  if (absl::IsUnavailable(revision.status())) return;
+  keeper_.stepDown();
+}
+
 void DutyRunner::perform(const DutySteps::Nothing&, const DutyInput& input) {
   if (keeper_.holds() && options_.ordersReplicas) orderReplicas(input);
 }
--- a/Hallchute/src/Node/DutyRunner.h
+++ b/Hallchute/src/Node/DutyRunner.h
@@ -70,6 +70,7 @@
 
   void run();
   void turn();
+  void release(const DutyFacts& facts);
   /// \returns whether the store answered.
   bool readEarlierSize();
   void perform(const DutySteps::Nothing& step, const DutyInput& input);
--- a/test/DutyFleet.cpp
+++ b/test/DutyFleet.cpp
@@ -19,6 +19,8 @@
 constexpr int kReportPeriod = 200;
 constexpr int kDutyTurn = 250;
 constexpr int kOnTheWay = 10;
+/// Between the end of a daemon that was stopped as planned and its next start.
+constexpr int kRestart = 500;
 /// The wall clock at the start of a run, on a boundary of windows.
 constexpr std::int64_t kWallStart = 1'000'000'000;
 
@@ -91,10 +93,31 @@
   }
 }
 
+void DutyFleet::leave(int ms) {
+  for (const Outage& stop : stops_) {
+    if (stop.from != ms) continue;
+    for (Host& host : hosts_) {
+      if (isHolder(host)) host.endsAt = stop.to;
+    }
+  }
+  for (Host& host : hosts_) {
+    if (host.endsAt != ms || ms == 0) continue;
+    host.view.reset();
+    host.keeper.reset();
+    host.endsAt = 0;
+    host.backAt = ms + kRestart;
+  }
+}
+
 void DutyFleet::run(int untilMs) {
   for (now_ = 0; now_ < untilMs; now_ += kStep) {
     fail(now_);
+    leave(now_);
     for (std::size_t i = 0; i < hosts_.size(); ++i) turn(i, now_);
+    const bool held = std::any_of(hosts_.begin(), hosts_.end(), [](const Host& host) {
+      return host.keeper != nullptr && host.keeper->holds();
+    });
+    if (!held && stored_) unheld_ += kStep;
     while (!sent_.empty() && sent_.front().ms + kOnTheWay <= now_) {
       deliver(sent_.front(), now_);
       sent_.pop_front();
@@ -131,6 +154,7 @@
   FleetReport own;
   own.wallClock = wallClock(index, ms);
   own.usage = host.usage;
+  own.leaving = host.endsAt != 0;
   own.duties = facts(host, ms).named;
   for (AddressedReport& report : host.view->compose(own, at(ms))) {
     sent_.push_back({ms, index, byAddress_.at(report.address), std::move(report.report)});
@@ -148,7 +172,7 @@
   const FleetView& view = *host.view;
   DutyFacts facts;
   facts.heard = view.heardOthers(now);
-  facts.heard[DaemonId(host.name)] = host.keeper->self().incarnation;
+  if (host.endsAt == 0) facts.heard[DaemonId(host.name)] = host.keeper->self().incarnation;
   facts.known = view.known(now);
   facts.met = view.hasMet(now);
   facts.usageComplete = view.usageComplete(now);
@@ -164,10 +188,20 @@
 }
 
 void DutyFleet::keep(Host& host, int ms) {
+  if (host.endsAt != 0) {
+    if (host.keeper->holds()) release(host, ms);
+    return;
+  }
   const DutyStep step = host.keeper->next(facts(host, ms), at(ms));
   std::visit([&](const auto& s) { perform(host, s, ms); }, step);
 }
 
+void DutyFleet::release(Host& host, int ms) {
+  const auto write = std::get<DutySteps::Write>(host.keeper->release(facts(host, ms)));
+  put(host, write.record, write.revision, ms);
+  host.keeper->stepDown();
+}
+
 void DutyFleet::perform(Host&, const DutySteps::Nothing&, int) {}
 
 void DutyFleet::perform(Host& host, const DutySteps::Read&, int ms) {
--- a/test/DutyFleet.h
+++ b/test/DutyFleet.h
@@ -35,6 +35,8 @@
   void powerOff(int host, int from, int to) { outages_.push_back({host, from, to}); }
   /// \brief The holder of the duties at \p from loses power until \p to.
   void powerOffHolder(int from, int to) { outages_.push_back({kHolder, from, to}); }
+  /// \brief The holder of the duties at \p from is stopped as planned: it serves until \p to.
+  void stopHolder(int from, int to) { stops_.push_back({kHolder, from, to}); }
   void powerOffAll(int from, int to);
   /// \brief Domain \p domain hears no other domain, nor they it.
   void cut(int domain, int from, int to) { cuts_.push_back({domain, from, to}); }
@@ -51,6 +53,8 @@
   int uncounted(int window) const;
   /// \brief Reports of a window with other counts than the first one.
   int contradictions() const { return contradictions_; }
+  /// \brief How long nobody could hold the duties, in ms, but for the fleet's start.
+  int unheld() const { return unheld_; }
   /// \brief How often the duties changed hands.
   std::uint64_t epoch() const { return stored_ ? stored_->record.holder.epoch : 0; }
   int storeCalls() const { return storeCalls_; }
@@ -80,6 +84,8 @@
     std::unique_ptr<DutyKeeper> keeper;
     UsageByWindow usage;
     int backAt = 0;
+    /// When it ends, while it is leaving.
+    int endsAt = 0;
   };
   struct Sent {
     int ms = 0;
@@ -95,12 +101,14 @@
   static Instant at(int ms);
   void start(std::size_t index, int ms);
   void fail(int ms);
+  void leave(int ms);
   void turn(std::size_t index, int ms);
   void serve(Host& host, int ms);
   void report(std::size_t index, int ms);
   void deliver(const Sent& sent, int ms);
   DutyFacts facts(const Host& host, int ms) const;
   void keep(Host& host, int ms);
+  void release(Host& host, int ms);
   void perform(Host& host, const DutySteps::Nothing& step, int ms);
   void perform(Host& host, const DutySteps::Read& step, int ms);
   void perform(Host& host, const DutySteps::Create& step, int ms);
@@ -115,6 +123,7 @@
   std::vector<Host> hosts_;
   std::map<std::string, std::size_t> byAddress_;
   std::vector<Outage> outages_;
+  std::vector<Outage> stops_;
   std::vector<Cut> cuts_;
   std::vector<Step> steps_;
   std::deque<Sent> sent_;
@@ -124,6 +133,7 @@
   std::map<std::int64_t, Report> reports_;
   int contradictions_ = 0;
   int storeCalls_ = 0;
+  int unheld_ = 0;
   int now_ = 0;
 };
 
--- a/test/DutyWindowsTest.cpp
+++ b/test/DutyWindowsTest.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(aWindowWaitsForACutThatEndsBeforeItsReportIsDue);
   CPPUNIT_TEST(whatWasCountedBeforeAllDaemonsEndedIsReported);
   CPPUNIT_TEST(clocksThatAreSetMoveNoRequestsBetweenWindows);
+  CPPUNIT_TEST(aHolderThatIsStoppedHandsTheDutiesOver);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -86,6 +87,21 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), wrong);
   }
 
+  /// After each planned stop of the holder nobody ordered replicas or reported for the 5.5 s until
+  /// its lease was taken for ended.
+  void aHolderThatIsStoppedHandsTheDutiesOver() {
+    for (int moment = 0; moment < DutyFleet::kWindow; moment += kMoment) {
+      DutyFleet fleet(kDaemons, kDomains);
+      const int from = kFirstFailure + moment;
+      fleet.stopHolder(from, from + 3'000);
+      fleet.run(kLength);
+      const std::string story = "stopped at " + std::to_string(from);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(story, std::string(), fleet.wrongWindows());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(story, std::uint64_t{2}, fleet.epoch());
+      CPPUNIT_ASSERT_MESSAGE(story + std::to_string(fleet.unheld()), fleet.unheld() <= 2'000);
+    }
+  }
+
   /// A third of the daemons' clocks were set back for six seconds: 1160 requests of 921 were
   /// reported, and 634 in the next window. The holder is among them, and some start by such a
   /// clock.
