A holder that the store turns away resigns

What callers saw: while the store turned the holder of the duties alone away, nobody ordered replicas, and reports of usage came late or not at all if that lasted: its peers heard it and waited for it.

Cause: a daemon that is heard and named counted as holding, whether it could act or not.

Why this works: a holder that the store has not answered for a lease, while it answers a daemon that is heard, says in its reports that it has resigned its epoch, for good. Another one takes over by the same check of the record's revision as ever, so a holder that did come through meanwhile is told apart. If the store is away from all, nobody resigns.

--- a/Hallchute/src/Duty/DutyKeeper.cpp
+++ b/Hallchute/src/Duty/DutyKeeper.cpp
@@ -24,6 +24,8 @@
 constexpr Millis kReportTime{3'250};
 /// Between two writes of what is counted of windows under way: what is lost if all daemons end.
 constexpr Millis kCheckpointEvery{1'000};
+/// The store has answered another daemon within this: a report period and the way by two relays.
+constexpr Millis kStoreAnswers{1'000};
 /// How often a daemon that waits for a holder's lease to end reads the record again: the holder may
 /// have given it up.
 constexpr Millis kReadEvery{1'000};
@@ -36,7 +38,9 @@
     : policy_(policy), self_{std::move(self), incarnation, 0} {}
 
 DutyHolder DutyKeeper::holder() const {
-  return known_ ? known_->record.holder : DutyHolder{};
+  DutyHolder holder = known_ ? known_->record.holder : DutyHolder{};
+  if (resigned_) holder.learn(*resigned_);
+  return holder;
 }
 
 bool DutyKeeper::renewedWithin(Millis time, Instant now) const {
@@ -62,7 +66,32 @@
 }
 
 bool DutyKeeper::isFirst(const DutyFacts& facts) const {
-  return !facts.heard.empty() && facts.heard.begin()->first == self_.daemon;
+  auto first = facts.heard.begin();
+  const bool resigned = facts.named.resigned && facts.heard.size() > 1;
+  if (resigned && first->first == facts.named.daemon) ++first;
+  return first != facts.heard.end() && first->first == self_.daemon;
+}
+
+bool DutyKeeper::isNamed(const DutyFacts& facts) const {
+  return facts.named.daemon == self_.daemon && facts.named.incarnation == self_.incarnation;
+}
+
+bool DutyKeeper::isHeldElsewhere(const DutyFacts& facts) const {
+  const DutyHolder& named = facts.named;
+  if (named.epoch == 0 || named.resigned || named.daemon == self_.daemon) return false;
+  const auto heard = facts.heard.find(named.daemon);
+  return heard != facts.heard.end() && heard->second == named.incarnation;
+}
+
+bool DutyKeeper::resignsNow(const DutyFacts& facts, Instant now) const {
+  if (!isNamed(facts) || facts.named.resigned || !unansweredSince_) return false;
+  return now - *unansweredSince_ >= policy_.lease && facts.storeAge <= kStoreAnswers;
+}
+
+void DutyKeeper::resign(const DutyHolder& holder) {
+  stepDown();
+  resigned_ = holder;
+  resigned_->resigned = true;
 }
 
 bool DutyKeeper::mayTake(const DutyFacts& facts, Instant now) const {
@@ -70,7 +99,10 @@
   if (holder.daemon.empty()) return true;
   const auto heard = facts.heard.find(holder.daemon);
   // A later incarnation means that the one that held them is no more.
-  if (heard != facts.heard.end()) return heard->second != holder.incarnation;
+  if (heard != facts.heard.end()) {
+    const bool resigned = facts.named.resigned && facts.named.epoch == holder.epoch;
+    return resigned || heard->second != holder.incarnation;
+  }
   return now - seenSince_ >= policy_.lease + kLeaseMargin;
 }
 
@@ -86,6 +118,7 @@
 
 DutyStep DutyKeeper::next(const DutyFacts& facts, Instant now) {
   if (now < retryAt_) return DutySteps::Nothing{};
+  if (resignsNow(facts, now)) resign(facts.named);
   if (holds_ && facts.named.epoch > holder().epoch) stepDown();
   return holds_ ? nextAsHolder(facts, now) : nextAsOther(facts, now);
 }
@@ -93,19 +126,13 @@
 DutyStep DutyKeeper::nextAsOther(const DutyFacts& facts, Instant now) {
   if (!facts.met) return DutySteps::Nothing{};
   // A holder that no longer knows whether it holds is waited for by all others.
-  const bool namedSelf =
-      facts.named.daemon == self_.daemon && facts.named.incarnation == self_.incarnation;
-  if (!isFirst(facts) && !namedSelf) {
+  if (!isFirst(facts) && !isNamed(facts)) {
     // What was read may change unseen while another daemon is first.
     known_.reset();
     absent_ = false;
     return DutySteps::Nothing{};
   }
-  const auto named = facts.heard.find(facts.named.daemon);
-  const bool heldElsewhere = facts.named.epoch > 0 && named != facts.heard.end() &&
-                             named->second == facts.named.incarnation &&
-                             facts.named.daemon != self_.daemon;
-  if (heldElsewhere) {
+  if (isHeldElsewhere(facts)) {
     known_.reset();
     return DutySteps::Nothing{};
   }
@@ -208,19 +235,25 @@
 
 void DutyKeeper::noteRead(const StoredDutyRecord& stored, Instant now) {
   absent_ = false;
+  unansweredSince_.reset();
   readAt_ = now;
   const bool changed = !known_ || known_->revision != stored.revision;
   known_ = stored;
   if (changed) seenSince_ = now;
   // A write whose answer was lost was done after all.
   const DutyHolder& holder = stored.record.holder;
-  holds_ = holder.daemon == self_.daemon && holder.incarnation == self_.incarnation;
+  const bool isSelf = holder.daemon == self_.daemon && holder.incarnation == self_.incarnation;
+  holds_ = isSelf && !(resigned_ && resigned_->epoch == holder.epoch);
   if (holds_) renewed_ = now;
 }
 
 void DutyKeeper::noteOutcome(DutyOutcome outcome, std::uint64_t revision, Instant now) {
   const std::optional<DutyRecord> pending = std::exchange(pending_, std::nullopt);
   const std::optional<std::int64_t> sending = std::exchange(sending_, std::nullopt);
+  const bool answered = outcome != DutyOutcome::unavailable && outcome != DutyOutcome::unknown;
+  // Reports go elsewhere and tell nothing of the store.
+  if (!sending && answered) unansweredSince_.reset();
+  if (!sending && !answered && !unansweredSince_) unansweredSince_ = now;
   switch (outcome) {
     case DutyOutcome::done:
       if (pending) {
--- a/Hallchute/src/Duty/DutyKeeper.h
+++ b/Hallchute/src/Duty/DutyKeeper.h
@@ -28,6 +28,8 @@
   std::map<DaemonId, std::uint64_t> heard;
   /// The holder with the highest epoch that any report names.
   DutyHolder named;
+  /// How long ago the store last answered anybody that is heard.
+  Millis storeAge{0};
   /// Daemons that are likely to run, heard or not, this one included.
   std::size_t known = 1;
   /// Whether this daemon has had the time to meet the others. Before, it takes itself for the first
@@ -50,7 +52,8 @@
 /// lease. Every take-over raises the epoch. The holder fixes a window's counts in the record before
 /// it sends them; a write that fails tells it that it holds nothing any more. Counts that are not
 /// complete are fixed as late as leaves time to report them. What is counted of windows under way
-/// goes into the record about once a second, for the case that all daemons end at once.
+/// goes into the record about once a second, for the case that all daemons end at once. A holder
+/// that the store turns away while it answers others resigns, and one that it answers takes over.
 class DutyKeeper {
  public:
   DutyKeeper(DutyPolicy policy, DaemonId self, std::uint64_t incarnation);
@@ -77,6 +80,10 @@
  private:
   bool mayTake(const DutyFacts& facts, Instant now) const;
   bool isFirst(const DutyFacts& facts) const;
+  bool isNamed(const DutyFacts& facts) const;
+  bool isHeldElsewhere(const DutyFacts& facts) const;
+  bool resignsNow(const DutyFacts& facts, Instant now) const;
+  void resign(const DutyHolder& holder);
   DutyStep nextAsHolder(const DutyFacts& facts, Instant now);
   DutyStep nextAsOther(const DutyFacts& facts, Instant now);
   Millis settleTime(const DutyFacts& facts) const;
@@ -96,6 +103,10 @@
   Instant taken_{};
   /// When the record was read last.
   Instant readAt_{};
+  /// Since when the store has answered none of this daemon's calls.
+  std::optional<Instant> unansweredSince_;
+  /// What this daemon held when it resigned last.
+  std::optional<DutyHolder> resigned_;
   /// What the last step would make of the record.
   std::optional<DutyRecord> pending_;
   std::optional<std::int64_t> sending_;
--- a/Hallchute/src/Fleet/FleetReport.h
+++ b/Hallchute/src/Fleet/FleetReport.h
@@ -57,7 +57,15 @@
   std::uint64_t incarnation = 0;
   /// The fencing token; 0 if no holder is known.
   std::uint64_t epoch = 0;
+  /// It can't reach the store while others do, and never acts under this epoch again.
+  bool resigned = false;
   bool operator==(const DutyHolder&) const = default;
+
+  /// \brief Takes over what another daemon knows, if that is later.
+  void learn(const DutyHolder& other) {
+    if (other.epoch > epoch) *this = other;
+    if (other.epoch == epoch && other.resigned) resigned = true;
+  }
 };
 
 /// \brief The usage of one incarnation of a daemon, as another one tells it. \ingroup Fleet
--- a/Hallchute/src/Node/FleetWire.h
+++ b/Hallchute/src/Node/FleetWire.h
@@ -25,7 +25,7 @@
   return std::tie(m.id, m.incarnation);
 }
 inline auto wireFields(DutyHolder& m) {
-  return std::tie(m.daemon, m.incarnation, m.epoch);
+  return std::tie(m.daemon, m.incarnation, m.epoch, m.resigned);
 }
 inline auto wireFields(IncarnationUsage& m) {
   return std::tie(m.daemon, m.incarnation, m.domain, m.usage);
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -122,6 +122,12 @@
   });
 }
 
+DutyHolder GatewayNode::namedHolder(Instant now) const {
+  DutyHolder named = duties_ ? duties_->holder() : DutyHolder{};
+  for (const FleetReport* report : fleet_.reports(now)) named.learn(report->duties);
+  return named;
+}
+
 DutyInput GatewayNode::dutyInput() {
   DutyInput input;
   controlLoop_.call([&] {
@@ -145,11 +151,8 @@
       const auto load = loads.find(record.id);
       if (load != loads.end()) input.load[record.service] += load->second.requests;
     }
-    for (const FleetReport* report : fleet_.reports(now)) {
-      if (report->duties.epoch > facts.named.epoch) facts.named = report->duties;
-    }
-    const DutyHolder own = duties_->holder();
-    if (own.epoch > facts.named.epoch) facts.named = own;
+    facts.named = namedHolder(now);
+    facts.storeAge = copy_.age(now);
   });
   return input;
 }
@@ -201,11 +204,8 @@
   report.usage = local.usage;
   report.draining = local.draining;
   report.leaving = leaving_;
-  if (duties_) report.duties = duties_->holder();
   // What others named is passed on: not everyone hears the holder itself.
-  for (const FleetReport* heard : fleet_.reports(now)) {
-    if (heard->duties.epoch > report.duties.epoch) report.duties = heard->duties;
-  }
+  report.duties = namedHolder(now);
   link_.push(fleet_.compose(report, now));
   tellTraffic(now);
   copy_.turn(fleet_, link_, now);
--- a/Hallchute/src/Node/GatewayNode.h
+++ b/Hallchute/src/Node/GatewayNode.h
@@ -58,6 +58,8 @@
   TrafficOptions trafficOptions() const;
   void startDuties();
   void applySettings(const GatewaySettings& settings);
+  /// The holder of the duties by all that is heard.
+  DutyHolder namedHolder(Instant now) const;
   DutyInput dutyInput();
   void reportLocally();
   void reportToFleet(const LocalReport& local);
--- a/test/DutyFleet.cpp
+++ b/test/DutyFleet.cpp
@@ -94,6 +94,12 @@
 }
 
 void DutyFleet::leave(int ms) {
+  for (const Outage& refusal : refusals_) {
+    if (refusal.from != ms) continue;
+    for (Host& host : hosts_) {
+      if (isHolder(host)) host.refusedUntil = refusal.to;
+    }
+  }
   for (const Outage& stop : stops_) {
     if (stop.from != ms) continue;
     for (Host& host : hosts_) {
@@ -179,11 +185,8 @@
   facts.usage = view.usageElsewhere(now);
   addUsage(facts.usage, host.usage);
   facts.wallClock = view.clock().at(now);
-  for (const FleetReport* report : view.reports(now)) {
-    if (report->duties.epoch > facts.named.epoch) facts.named = report->duties;
-  }
-  const DutyHolder own = host.keeper->holder();
-  if (own.epoch > facts.named.epoch) facts.named = own;
+  facts.named = host.keeper->holder();
+  for (const FleetReport* report : view.reports(now)) facts.named.learn(report->duties);
   return facts;
 }
 
@@ -204,8 +207,15 @@
 
 void DutyFleet::perform(Host&, const DutySteps::Nothing&, int) {}
 
-void DutyFleet::perform(Host& host, const DutySteps::Read&, int ms) {
+bool DutyFleet::refused(Host& host, int ms) {
   ++storeCalls_;
+  if (ms >= host.refusedUntil) return false;
+  host.keeper->noteOutcome(DutyOutcome::unavailable, 0, at(ms));
+  return true;
+}
+
+void DutyFleet::perform(Host& host, const DutySteps::Read&, int ms) {
+  if (refused(host, ms)) return;
   if (stored_) {
     host.keeper->noteRead(*stored_, at(ms));
   } else {
@@ -214,7 +224,7 @@
 }
 
 void DutyFleet::put(Host& host, const DutyRecord& record, std::uint64_t revision, int ms) {
-  ++storeCalls_;
+  if (refused(host, ms)) return;
   const std::uint64_t present = stored_ ? stored_->revision : 0;
   if (revision != present) {
     host.keeper->noteOutcome(DutyOutcome::superseded, 0, at(ms));
--- a/test/DutyFleet.h
+++ b/test/DutyFleet.h
@@ -37,6 +37,8 @@
   void powerOffHolder(int from, int to) { outages_.push_back({kHolder, from, to}); }
   /// \brief The holder of the duties at \p from is stopped as planned: it serves until \p to.
   void stopHolder(int from, int to) { stops_.push_back({kHolder, from, to}); }
+  /// \brief The store turns the holder of the duties at \p from away until \p to.
+  void turnHolderAway(int from, int to) { refusals_.push_back({kHolder, from, to}); }
   void powerOffAll(int from, int to);
   /// \brief Domain \p domain hears no other domain, nor they it.
   void cut(int domain, int from, int to) { cuts_.push_back({domain, from, to}); }
@@ -86,6 +88,8 @@
     int backAt = 0;
     /// When it ends, while it is leaving.
     int endsAt = 0;
+    /// Until when the store turns it away.
+    int refusedUntil = 0;
   };
   struct Sent {
     int ms = 0;
@@ -118,12 +122,15 @@
   /// By the host's own clock.
   Millis wallClock(std::size_t index, int ms) const;
   bool apart(int domain, int other, int ms) const;
+  /// \returns whether the store turned the call away.
+  bool refused(Host& host, int ms);
   bool isHolder(const Host& host) const;
 
   std::vector<Host> hosts_;
   std::map<std::string, std::size_t> byAddress_;
   std::vector<Outage> outages_;
   std::vector<Outage> stops_;
+  std::vector<Outage> refusals_;
   std::vector<Cut> cuts_;
   std::vector<Step> steps_;
   std::deque<Sent> sent_;
--- a/test/DutyWindowsTest.cpp
+++ b/test/DutyWindowsTest.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(whatWasCountedBeforeAllDaemonsEndedIsReported);
   CPPUNIT_TEST(clocksThatAreSetMoveNoRequestsBetweenWindows);
   CPPUNIT_TEST(aHolderThatIsStoppedHandsTheDutiesOver);
+  CPPUNIT_TEST(aHolderThatTheStoreTurnsAwayResigns);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -102,6 +103,21 @@
     }
   }
 
+  /// The store turned the holder alone away: as its peers heard it nobody took over, nobody ordered
+  /// replicas, and reports came late.
+  void aHolderThatTheStoreTurnsAwayResigns() {
+    for (int moment = 0; moment < DutyFleet::kWindow; moment += kMoment) {
+      DutyFleet fleet(kDaemons, kDomains);
+      const int from = kFirstFailure + moment;
+      fleet.turnHolderAway(from, from + 16'000);
+      fleet.run(kLength);
+      const std::string story = "turned away at " + std::to_string(from);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(story, std::string(), fleet.wrongWindows());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(story, 0, fleet.contradictions());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(story, std::uint64_t{2}, fleet.epoch());
+    }
+  }
+
   /// A third of the daemons' clocks were set back for six seconds: 1160 requests of 921 were
   /// reported, and 634 in the next window. The holder is among them, and some start by such a
   /// clock.
