A request that a cut holds up is reset, and doesn't arrive when the cut has healed

What upstreams and callers saw: a request reached an upstream 2.0 to 3.1 s after its word that it leaves (bound 2 s): the rule DRAIN, broken.

Cause: a kept connection was probed by the kernel while idle. A domain is cut off; a request goes out on the connection before it is known to be dead; three seconds after the cut began the kernel ended the connection by itself, though probing had been turned off for the request. Nothing was left to reset, so the bytes stayed under way and arrived with a retransmission after the cut had healed.

Why this works: the kernel ends no connection to an upstream any more. A request that the upstream's host doesn't acknowledge for 1.5 s, with nothing of it taken meanwhile, is given up by a reset, which drops what is under way.

--- a/Hallchute/src/Http/TcpChannel.cpp
+++ b/Hallchute/src/Http/TcpChannel.cpp
@@ -41,7 +41,7 @@
     socket_.connectNB(Poco::Net::SocketAddress(address));
     fd_ = socket_.impl()->sockfd();
     socket_.setNoDelay(true);
-    watchLiveness(socket_);
+    leaveLivenessToOwner(socket_);
     loop_.watch(fd_, POLLOUT, [this](short events) { onEvents(events); });
     connectTimer_ = loop_.after(limit, [this] {
       connectTimer_ = 0;
@@ -82,14 +82,14 @@
   ::shutdown(fd_, SHUT_WR);
 }
 
-void TcpChannel::setIdle(bool idle) {
-  if (fd_ >= 0 && !ended_) probeWhileIdle(socket_, idle);
+bool TcpChannel::acknowledged() const {
+  return fd_ >= 0 && !connecting_ && unacknowledged() == 0;
 }
 
-bool TcpChannel::acknowledged() const {
-  if (fd_ < 0 || connecting_ || !out_.empty()) return false;
-  int unacknowledged = 0;
-  return ::ioctl(fd_, SIOCOUTQ, &unacknowledged) != 0 || unacknowledged == 0;
+std::size_t TcpChannel::unacknowledged() const {
+  int inKernel = 0;
+  if (fd_ < 0 || ::ioctl(fd_, SIOCOUTQ, &inKernel) != 0) inKernel = 0;
+  return out_.size() + static_cast<std::size_t>(inKernel);
 }
 
 bool TcpChannel::quiet() const {
--- a/Hallchute/src/Http/TcpChannel.h
+++ b/Hallchute/src/Http/TcpChannel.h
@@ -54,7 +54,8 @@
  public:
   /// \brief An accepted connection.
   TcpChannel(EventLoop& loop, const Poco::Net::StreamSocket& socket, TcpChannelOwner& owner);
-  /// \brief Connects from the IP \p source, within \p limit.
+  /// \brief Connects from the IP \p source, within \p limit. The kernel doesn't end the connection
+  /// by itself: a silent other side is its owner's to notice.
   TcpChannel(EventLoop& loop, const std::string& address, const std::string& source, Millis limit,
              TcpChannelOwner& owner);
   ~TcpChannel();
@@ -65,14 +66,15 @@
   void send(std::string_view bytes);
   /// \brief Says that no more bytes come from this side once all are sent.
   void finishSending();
-  /// \brief Whether the kernel may end the connection by itself when the other side is silent.
-  void setIdle(bool idle);
   std::size_t unsent() const { return out_.size(); }
   /// \brief Bytes that the kernel has taken since the connection began.
   std::uint64_t sentBytes() const { return sentBytes_; }
   /// \brief Whether the other side's kernel has acknowledged all bytes given to send(); true where
   /// the kernel doesn't tell.
   bool acknowledged() const;
+  /// \brief Bytes given to send() that the other side's kernel has not acknowledged; those that
+  /// this one has not taken yet are all that is known where the kernel doesn't tell.
+  std::size_t unacknowledged() const;
   /// \brief Whether the other side has neither closed nor sent anything, by a look at the socket.
   bool quiet() const;
   /// \brief Ends the connection at once with a reset; no callback follows. Bytes that a cut holds
--- a/Hallchute/src/Net/SocketLiveness.cpp
+++ b/Hallchute/src/Net/SocketLiveness.cpp
@@ -17,8 +17,8 @@
 /// Longer than a lost packet and its second retransmission, shorter than callers wait.
 constexpr int kUnacknowledgedMs = 2'500;
 
-/// Longer than any route's time limit: the request's own timers come first.
-constexpr int kUnacknowledgedBusyMs = 60'000;
+/// Longer than any route's time limit: the owner's timers come first.
+constexpr int kUnacknowledgedOwnedMs = 60'000;
 
 void setOption(int socket, int level, int name, int value) {
   // A kernel without the option only notices later; nothing depends on it.
@@ -36,10 +36,10 @@
   setOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUnacknowledgedMs);
 }
 
-void probeWhileIdle(Poco::Net::Socket& socket, bool idle) {
+void leaveLivenessToOwner(Poco::Net::Socket& socket) {
   const int fd = socket.impl()->sockfd();
-  setOption(fd, SOL_SOCKET, SO_KEEPALIVE, idle ? 1 : 0);
-  setOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, idle ? kUnacknowledgedMs : kUnacknowledgedBusyMs);
+  setOption(fd, SOL_SOCKET, SO_KEEPALIVE, 0);
+  setOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUnacknowledgedOwnedMs);
 }
 
 }  // namespace Hallchute
--- a/Hallchute/src/Net/SocketLiveness.h
+++ b/Hallchute/src/Net/SocketLiveness.h
@@ -17,13 +17,11 @@
 /// second; sent bytes that stay unacknowledged for 2.5 s end it.
 void watchLiveness(Poco::Net::Socket& socket);
 
-/// \brief Turns the probes of watchLiveness() on or off for a connection to an upstream.
-/// \ingroup Net
+/// \brief Leaves the end of a connection to its owner, who resets it. \ingroup Net
 ///
-/// While a request is under way they are off, and whoever waits for its answer ends the connection
-/// by a reset: where the kernel gives up by itself, bytes that a cut holds up may still arrive when
-/// the cut has healed, at an upstream that takes no new work by then.
-void probeWhileIdle(Poco::Net::Socket& socket, bool idle);
+/// Where the kernel gives up by itself nothing is left to reset, and bytes that a cut holds up may
+/// still arrive when the cut has healed.
+void leaveLivenessToOwner(Poco::Net::Socket& socket);
 
 }  // namespace Hallchute
 
--- a/Hallchute/src/Upstream/UpstreamChannel.cpp
+++ b/Hallchute/src/Upstream/UpstreamChannel.cpp
@@ -8,12 +8,17 @@
 
 #include <utility>
 
+#include "Hallchute/src/Net/EventLoop.h"
+
 namespace Hallchute {
 namespace {
 
 /// An answer's head and body may be larger than a caller's: nothing bounds them but memory.
 constexpr HttpReaderLimits kAnswerLimits{64U << 10U, 64U << 20U};
 constexpr int kFirstFinalStatus = 200;
+/// Longer than a packet takes that is lost twice and sent again (after 0.2 and 0.6 s): a third loss
+/// of the same one is rarer than a cut.
+constexpr Millis kUnacknowledged{1'500};
 
 /// The seconds of a `Keep-Alive: timeout=N` field; zero if there are none.
 Millis announcedIdleOf(const HttpFields& fields) {
@@ -33,7 +38,11 @@
 
 UpstreamChannel::UpstreamChannel(EventLoop& loop, const std::string& address,
                                  const std::string& source, Millis connectLimit)
-    : channel_(loop, address, source, connectLimit, *this), reader_(freshReader()) {}
+    : loop_(loop), channel_(loop, address, source, connectLimit, *this), reader_(freshReader()) {}
+
+UpstreamChannel::~UpstreamChannel() {
+  stopAwaiting();
+}
 
 HttpReader UpstreamChannel::freshReader() {
   return {HttpSide::answers, kAnswerLimits};
@@ -48,11 +57,30 @@
   headTaken_ = false;
   discarding_ = false;
   sentBefore_ = channel_.sentBytes();
-  channel_.setIdle(false);
   channel_.send(request);
+  awaitAcknowledgement(request.size());
+}
+
+/// Resets the connection if a period passes without the upstream's host taking anything.
+void UpstreamChannel::awaitAcknowledgement(std::size_t unacknowledgedBefore) {
+  acknowledgementTimer_ = loop_.after(kUnacknowledged, [this, unacknowledgedBefore] {
+    acknowledgementTimer_ = 0;
+    const std::size_t left = channel_.unacknowledged();
+    if (left == 0) return;
+    if (left < unacknowledgedBefore) {
+      awaitAcknowledgement(left);
+    } else {
+      fail(channel_.sentBytes() > sentBefore_);
+    }
+  });
+}
+
+void UpstreamChannel::stopAwaiting() {
+  loop_.cancel(std::exchange(acknowledgementTimer_, 0));
 }
 
 void UpstreamChannel::abort() {
+  stopAwaiting();
   listener_ = nullptr;
   sound_ = false;
   channel_.abort();
@@ -116,14 +144,15 @@
     reader_ = freshReader();
     return;
   }
+  stopAwaiting();
   UpstreamListener* listener = std::exchange(listener_, nullptr);
-  channel_.setIdle(true);
   // Surplus bytes belong to no request.
   if (!in_.empty()) sound_ = false;
   if (listener != nullptr) listener->upstreamDone();
 }
 
 void UpstreamChannel::fail(bool sent) {
+  stopAwaiting();
   sound_ = false;
   UpstreamListener* listener = std::exchange(listener_, nullptr);
   channel_.abort();
@@ -131,6 +160,7 @@
 }
 
 void UpstreamChannel::channelEnded(ChannelEnd end) {
+  stopAwaiting();
   sound_ = false;
   if (listener_ == nullptr) {
     if (onIdleEnd) onIdleEnd();
--- a/Hallchute/src/Upstream/UpstreamChannel.h
+++ b/Hallchute/src/Upstream/UpstreamChannel.h
@@ -34,10 +34,16 @@
 
 /// \brief A kept connection to an upstream with one exchange at a time. Traffic thread only.
 /// \ingroup Upstream
+///
+/// A request that the upstream's host doesn't acknowledge in time is given up and the connection
+/// reset: a cut may hold it up, and it must not arrive when the cut has healed.
 class UpstreamChannel final : public TcpChannelOwner {
  public:
   UpstreamChannel(EventLoop& loop, const std::string& address, const std::string& source,
                   Millis connectLimit);
+  ~UpstreamChannel() override;
+  UpstreamChannel(const UpstreamChannel&) = delete;
+  UpstreamChannel& operator=(const UpstreamChannel&) = delete;
 
   /// \brief Sends a request; \p listener is told what comes of it.
   void start(std::string_view request, bool answerHasNoBody, UpstreamListener& listener);
@@ -64,8 +70,12 @@
   void passBody();
   void finish();
   void fail(bool sent);
+  void awaitAcknowledgement(std::size_t unacknowledgedBefore);
+  void stopAwaiting();
 
+  EventLoop& loop_;
   TcpChannel channel_;
+  std::uint64_t acknowledgementTimer_ = 0;
   HttpReader reader_;
   std::string in_;
   UpstreamListener* listener_ = nullptr;
