A request counts as run once, and a stream that waits not at all

A request that failed and was tried again counted once a dispatch.

`aRequestCountsOnceAndOnlyIfItBegan` (new): its first row failed before, 2 of 1; the second was not reached.

Why this works: the count is the request's, not the dispatch's; of streams without an event only those count whose connection the upstream ended, as it may have run them and lost the answer.

--- a/Hallchute/src/Gateway/UpstreamTable.cpp
+++ b/Hallchute/src/Gateway/UpstreamTable.cpp
@@ -27,6 +27,26 @@
 
 }  // namespace
 
+std::string_view describe(DispatchResult result) {
+  switch (result) {
+    case DispatchResult::answered:
+      return "answered";
+    case DispatchResult::rejected:
+      return "rejected";
+    case DispatchResult::unreachable:
+      return "unreachable";
+    case DispatchResult::broken:
+      return "broken";
+    case DispatchResult::silent:
+      return "silent";
+    case DispatchResult::failed:
+      return "failed";
+    case DispatchResult::abandoned:
+      return "abandoned";
+  }
+  return "";
+}
+
 std::vector<UpstreamId> UpstreamTable::replace(std::span<const UpstreamRecord> records,
                                                Instant now) {
   std::set<UpstreamId> listed;
--- a/Hallchute/src/Gateway/UpstreamTable.h
+++ b/Hallchute/src/Gateway/UpstreamTable.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <string_view>
 #include <vector>
 
 #include "Hallchute/src/Gateway/UpstreamLoad.h"
@@ -33,6 +34,9 @@
   abandoned,
 };
 
+/// \brief A result's name for the log. \ingroup Gateway
+std::string_view describe(DispatchResult result);
+
 /// \brief What this daemon knows of an upstream. \ingroup Gateway
 struct UpstreamEntry {
   UpstreamRecord record;
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -169,7 +169,6 @@
   upstream_ = id;
   upstreamIncarnation_ = upstream.record.incarnation;
   dispatched_ = true;
-  runCounted_ = false;
   dispatchedAt_ = now;
   ++dispatches_;
   splitter_ = {};
@@ -330,15 +329,26 @@
   }
 }
 
-/// A run whose answer never came is counted too, if the upstream had the time to begin it.
+/// A run whose answer never came may count too, if the upstream had the time to begin it.
 void TrafficSession::noteLostRun(DispatchResult result) {
   if (result == DispatchResult::rejected || result == DispatchResult::unreachable) return;
+  if (runCounted_ || admission_.organisation == nullptr) return;
   const bool stream = admission_.route->kind == WorkKind::stream;
-  if (clockNow() - dispatchedAt_ < (stream ? kStreamBegins : kPlainBegins)) return;
+  const Millis waited = std::chrono::duration_cast<Millis>(clockNow() - dispatchedAt_);
   // A cut holds the request up; the connection ends with a reset, which drops it.
-  if (channel_ != nullptr && !channel_->delivered()) return;
-  if (std::exchange(runCounted_, true) || admission_.organisation == nullptr) return;
-  engine_.noteRun(admission_.organisation->name);
+  const bool delivered = channel_ == nullptr || channel_->delivered();
+  // A stream that this side gave up was still waiting: an engine that is behind has begun none of
+  // those, and drops them with their connections.
+  const bool waiting = stream && result != DispatchResult::broken;
+  runCounted_ = delivered && !waiting && waited >= (stream ? kStreamBegins : kPlainBegins);
+  LogLine(LogLevel::info, "upstream.unanswered")
+      .with("request", wish_.requestId)
+      .with("upstream", upstream_.str())
+      .with("result", describe(result))
+      .with("waitedMs", waited)
+      .with("delivered", delivered)
+      .with("countedAsRun", runCounted_);
+  if (runCounted_) engine_.noteRun(admission_.organisation->name);
 }
 
 void TrafficSession::perform(const RelayActions::Cancel&) {
--- a/test/TrafficContractTest.cpp
+++ b/test/TrafficContractTest.cpp
@@ -56,6 +56,7 @@
   CPPUNIT_TEST(refusesByTable);
   CPPUNIT_TEST(callerLeavingStopsTheUpstream);
   CPPUNIT_TEST(aRequestThatNeverArrivedIsNoRun);
+  CPPUNIT_TEST(aRequestCountsOnceAndOnlyIfItBegan);
   CPPUNIT_TEST(surplusAnswerIsNeverTakenForTheNext);
   CPPUNIT_TEST_SUITE_END();
 
@@ -361,13 +362,46 @@
       RawCaller caller(rig.address());
       caller.send(requestText("POST", "Authorization: Bearer key1\r\n", body));
       CPPUNIT_ASSERT_MESSAGE(row.story, caller.read("\r\n\r\n").starts_with("HTTP/1.1 504"));
-      std::uint64_t runs = 0;
-      rig.loop().call([&] {
-        for (const auto& [window, counts] : rig.engine().usage().counts()) {
-          for (const auto& [name, count] : counts) runs += count;
-        }
-      });
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.story, row.runs, runs);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.story, row.runs, runsOf(rig));
+    }
+  }
+
+  /// While all engines were behind, a window was reported with 2665 requests of 942: streams that
+  /// were given up while they waited counted, and what was tried again counted once more.
+  void aRequestCountsOnceAndOnlyIfItBegan() {
+    struct Row {
+      const char* story;
+      WorkKind kind;
+      UpstreamScript first;
+      std::uint64_t runs;
+    };
+    const UpstreamScript fine{whole(200, "fine"), Then::keep};
+    const std::vector<Row> rows{
+        {"fails and is tried again", WorkKind::repeatable, {whole(500, "oops"), Then::keep}, 1},
+        {"a stream that waits is given up", WorkKind::stream, {"", Then::hang}, 0},
+    };
+    for (const Row& row : rows) {
+      ScriptedUpstream upstream({row.first, fine});
+      ScriptedUpstream other({row.first, fine});
+      GatewayRig rig;
+      Route route = plainRoute(row.kind);
+      route.timeLimit = Millis(600);
+      route.open = false;
+      GatewaySettings settings = settingsWith(route);
+      GatewayOrganisation organisation;
+      organisation.name = OrganisationName("org");
+      organisation.keys = {"key1"};
+      settings.organisations = {organisation};
+      rig.setSettings(settings);
+      std::vector<UpstreamRecord> upstreams{upstreamAt("i-1", upstream.address())};
+      if (row.kind == WorkKind::repeatable) {
+        upstreams.push_back(upstreamAt("i-2", other.address()));
+      }
+      rig.setUpstreams(upstreams);
+      RawCaller caller(rig.address());
+      caller.send(requestText("POST", "Authorization: Bearer key1\r\n", "{}"));
+      caller.read("\r\n\r\n");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.story, row.runs, runsOf(rig));
     }
   }
 
@@ -389,6 +423,16 @@
   }
 
  private:
+  /// Requests that the rig counted as begun, of all windows.
+  static std::uint64_t runsOf(GatewayRig& rig) {
+    std::uint64_t runs = 0;
+    rig.loop().call([&] {
+      for (const auto& [window, counts] : rig.engine().usage().counts()) {
+        for (const auto& [name, count] : counts) runs += count;
+      }
+    });
+    return runs;
+  }
   template <typename Condition>
   static void waitUntil(const Condition& condition) {
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
