--- a/Hallchute/src/Duty/DutyKeeper.cpp
+++ b/Hallchute/src/Duty/DutyKeeper.cpp
@@ -124,8 +124,7 @@
 }
 
 DutyStep DutyKeeper::nextAsOther(const DutyFacts& facts, Instant now) {
-  // Where there is no record nobody holds anything yet, and the store lets one daemon make it.
-  if (!facts.met && !absent_) return DutySteps::Nothing{};
+  if (!facts.met) return DutySteps::Nothing{};
   // A holder that no longer knows whether it holds is waited for by all others.
   if (!isFirst(facts) && !isNamed(facts)) {
     // What was read may change unseen while another daemon is first.
--- a/Hallchute/src/Node/DutyRunner.cpp
+++ b/Hallchute/src/Node/DutyRunner.cpp
@@ -97,9 +97,7 @@
 bool DutyRunner::readEarlierSize() {
   const absl::StatusOr<StoredDutyRecord> stored = port_.read(ReadAge::maybeOld);
   if (stored.ok()) callbacks_.earlierSize(stored->record.daemons);
-  const bool absent = absl::IsNotFound(stored.status());
-  if (absent) keeper_.noteOutcome(DutyOutcome::absent, 0, clockNow());
-  const bool answered = stored.ok() || absent;
+  const bool answered = stored.ok() || absl::IsNotFound(stored.status());
   LogLine(LogLevel::info, "fleet.earlierSize")
       .with("daemons", static_cast<std::uint64_t>(stored.ok() ? stored->record.daemons : 0))
       .with("answered", answered)
