--- a/test/DutyFleet.cpp
+++ b/test/DutyFleet.cpp
@@ -80,7 +80,7 @@
 }
 
 void DutyFleet::fail(int ms) {
-  for (const Outage& outage : outages_) {
+  for (const Failure& outage : outages_) {
     if (outage.from != ms) continue;
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
       const bool hit =
@@ -94,13 +94,13 @@
 }
 
 void DutyFleet::leave(int ms) {
-  for (const Outage& refusal : refusals_) {
+  for (const Failure& refusal : refusals_) {
     if (refusal.from != ms) continue;
     for (Host& host : hosts_) {
       if (isHolder(host)) host.refusedUntil = refusal.to;
     }
   }
-  for (const Outage& stop : stops_) {
+  for (const Failure& stop : stops_) {
     if (stop.from != ms) continue;
     for (Host& host : hosts_) {
       if (isHolder(host)) host.endsAt = stop.to;
@@ -208,7 +208,6 @@
 void DutyFleet::perform(Host&, const DutySteps::Nothing&, int) {}
 
 bool DutyFleet::refused(Host& host, int ms) {
-  ++storeCalls_;
   if (ms >= host.refusedUntil) return false;
   host.keeper->noteOutcome(DutyOutcome::unavailable, 0, at(ms));
   return true;
--- a/test/DutyFleet.h
+++ b/test/DutyFleet.h
@@ -9,7 +9,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -59,11 +58,10 @@
   int unheld() const { return unheld_; }
   /// \brief How often the duties changed hands.
   std::uint64_t epoch() const { return stored_ ? stored_->record.holder.epoch : 0; }
-  int storeCalls() const { return storeCalls_; }
 
  private:
   static constexpr int kHolder = -1;
-  struct Outage {
+  struct Failure {
     int host = 0;
     int from = 0;
     int to = 0;
@@ -128,9 +126,9 @@
 
   std::vector<Host> hosts_;
   std::map<std::string, std::size_t> byAddress_;
-  std::vector<Outage> outages_;
-  std::vector<Outage> stops_;
-  std::vector<Outage> refusals_;
+  std::vector<Failure> outages_;
+  std::vector<Failure> stops_;
+  std::vector<Failure> refusals_;
   std::vector<Cut> cuts_;
   std::vector<Step> steps_;
   std::deque<Sent> sent_;
@@ -139,7 +137,6 @@
   std::map<std::int64_t, std::uint64_t> served_;
   std::map<std::int64_t, Report> reports_;
   int contradictions_ = 0;
-  int storeCalls_ = 0;
   int unheld_ = 0;
   int now_ = 0;
 };
--- a/test/TrafficContractTest.cpp
+++ b/test/TrafficContractTest.cpp
@@ -350,13 +350,7 @@
       GatewayRig rig;
       Route route = plainRoute(WorkKind::once);
       route.timeLimit = Millis(300);
-      route.open = false;
-      GatewaySettings settings = settingsWith(route);
-      GatewayOrganisation organisation;
-      organisation.name = OrganisationName("org");
-      organisation.keys = {"key1"};
-      settings.organisations = {organisation};
-      rig.setSettings(settings);
+      rig.setSettings(settingsForOneOrganisation(route));
       rig.setUpstreams(
           {upstreamAt("i-1", row.upstreamReads ? hangs.address() : deaf.address().toString())});
       RawCaller caller(rig.address());
@@ -386,13 +380,7 @@
       GatewayRig rig;
       Route route = plainRoute(row.kind);
       route.timeLimit = Millis(600);
-      route.open = false;
-      GatewaySettings settings = settingsWith(route);
-      GatewayOrganisation organisation;
-      organisation.name = OrganisationName("org");
-      organisation.keys = {"key1"};
-      settings.organisations = {organisation};
-      rig.setSettings(settings);
+      rig.setSettings(settingsForOneOrganisation(route));
       std::vector<UpstreamRecord> upstreams{upstreamAt("i-1", upstream.address())};
       if (row.kind == WorkKind::repeatable) {
         upstreams.push_back(upstreamAt("i-2", other.address()));
@@ -423,6 +411,16 @@
   }
 
  private:
+  /// The route is for organisation `org` with key `key1` alone.
+  static GatewaySettings settingsForOneOrganisation(Route route) {
+    route.open = false;
+    GatewaySettings settings = settingsWith(route);
+    GatewayOrganisation organisation;
+    organisation.name = OrganisationName("org");
+    organisation.keys = {"key1"};
+    settings.organisations = {organisation};
+    return settings;
+  }
   /// Requests that the rig counted as begun, of all windows.
   static std::uint64_t runsOf(GatewayRig& rig) {
     std::uint64_t runs = 0;
