--- a/test/scenario/ChildProcess.cpp
+++ b/test/scenario/ChildProcess.cpp
@@ -13,11 +13,31 @@
 
 namespace Scenario {
 
+namespace {
+
+/// The words as posix_spawn takes them; they live as long as \p words.
+std::vector<char*> pointers(const std::vector<std::string>& words) {
+  std::vector<char*> all;
+  all.reserve(words.size() + 1);
+  for (const std::string& word : words) all.push_back(const_cast<char*>(word.c_str()));
+  all.push_back(nullptr);
+  return all;
+}
+
+}  // namespace
+
 ChildProcess::ChildProcess(const std::vector<std::string>& command, const std::string& logPath) {
-  std::vector<char*> words;
-  words.reserve(command.size() + 1);
-  for (const std::string& word : command) words.push_back(const_cast<char*>(word.c_str()));
-  words.push_back(nullptr);
+  start(command, logPath, environ);
+}
+
+ChildProcess::ChildProcess(const std::vector<std::string>& command, const std::string& logPath,
+                           const std::vector<std::string>& environment) {
+  start(command, logPath, pointers(environment).data());
+}
+
+void ChildProcess::start(const std::vector<std::string>& command, const std::string& logPath,
+                         char* const* environment) {
+  const std::vector<char*> words = pointers(command);
   posix_spawn_file_actions_t files;
   posix_spawn_file_actions_init(&files);
   constexpr mode_t kMode = 0644;
@@ -27,7 +47,7 @@
   posix_spawn_file_actions_adddup2(&files, 1, 2);
   // A socket that a child process inherits stays open when this process closes it.
   posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
-  const int failed = posix_spawn(&pid_, words[0], &files, nullptr, words.data(), environ);
+  const int failed = posix_spawn(&pid_, words[0], &files, nullptr, words.data(), environment);
   posix_spawn_file_actions_destroy(&files);
   if (failed != 0) throw std::runtime_error("can't start " + command.front());
 }
--- a/test/scenario/ChildProcess.h
+++ b/test/scenario/ChildProcess.h
@@ -17,6 +17,9 @@
  public:
   /// \param logPath where its output goes.
   ChildProcess(const std::vector<std::string>& command, const std::string& logPath);
+  /// \param environment its whole environment, as `NAME=value`.
+  ChildProcess(const std::vector<std::string>& command, const std::string& logPath,
+               const std::vector<std::string>& environment);
   ~ChildProcess();
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
@@ -29,6 +32,9 @@
   std::optional<int> exitCode();
 
  private:
+  void start(const std::vector<std::string>& command, const std::string& logPath,
+             char* const* environment);
+
   pid_t pid_ = -1;
   std::optional<int> exitCode_;
 };
