--- a/Hallchute/src/Cli/ConfigFile.cpp
+++ b/Hallchute/src/Cli/ConfigFile.cpp
@@ -18,11 +18,11 @@
   return absl::GetFlag(FLAGS_config);
 }
 
-ExitCode readConfigFile(const std::function<void(std::string_view text, Findings&)>& read) {
-  const std::string path = configPath();
+ExitCode readConfigFile(const std::string& path,
+                        const std::function<void(std::string_view text, Findings&)>& read) {
   std::ifstream file(path);
   if (!file) {
-    std::cerr << "--config: can't read '" << path << "'\n";
+    std::cerr << "can't read the start-up file '" << path << "'\n";
     return ExitCode::usage;
   }
   std::stringstream text;
--- a/Hallchute/src/Cli/ConfigFile.h
+++ b/Hallchute/src/Cli/ConfigFile.h
@@ -19,11 +19,12 @@
 /// \brief The path given by `--config`. \ingroup Cli
 std::string configPath();
 
-/// \brief Reads the file given by `--config` and prints all its errors on standard error.
+/// \brief Reads the start-up file at \p path and prints all its errors on standard error.
 /// \ingroup Cli
 /// \param read parses the text and adds its errors to the findings.
 /// \returns `ok`, `usage` if the file can't be read, `invalid` if it has errors.
-ExitCode readConfigFile(const std::function<void(std::string_view text, Findings&)>& read);
+ExitCode readConfigFile(const std::string& path,
+                        const std::function<void(std::string_view text, Findings&)>& read);
 
 /// \brief Blocks the signals \p numbers in this thread and all threads it starts, so that one
 /// thread can wait for them, and ignores SIGPIPE. \ingroup Cli
--- a/Hallchute/src/Cli/ServeCommand.cpp
+++ b/Hallchute/src/Cli/ServeCommand.cpp
@@ -25,7 +25,7 @@
 
 ExitCode serveCommand() {
   StartupFile startup;
-  const ExitCode read = readConfigFile([&](std::string_view text, Findings& findings) {
+  const ExitCode read = readConfigFile(configPath(), [&](std::string_view text, Findings& findings) {
     startup = readStartupFile(text, findings);
   });
   if (read != ExitCode::ok) return read;
--- a/app/main.cpp
+++ b/app/main.cpp
@@ -13,7 +13,7 @@
 #include "platform/GatewayCommand.h"
 
 int main(int argc, char** argv) {
-  Hallchute::registerCommand({"gateway", "serve the platform's traffic as a gateway: --config=FILE",
+  Hallchute::registerCommand({"gateway", "serve the platform's traffic as a gateway: [--config=FILE]",
                               Hallchute::gatewayCommand});
   absl::SetProgramUsageMessage(std::string(Hallchute::usageText()));
   if (argc == 2 && std::string_view(argv[1]) == "--help") {
