Accept the limits of hosts that have none

Class: surroundings of a start taken for granted. Evidence: limitsOfRealHostsAreAccepted failed before (two findings) and passes now. Whether the users' settings hold such values isn't known.

--- a/Hallchute/src/Node/NodeStartup.cpp
+++ b/Hallchute/src/Node/NodeStartup.cpp
@@ -4,6 +4,7 @@
 #include "Hallchute/src/Node/NodeStartup.h"
 
 #include <array>
+#include <limits>
 
 #include "Hallchute/src/Net/AddressMember.h"
 #include "Hallchute/src/Settings/JsonReader.h"
@@ -14,8 +15,9 @@
 constexpr std::array<std::string_view, 4> kLogLevels{"info", "debug", "warning", "error"};
 constexpr double kMaxSeconds = 3'600;
 constexpr double kMaxMs = kMaxSeconds * 1'000;
-constexpr std::int64_t kMaxDescriptors = 1'048'576;
-constexpr double kMaxProcessors = 1'024;
+/// A host without a limit names the largest value there is.
+constexpr std::int64_t kMaxDescriptors = std::numeric_limits<std::int64_t>::max();
+constexpr double kMaxProcessors = 1'000'000;
 constexpr double kMaxRetrySlack = 1'000'000;
 /// More than any organisation's quota for a window.
 constexpr double kMaxQuotaSlackTokens = 1e9;
--- /dev/null
+++ b/test/GatewayStartupFileTest.cpp
@@ -0,0 +1,58 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <absl/strings/str_cat.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <string>
+
+#include "Hallchute/src/Node/NodeStartup.h"
+
+namespace {
+
+using namespace Hallchute;
+
+std::string startupText(const std::string& members) {
+  return absl::StrCat(
+      R"({"daemon":"d","failureDomain":"f","ip":"127.0.0.1","listen":{"callers":"127.0.0.1:1",)",
+      R"("readiness":"127.0.0.1:2","peers":"127.0.0.1:3"},"store":{"address":"127.0.0.1:4"})",
+      members, "}");
+}
+
+class GatewayStartupFileTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(GatewayStartupFileTest);
+  CPPUNIT_TEST(limitsOfRealHostsAreAccepted);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  /// A host without a limit of its own names the kernel's largest one, or none; the daemon ended
+  /// with findings.
+  void limitsOfRealHostsAreAccepted() {
+    struct Row {
+      std::string members;
+      std::size_t descriptors;
+      std::uint32_t capacity;
+    };
+    const NodeStartup defaults;
+    const std::array rows{
+        Row{"", defaults.descriptors, defaults.capacity},
+        Row{R"(,"descriptors":4100,"processors":0.25)", 4'100, 250},
+        Row{R"(,"descriptors":1048576,"processors":96)", 1'048'576, 96'000},
+        Row{R"(,"descriptors":1073741816,"processors":2048)", 1'073'741'816, 2'048'000},
+        Row{R"(,"descriptors":9223372036854775807)", 9'223'372'036'854'775'807U, defaults.capacity},
+        Row{R"(,"descriptors":null,"processors":null)", defaults.descriptors, defaults.capacity},
+    };
+    for (const Row& row : rows) {
+      Findings findings;
+      const NodeStartup startup = readNodeStartup(startupText(row.members), findings);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.members, std::string(), describe(findings));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.members, row.descriptors, startup.descriptors);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.members, row.capacity, startup.capacity);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewayStartupFileTest);
+
+}  // namespace
