Ask an upstream whose limit no answer has confirmed

Cause: only an answer tells that a limit was dropped, and requests chose the upstream no more often than any other, within the half seconds in which this daemon had a share of a low limit. Class: state that only the traffic it suppresses can refresh. Evidence: aDroppedLimitIsNoticed failed before (no request within 3 s) and passes now. Why it works: once the last answer that named the limit is a second old, the next request that the limit allows goes there. The bound isn't touched: only requests within a daemon's share are sent.

--- a/Hallchute/src/Gateway/LimitLedger.cpp
+++ b/Hallchute/src/Gateway/LimitLedger.cpp
@@ -25,6 +25,9 @@
 /// Requests a second that an upstream gets at least: only an answer tells that its limit has
 /// changed.
 constexpr double kLeastPerSecond = 0.25;
+/// Age of the last answer that named a limit from which on the next allowed request goes to that
+/// upstream: without a request it would not be noticed that the limit was dropped.
+constexpr Millis kConfirmationInterval{1'000};
 
 /// Whether \p other, reported by a daemon, replaces \p known.
 bool isLater(const NamedLimit& other, const NamedLimit& known) {
@@ -40,18 +43,19 @@
 
 }  // namespace
 
+Millis LimitLedger::sharedClock(Instant now) const {
+  return std::chrono::duration_cast<Millis>(now.time_since_epoch()) + fleet_.clockOffset;
+}
+
 std::int64_t LimitLedger::periodAt(Instant now) const {
-  const auto monotonic = std::chrono::duration_cast<Millis>(now.time_since_epoch());
-  return (monotonic + fleet_.clockOffset) / kSharePeriod;
+  return sharedClock(now) / kSharePeriod;
 }
 
 bool LimitLedger::noteAnswer(const UpstreamIncarnation& upstream, std::optional<double> perSecond,
                              Instant now) {
   const auto known = entries_.find(upstream.id);
   if (known == entries_.end() && !perSecond) return false;
-  const auto monotonic = std::chrono::duration_cast<Millis>(now.time_since_epoch());
-  NamedLimit limit{upstream, perSecond.has_value(), perSecond.value_or(0),
-                   monotonic + fleet_.clockOffset};
+  NamedLimit limit{upstream, perSecond.has_value(), perSecond.value_or(0), sharedClock(now)};
   Entry& entry = entries_[upstream.id];
   // What this daemon receives now is later than what it was told before, whatever the clocks say.
   limit.namedAt = std::max(limit.namedAt, entry.limit.namedAt + Millis(1));
@@ -123,6 +127,13 @@
   return sent < shareOf(entry, period);
 }
 
+bool LimitLedger::needsConfirmation(const UpstreamId& upstream, Instant now) const {
+  const auto it = entries_.find(upstream);
+  if (it == entries_.end() || !it->second.limit.limited) return false;
+  const bool recent = sharedClock(now) - it->second.limit.namedAt < kConfirmationInterval;
+  return !recent && maySend(upstream, now);
+}
+
 void LimitLedger::noteSent(const UpstreamId& upstream, Instant now) {
   const auto it = entries_.find(upstream);
   if (it == entries_.end()) return;
--- a/Hallchute/src/Gateway/LimitLedger.h
+++ b/Hallchute/src/Gateway/LimitLedger.h
@@ -42,6 +42,9 @@
   std::vector<NamedLimit> report(bool forwards, Instant now);
   /// \brief Whether this daemon may send a request to the upstream now.
   bool maySend(const UpstreamId& upstream, Instant now) const;
+  /// \brief Whether a request should go to the upstream to learn whether its limit still holds: no
+  /// answer has named it for some time, and this daemon may send a request there now.
+  bool needsConfirmation(const UpstreamId& upstream, Instant now) const;
   void noteSent(const UpstreamId& upstream, Instant now);
   /// \brief Requests that this daemon may send to the upstream in the half second of \p now;
   /// nothing if it names no limit.
@@ -62,6 +65,7 @@
     std::int64_t sentIn = 0;
   };
 
+  Millis sharedClock(Instant now) const;
   std::int64_t periodAt(Instant now) const;
   std::uint64_t shareOf(const Entry& entry, std::int64_t period) const;
 
--- a/Hallchute/src/Gateway/UpstreamPick.cpp
+++ b/Hallchute/src/Gateway/UpstreamPick.cpp
@@ -187,6 +187,11 @@
     eligible.push_back(&entry);
   }
   if (eligible.empty()) return nullptr;
+  if (best == Tier::healthy) {
+    for (const UpstreamEntry* entry : eligible) {
+      if (table.limits().needsConfirmation(entry->record.id, now)) return entry;
+    }
+  }
   return criteria.affinity.empty() ? pickByLoad(eligible, criteria)
                                    : pickByAffinity(eligible, criteria);
 }
--- a/test/NamedLimitTest.cpp
+++ b/test/NamedLimitTest.cpp
@@ -5,8 +5,11 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "GatewayRig.h"
+#include "Hallchute/src/Gateway/UpstreamPick.h"
+#include "Hallchute/src/Gateway/UpstreamTable.h"
 #include "ScriptedUpstream.h"
 
 namespace {
@@ -33,11 +36,21 @@
   rig.loop().call([&] { rig.engine().setFleet(view); });
 }
 
+/// An upstream of the service `pool`.
+UpstreamRecord poolMember(int number) {
+  UpstreamRecord record;
+  record.id = UpstreamId("u" + std::to_string(number));
+  record.service = ServiceName("pool");
+  record.slots = 8;
+  return record;
+}
+
 class NamedLimitTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(NamedLimitTest);
   CPPUNIT_TEST(theAdapterReadsALimit);
   CPPUNIT_TEST(requestsBeyondALimitGoElsewhere);
   CPPUNIT_TEST(requestsBeyondAllLimitsAreRefusedAtOnce);
+  CPPUNIT_TEST(aDroppedLimitIsNoticed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -82,6 +95,39 @@
     for (int i = 0; i < kRequests; ++i) refused += ask(rig).starts_with("HTTP/1.1 503") ? 1 : 0;
     CPPUNIT_ASSERT(refused >= kRequests - 2);
   }
+
+  /// Only an answer tells that a limit was dropped. Requests went to other upstreams for seconds,
+  /// so that the upstream stayed nearly idle.
+  void aDroppedLimitIsNoticed() {
+    constexpr int kUpstreams = 12;
+    constexpr int kRequestPeriodMs = 100;
+    constexpr int kLengthMs = 60'000;
+    constexpr int kLongestWaitMs = 3'000;
+    UpstreamTable table;
+    std::vector<UpstreamRecord> records;
+    for (int i = 0; i < kUpstreams; ++i) records.push_back(poolMember(i));
+    const auto at = [](int ms) { return Instant(std::chrono::hours(1)) + Millis(ms); };
+    table.replace(records, at(0));
+    LimitLedger& limits = table.limits();
+    limits.setFleet({{1}, 0, true, Millis(0)});
+    const UpstreamIncarnation limited{records.front().id, 0};
+    limits.noteAnswer(limited, 0.8, at(0));
+    int answeredMs = 0;
+    for (int ms = 0; ms < kLengthMs; ms += kRequestPeriodMs) {
+      UpstreamCriteria criteria;
+      criteria.service = ServiceName("pool");
+      criteria.requestId = std::to_string(ms);
+      const UpstreamEntry* const picked = pickUpstream(table, criteria, at(ms));
+      CPPUNIT_ASSERT(picked != nullptr);
+      limits.noteSent(picked->record.id, at(ms));
+      if (picked->record.id == limited.id) {
+        limits.noteAnswer(limited, 0.8, at(ms));
+        answeredMs = ms;
+      }
+      CPPUNIT_ASSERT_MESSAGE("unconfirmed since " + std::to_string(answeredMs) + " ms",
+                             ms - answeredMs <= kLongestWaitMs);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(NamedLimitTest);
