Tests of a gateway without descriptors as a real process (failing)

Three ways to run out: a soft limit below the hard one and the settings, a hard limit below the settings, a limit that falls while the daemon runs. The limits are the child's alone: a shell sets them and becomes the daemon.

--- a/test/GatewayProcess.cpp
+++ b/test/GatewayProcess.cpp
@@ -9,8 +9,10 @@
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/TemporaryFile.h>
 #include <absl/strings/str_cat.h>
+#include <unistd.h>
 
 #include <fstream>
+#include <iterator>
 #include <sstream>
 #include <thread>
 
@@ -65,17 +67,29 @@
   std::ofstream(settingsPath()) << absl::StrCat(
       R"({"daemon":"gateway","failureDomain":"domain","ip":")", ip, R"(","seeds":[")", peers,
       R"("],"listen":{"callers":")", callers, R"(","readiness":")", readiness, R"(","peers":")",
-      peers, R"(","metrics":")", metrics, R"("},"store":{"address":")", store, R"("}})");
+      peers, R"(","metrics":")", metrics, R"("},"store":{"address":")", store,
+      R"("},"descriptors":)", descriptors, "}");
 }
 
 void GatewayProcess::start() {
   start({{"--config=" + settingsPath()}, {}});
 }
 
+void GatewayProcess::start(const DescriptorLimits& limits) {
+  start({{"--config=" + settingsPath()}, {}, limits});
+}
+
 void GatewayProcess::start(const GatewayStart& options) {
   process_.reset();
   writeSettings();
-  std::vector<std::string> command{HALLCHUTE_BINARY, "gateway"};
+  std::vector<std::string> command;
+  if (const auto& limits = options.descriptorLimits) {
+    // A shell that replaces itself: the limits are in force from the program's first instruction.
+    command = {"/bin/sh", "-c",
+               absl::StrCat("ulimit -Sn ", limits->soft, " && ulimit -Hn ", limits->hard,
+                            " && exec \"$0\" \"$@\"")};
+  }
+  command.insert(command.end(), {HALLCHUTE_BINARY, "gateway"});
   command.insert(command.end(), options.arguments.begin(), options.arguments.end());
   process_ =
       std::make_unique<Scenario::ChildProcess>(command, folder_ + "/log", options.environment);
@@ -91,6 +105,20 @@
   return false;
 }
 
+std::chrono::milliseconds GatewayProcess::processorTime() const {
+  std::ifstream file(absl::StrCat("/proc/", process_->id(), "/stat"));
+  const std::string text{std::istreambuf_iterator<char>(file), {}};
+  // The name before the last parenthesis may contain spaces.
+  std::istringstream fields(text.substr(text.rfind(')') + 1));
+  constexpr int kFieldsBefore = 11;
+  std::string skipped;
+  for (int i = 0; i < kFieldsBefore; ++i) fields >> skipped;
+  long user = 0;
+  long system = 0;
+  fields >> user >> system;
+  return std::chrono::milliseconds((user + system) * 1'000 / sysconf(_SC_CLK_TCK));
+}
+
 std::string GatewayProcess::output() const {
   std::ostringstream text;
   text << std::ifstream(folder_ + "/log").rdbuf();
--- a/test/GatewayProcess.h
+++ b/test/GatewayProcess.h
@@ -5,6 +5,7 @@
 #define HALLCHUTE_TEST_GATEWAYPROCESS_H
 
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -14,12 +15,20 @@
 
 namespace TestSupport {
 
+/// \brief Limits of a process's open descriptors, as RLIMIT_NOFILE.
+struct DescriptorLimits {
+  std::size_t soft = 0;
+  std::size_t hard = 0;
+};
+
 /// \brief How a gateway process is started.
 struct GatewayStart {
   /// Arguments after `gateway`.
   std::vector<std::string> arguments;
   /// The process's whole environment.
   std::vector<std::string> environment;
+  /// Without: those of this process.
+  std::optional<DescriptorLimits> descriptorLimits = std::nullopt;
 };
 
 /// \brief Settings and addresses of a gateway that runs as a real process; its store may be away.
@@ -34,10 +43,14 @@
   /// \brief Starts it with `--config`, unless \p options says otherwise. Ends an earlier process.
   void start();
   void start(const GatewayStart& options);
+  /// \brief Starts it with `--config` under other limits.
+  void start(const DescriptorLimits& limits);
   /// \brief Whether its readiness address answers within \p limit.
   bool answers(std::chrono::milliseconds limit);
   /// \brief What it wrote so far.
   std::string output() const;
+  /// \brief The processor time that it has used so far, in all threads.
+  std::chrono::milliseconds processorTime() const;
   Scenario::ChildProcess& process() { return *process_; }
 
   std::string store;
@@ -45,6 +58,8 @@
   std::string readiness;
   std::string peers;
   std::string metrics;
+  /// The setting of this name.
+  std::size_t descriptors = 1'024;
   const std::string ip;
 
   /// \brief Where its start-up file lies.
--- a/test/GatewayStartTest.cpp
+++ b/test/GatewayStartTest.cpp
@@ -4,21 +4,28 @@
 #include <Poco/Net/ServerSocket.h>
 #include <cppunit/extensions/HelperMacros.h>
 #include <signal.h>
+#include <sys/resource.h>
 
 #include <chrono>
+#include <cstddef>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "test/GatewayProcess.h"
+#include "test/GatewayRig.h"
 
 namespace {
 
+using Hallchute::RawCaller;
 using std::chrono::milliseconds;
 using TestSupport::GatewayProcess;
 
 constexpr milliseconds kStartLimit{5'000};
 /// Longer than a start takes.
 constexpr milliseconds kObservation{1'000};
+/// For the accepting of new callers.
+constexpr milliseconds kSettling{300};
 
 /// A program that listens without sharing its port.
 Poco::Net::ServerSocket occupy(const std::string& address) {
@@ -35,6 +42,9 @@
   CPPUNIT_TEST(aMetricsPortInUseDoesNotEndTheDaemon);
   CPPUNIT_TEST(aListenPortInUseIsTakenOnceItIsFree);
   CPPUNIT_TEST(aPortIsNotSharedWithAnotherProcess);
+  CPPUNIT_TEST(theSoftLimitOfDescriptorsIsRaised);
+  CPPUNIT_TEST(callersBeyondTheHardLimitAreRefused);
+  CPPUNIT_TEST(aDaemonWithoutDescriptorsWaits);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -93,6 +103,70 @@
     first.process().kill();
     CPPUNIT_ASSERT_MESSAGE(second.output(), second.answers(kStartLimit));
   }
+
+  /// Callers beyond the soft limit waited, though the hard limit and the settings had room.
+  void theSoftLimitOfDescriptorsIsRaised() {
+    GatewayProcess gateway("127.8.0.6");
+    gateway.descriptors = 2'048;
+    gateway.start(TestSupport::DescriptorLimits{128, 4'096});
+    CPPUNIT_ASSERT(gateway.answers(kStartLimit));
+    const std::vector<RawCaller> idle = idleCallers(gateway.callers, 300);
+    assertQuiet(gateway);
+    CPPUNIT_ASSERT_MESSAGE(gateway.output(), callerIsAnswered(gateway));
+  }
+
+  /// Accepting without a descriptor to accept with took a whole core, without end.
+  void callersBeyondTheHardLimitAreRefused() {
+    GatewayProcess gateway("127.8.0.7");
+    gateway.descriptors = 2'048;
+    gateway.start(TestSupport::DescriptorLimits{128, 128});
+    CPPUNIT_ASSERT(gateway.answers(kStartLimit));
+    std::vector<RawCaller> idle = idleCallers(gateway.callers, 300);
+    assertQuiet(gateway);
+    CPPUNIT_ASSERT_MESSAGE("left hanging", idle.back().readAll(kObservation).empty());
+    CPPUNIT_ASSERT_MESSAGE("left hanging", idle.back().ended());
+    CPPUNIT_ASSERT_MESSAGE("readiness", gateway.answers(kObservation));
+    idle.clear();
+    CPPUNIT_ASSERT_MESSAGE(gateway.output(), callerIsAnswered(gateway));
+  }
+
+  /// The limit falls below what the daemon counted on, so that accepting fails.
+  void aDaemonWithoutDescriptorsWaits() {
+    GatewayProcess gateway("127.8.0.8");
+    gateway.start();
+    CPPUNIT_ASSERT(gateway.answers(kStartLimit));
+    constexpr rlimit kLowered{40, 40};
+    CPPUNIT_ASSERT_EQUAL(0, prlimit(gateway.process().id(), RLIMIT_NOFILE, &kLowered, nullptr));
+    std::vector<RawCaller> idle = idleCallers(gateway.callers, 100);
+    assertQuiet(gateway);
+    idle.clear();
+    CPPUNIT_ASSERT_MESSAGE(gateway.output(), callerIsAnswered(gateway));
+  }
+
+ private:
+  static std::vector<RawCaller> idleCallers(const std::string& address, std::size_t count) {
+    std::vector<RawCaller> callers;
+    callers.reserve(count);
+    for (std::size_t i = 0; i < count; ++i) callers.emplace_back(address);
+    return callers;
+  }
+
+  /// Fails if the daemon uses much of a core though nobody asks it for anything.
+  static void assertQuiet(GatewayProcess& gateway) {
+    std::this_thread::sleep_for(kSettling);
+    const milliseconds before = gateway.processorTime();
+    std::this_thread::sleep_for(kObservation);
+    const milliseconds used = gateway.processorTime() - before;
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(used.count()) + " ms of a core in " +
+                               std::to_string(kObservation.count()) + " ms",
+                           used < kObservation / 4);
+  }
+
+  static bool callerIsAnswered(const GatewayProcess& gateway) {
+    RawCaller caller(gateway.callers);
+    caller.send("GET /s/x HTTP/1.1\r\nHost: h.example\r\n\r\n");
+    return caller.read("\r\n\r\n", kStartLimit).starts_with("HTTP/1.1 ");
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayStartTest);
--- a/test/scenario/ChildProcess.h
+++ b/test/scenario/ChildProcess.h
@@ -24,6 +24,7 @@
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
 
+  pid_t id() const { return pid_; }
   void signal(int number) const;
   bool running();
   /// \brief Kills it and waits for its end.
