Wait for a listen port that is in use

Seen: a daemon whose callers', readiness, peers' or metrics port is taken ends with exit 5 at once, also when the port is free a moment later, and also when only metrics are concerned; nobody may start it again, so its callers are not served. Cause: the listeners were opened once, by constructors whose exception ends the process. Class: a state of the host that passes was taken for a fault of the settings. Change: Listener opens a socket on an event loop and tries again every 100 ms; FrontServer and PeerTransport use it, so both daemons do. Readiness is 200 only when callers can connect; a stop doesn't wait for a load balancer that never sent anybody. What waiting can't mend (no right, an address that can't be read) still ends the daemon, but not for metrics. New, passing: aDaemonThatWaitsForItsPortEndsAtOnce, anAddressMayBecomeThisHostsLater. Why it works: nothing after construction depends on the socket but accepting, which begins whenever the bind succeeds. Not covered by a run: EACCES (runs are root's), a metrics address that can't be read, readiness with a store.

--- a/Hallchute/src/Front/FrontServer.cpp
+++ b/Hallchute/src/Front/FrontServer.cpp
@@ -3,10 +3,6 @@
 
 #include "Hallchute/src/Front/FrontServer.h"
 
-#include <Poco/Net/StreamSocketImpl.h>
-#include <poll.h>
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <vector>
 
@@ -25,22 +21,15 @@
 
 FrontServer::FrontServer(EventLoop& loop, const std::string& listen, FrontHandler& handler,
                          Metrics& metrics)
-    : loop_(loop), handler_(handler), metrics_(metrics) {
-  listener_.bind(Poco::Net::SocketAddress(listen), true);
-  listener_.listen(kBacklog);
-  listener_.setBlocking(false);
-  loop_.watch(listener_.impl()->sockfd(), POLLIN, [this](short) { accept(); });
-}
+    : loop_(loop),
+      handler_(handler),
+      metrics_(metrics),
+      listener_(loop, listen, kBacklog,
+                [this](const Poco::Net::StreamSocket& socket) { accept(socket); }) {}
 
-FrontServer::~FrontServer() {
-  loop_.unwatch(listener_.impl()->sockfd());
-}
+FrontServer::~FrontServer() = default;
 
-void FrontServer::accept() {
-  const int fd = ::accept4(listener_.impl()->sockfd(), nullptr, nullptr, SOCK_CLOEXEC);
-  // The caller may have disconnected between the event and the call.
-  if (fd < 0) return;
-  const Poco::Net::StreamSocket socket(new Poco::Net::StreamSocketImpl(fd));
+void FrontServer::accept(const Poco::Net::StreamSocket& socket) {
   if (connections_.size() >= limits_.connections) {
     metrics_.add("hallchute_front_connections_refused_total", "");
     return;
--- a/Hallchute/src/Front/FrontServer.h
+++ b/Hallchute/src/Front/FrontServer.h
@@ -4,7 +4,8 @@
 #ifndef HALLCHUTE_FRONT_FRONTSERVER_H
 #define HALLCHUTE_FRONT_FRONTSERVER_H
 
-#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
 
 #include <cstdint>
 #include <memory>
@@ -12,6 +13,7 @@
 #include <unordered_map>
 
 #include "Hallchute/src/Front/FrontLimits.h"
+#include "Hallchute/src/Net/Listener.h"
 
 namespace Hallchute {
 
@@ -24,7 +26,8 @@
 /// construction. \ingroup Front
 class FrontServer {
  public:
-  /// \param listen `ip:port`. \throws Poco::Exception if the address can't be bound.
+  /// \brief Listens at once, or as soon as the address is free.
+  /// \param listen `ip:port`. \throws Poco::Exception if the address can never be bound.
   FrontServer(EventLoop& loop, const std::string& listen, FrontHandler& handler, Metrics& metrics);
   ~FrontServer();
   FrontServer(const FrontServer&) = delete;
@@ -39,6 +42,8 @@
   std::size_t connections() const { return connections_.size(); }
   /// \brief The number of connections with a request in progress.
   std::size_t busy() const;
+  /// \brief Whether callers can connect: the address may be in use elsewhere.
+  bool listening() const { return listener_.listening(); }
   Poco::Net::SocketAddress address() const { return listener_.address(); }
 
   // Called by FrontConnection.
@@ -50,16 +55,16 @@
   void countRejected(int status);
 
  private:
-  void accept();
+  void accept(const Poco::Net::StreamSocket& socket);
 
   EventLoop& loop_;
   FrontHandler& handler_;
   Metrics& metrics_;
   FrontLimits limits_;
-  Poco::Net::ServerSocket listener_;
   std::unordered_map<std::uint64_t, std::unique_ptr<FrontConnection>> connections_;
   std::uint64_t nextConnection_ = 1;
   bool draining_ = false;
+  Listener listener_;
 };
 
 }  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Net/Listener.cpp
@@ -0,0 +1,100 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Net/Listener.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/StreamSocketImpl.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <utility>
+
+#include "Hallchute/src/Net/Clock.h"
+#include "Hallchute/src/Observability/LogLine.h"
+
+namespace Hallchute {
+namespace {
+
+/// Time between two tries to listen.
+constexpr Millis kRetryInterval{100};
+/// Minimum time between two log lines about the same fault.
+constexpr Millis kLogInterval{10'000};
+
+/// Whether only a change of the start-up file or of the process's rights helps.
+bool isPermanent(int error) {
+  return error == EACCES || error == EPERM || error == EAFNOSUPPORT;
+}
+
+}  // namespace
+
+Listener::Listener(EventLoop& loop, const std::string& address, int backlog, AcceptHandler onAccept)
+    : loop_(loop),
+      address_(address),
+      backlog_(backlog),
+      onAccept_(std::move(onAccept)),
+      began_(clockNow()) {
+  try {
+    open();
+  } catch (const Poco::Exception& e) {
+    if (isPermanent(e.code())) throw;
+    logUnavailable(e.displayText());
+    retryLater();
+  }
+}
+
+Listener::~Listener() {
+  loop_.cancel(timer_);
+  if (socket_) loop_.unwatch(socket_->impl()->sockfd());
+}
+
+void Listener::open() {
+  Poco::Net::ServerSocket socket;
+  socket.bind(address_, true);
+  socket.listen(backlog_);
+  socket.setBlocking(false);
+  socket_ = socket;
+  loop_.watch(socket_->impl()->sockfd(), POLLIN, [this](short) { accept(); });
+}
+
+void Listener::retryLater() {
+  timer_ = loop_.after(kRetryInterval, [this] { retry(); });
+}
+
+void Listener::retry() {
+  try {
+    open();
+  } catch (const Poco::Exception& e) {
+    logUnavailable(e.displayText());
+    retryLater();
+    return;
+  }
+  LogLine(LogLevel::info, "listener.open")
+      .with("address", address_.toString())
+      .with("waitedMs", std::chrono::duration_cast<Millis>(clockNow() - began_));
+}
+
+void Listener::logUnavailable(const std::string& detail) {
+  const Instant now = clockNow();
+  if (unavailableLogged_ && now - *unavailableLogged_ < kLogInterval) return;
+  unavailableLogged_ = now;
+  LogLine(LogLevel::warning, "listener.unavailable")
+      .with("address", address_.toString())
+      .with("detail", detail)
+      .with("waitedMs", std::chrono::duration_cast<Millis>(now - began_));
+}
+
+void Listener::accept() {
+  const int fd = ::accept4(socket_->impl()->sockfd(), nullptr, nullptr, SOCK_CLOEXEC);
+  // The other side may have disconnected between the event and the call.
+  if (fd < 0) return;
+  const Poco::Net::StreamSocket socket(new Poco::Net::StreamSocketImpl(fd));
+  try {
+    onAccept_(socket);
+  } catch (const Poco::Exception&) {
+    // The other side disconnected meanwhile, so that the socket takes no options.
+  }
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Net/Listener.h
@@ -0,0 +1,61 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_NET_LISTENER_H
+#define HALLCHUTE_NET_LISTENER_H
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "Hallchute/src/Core/Time.h"
+#include "Hallchute/src/Net/EventLoop.h"
+
+namespace Hallchute {
+
+/// \brief Accepts connections at one address on an event loop. Loop thread only, except for
+/// construction. \ingroup Net
+///
+/// An address that is in use, or not this host's yet, is tried again every 100 ms for as long as
+/// the listener exists; log lines `listener.unavailable`, `listener.open`.
+class Listener {
+ public:
+  using AcceptHandler = std::function<void(const Poco::Net::StreamSocket& socket)>;
+
+  /// \brief Listens at once if the address is free.
+  /// \param address `ip:port`; \param backlog length of the accept queue.
+  /// \param onAccept takes each accepted connection.
+  /// \throws Poco::Exception if the address is invalid, or the process may not listen there.
+  Listener(EventLoop& loop, const std::string& address, int backlog, AcceptHandler onAccept);
+  ~Listener();
+  Listener(const Listener&) = delete;
+  Listener& operator=(const Listener&) = delete;
+
+  bool listening() const { return socket_.has_value(); }
+  /// \brief The local address; until listening() the requested one.
+  Poco::Net::SocketAddress address() const { return socket_ ? socket_->address() : address_; }
+
+ private:
+  void open();
+  void retryLater();
+  void retry();
+  void logUnavailable(const std::string& detail);
+  void accept();
+
+  EventLoop& loop_;
+  Poco::Net::SocketAddress address_;
+  int backlog_;
+  AcceptHandler onAccept_;
+  std::optional<Poco::Net::ServerSocket> socket_;
+  EventLoop::TimerId timer_ = 0;
+  Instant began_;
+  std::optional<Instant> unavailableLogged_;
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_NET_LISTENER_H
--- a/Hallchute/src/Net/PeerTransport.cpp
+++ b/Hallchute/src/Net/PeerTransport.cpp
@@ -3,8 +3,7 @@
 
 #include "Hallchute/src/Net/PeerTransport.h"
 
-#include <poll.h>
-
+#include <utility>
 #include <vector>
 
 #include "Hallchute/src/Net/EventLoop.h"
@@ -36,17 +35,13 @@
 }
 
 PeerTransport::PeerTransport(EventLoop& loop, const std::string& listen, std::string secret)
-    : loop_(loop), secret_(std::move(secret)) {
-  const Poco::Net::SocketAddress address(listen);
-  listener_.bind(address, true);
-  listener_.listen(kBacklog);
-  listener_.setBlocking(false);
-  source_ = Poco::Net::SocketAddress(address.host(), 0);
-  loop_.watch(listener_.impl()->sockfd(), POLLIN, [this](short) { accept(); });
-}
+    : loop_(loop),
+      secret_(std::move(secret)),
+      source_(Poco::Net::SocketAddress(listen).host(), 0),
+      listener_(loop, listen, kBacklog,
+                [this](const Poco::Net::StreamSocket& socket) { accept(socket); }) {}
 
 PeerTransport::~PeerTransport() {
-  loop_.unwatch(listener_.impl()->sockfd());
   connections_.clear();
 }
 
@@ -64,15 +59,9 @@
   return it == connections_.end() ? nullptr : it->second.get();
 }
 
-void PeerTransport::accept() {
-  try {
-    Poco::Net::StreamSocket socket = listener_.acceptConnection();
-    const std::uint64_t id = nextConnection_++;
-    connections_[id] =
-        std::make_unique<PeerConnection>(*this, id, PeerSession::Role::server, socket);
-  } catch (const Poco::Exception&) {
-    // The peer closed the connection before it was accepted.
-  }
+void PeerTransport::accept(const Poco::Net::StreamSocket& socket) {
+  const std::uint64_t id = nextConnection_++;
+  connections_[id] = std::make_unique<PeerConnection>(*this, id, PeerSession::Role::server, socket);
 }
 
 PeerConnection* PeerTransport::connectionTo(const std::string& address) {
--- a/Hallchute/src/Net/PeerTransport.h
+++ b/Hallchute/src/Net/PeerTransport.h
@@ -4,8 +4,8 @@
 #ifndef HALLCHUTE_NET_PEERTRANSPORT_H
 #define HALLCHUTE_NET_PEERTRANSPORT_H
 
-#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
 
 #include <cstdint>
 #include <functional>
@@ -14,6 +14,7 @@
 #include <string>
 #include <string_view>
 
+#include "Hallchute/src/Net/Listener.h"
 #include "Hallchute/src/Net/PeerStream.h"
 
 namespace Hallchute {
@@ -30,7 +31,9 @@
  public:
   using StreamHandler = std::function<void(const PeerStreamPtr& stream)>;
 
+  /// \brief Accepts peers at once, or as soon as the address is free.
   /// \param listen address to accept peers at; \param secret shared by all daemons of the fleet.
+  /// \throws Poco::Exception if the address can never be bound.
   PeerTransport(EventLoop& loop, const std::string& listen, std::string secret);
   ~PeerTransport();
   PeerTransport(const PeerTransport&) = delete;
@@ -52,13 +55,12 @@
 
   PeerConnection* connectionTo(const std::string& address);
   PeerConnection* find(std::uint64_t connection);
-  void accept();
+  void accept(const Poco::Net::StreamSocket& socket);
   void remove(std::uint64_t connection);
   const StreamHandler* findHandler(const std::string& path) const;
 
   EventLoop& loop_;
   std::string secret_;
-  Poco::Net::ServerSocket listener_;
   Poco::Net::SocketAddress source_;
   std::map<std::string, StreamHandler, std::less<>> handlers_;
   std::map<std::uint64_t, std::unique_ptr<PeerConnection>> connections_;
@@ -66,6 +68,7 @@
   std::uint64_t nextConnection_ = 1;
   std::uint64_t bytesSent_ = 0;
   std::uint64_t bytesReceived_ = 0;
+  Listener listener_;
 };
 
 }  // namespace Hallchute
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -63,7 +63,8 @@
       startupPath_(std::move(startupPath)),
       self_(memberOf(startup_)),
       engine_(trafficLoop_, trafficOptions(), ports_.codec, metrics_),
-      readiness_([this] { return engine_.ready() && !stopRequested_; }),
+      readiness_(
+          [this] { return engine_.ready() && callerServer_.listening() && !stopRequested_; }),
       metricsPage_(metrics_),
       callerServer_(trafficLoop_, startup_.callerListen, engine_, metrics_),
       readinessServer_(trafficLoop_, startup_.readinessListen, readiness_, metrics_),
@@ -77,9 +78,7 @@
       link_(controlLoop_, startup_.peerListen, startup_.storeAddress,
             {[this](const FleetReport& report) { handleReport(report); },
              [this](const SnapshotRequest& request) { return storeCopy_.snapshot(request); }}) {
-  if (!startup_.metricsListen.empty()) {
-    metricsServer_.emplace(trafficLoop_, startup_.metricsListen, metricsPage_, metrics_);
-  }
+  serveMetrics();
   fleet_.addAddresses(startup_.seeds);
   fleet_.noteWallClock(Millis(wallClockMs()), clockNow());
   engine_.setFleet({1,
@@ -99,6 +98,17 @@
   if (controlThread_.joinable()) controlThread_.join();
 }
 
+void GatewayNode::serveMetrics() {
+  if (startup_.metricsListen.empty()) return;
+  try {
+    metricsServer_.emplace(trafficLoop_, startup_.metricsListen, metricsPage_, metrics_);
+  } catch (const Poco::Exception& e) {
+    LogLine(LogLevel::error, "listener.unavailable")
+        .with("address", startup_.metricsListen)
+        .with("detail", e.displayText());
+  }
+}
+
 TrafficOptions GatewayNode::trafficOptions() const {
   const NodeBounds& bounds = startup_.bounds;
   TrafficOptions options;
@@ -340,7 +350,8 @@
 /// or shortly before the grace period ends. Serves pending requests and new callers until then.
 void GatewayNode::pollStop(Instant began) {
   const auto elapsed = clockNow() - began;
-  const bool removedFromBalancer = elapsed >= kBalancerRemovalTime;
+  // The load balancer sends nobody to a daemon that was never ready.
+  const bool removedFromBalancer = !callerServer_.listening() || elapsed >= kBalancerRemovalTime;
   if (removedFromBalancer) {
     callerServer_.closeIdle();
     engine_.refuseNewRequests();
--- a/Hallchute/src/Node/GatewayNode.h
+++ b/Hallchute/src/Node/GatewayNode.h
@@ -32,7 +32,7 @@
 class GatewayNode {
  public:
   /// \param startupPath the start-up file, read again by reload().
-  /// \throws Poco::Exception if an address can't be bound.
+  /// \throws Poco::Exception if an address of callers, readiness or peers can never be bound.
   GatewayNode(NodeStartup startup, NodePorts ports, std::string startupPath);
   ~GatewayNode();
   GatewayNode(const GatewayNode&) = delete;
@@ -59,6 +59,8 @@
     std::vector<NamedLimit> limits;
   };
 
+  /// Without metrics the daemon still serves.
+  void serveMetrics();
   TrafficOptions trafficOptions() const;
   void startDuties();
   void applySettings(const GatewaySettings& settings);
--- a/test/GatewayStartTest.cpp
+++ b/test/GatewayStartTest.cpp
@@ -42,6 +42,8 @@
   CPPUNIT_TEST(aMetricsPortInUseDoesNotEndTheDaemon);
   CPPUNIT_TEST(aListenPortInUseIsTakenOnceItIsFree);
   CPPUNIT_TEST(aPortIsNotSharedWithAnotherProcess);
+  CPPUNIT_TEST(aDaemonThatWaitsForItsPortEndsAtOnce);
+  CPPUNIT_TEST(anAddressMayBecomeThisHostsLater);
   CPPUNIT_TEST(theSoftLimitOfDescriptorsIsRaised);
   CPPUNIT_TEST(callersBeyondTheHardLimitAreRefused);
   CPPUNIT_TEST(aDaemonWithoutDescriptorsWaits);
@@ -104,6 +106,28 @@
     CPPUNIT_ASSERT_MESSAGE(second.output(), second.answers(kStartLimit));
   }
 
+  void aDaemonThatWaitsForItsPortEndsAtOnce() {
+    GatewayProcess gateway("127.8.0.9");
+    const Poco::Net::ServerSocket other = occupy(gateway.callers);
+    gateway.start();
+    CPPUNIT_ASSERT_MESSAGE(gateway.output(), gateway.answers(kStartLimit));
+    gateway.process().signal(SIGTERM);
+    std::this_thread::sleep_for(kObservation);
+    CPPUNIT_ASSERT_MESSAGE(gateway.output(), gateway.process().exitCode() == 0);
+  }
+
+  void anAddressMayBecomeThisHostsLater() {
+    GatewayProcess gateway("127.8.0.10");
+    // Reserved for documentation.
+    gateway.callers = "203.0.113.1:8080";
+    gateway.start();
+    CPPUNIT_ASSERT_MESSAGE(gateway.output(), gateway.answers(kStartLimit));
+    std::this_thread::sleep_for(kObservation);
+    CPPUNIT_ASSERT_MESSAGE(gateway.output(), gateway.process().running());
+    CPPUNIT_ASSERT_MESSAGE(gateway.output(),
+                           gateway.output().find("listener.unavailable") != std::string::npos);
+  }
+
   /// Callers beyond the soft limit waited, though the hard limit and the settings had room.
   void theSoftLimitOfDescriptorsIsRaised() {
     GatewayProcess gateway("127.8.0.6");
