Don't share a listen port with another process

Seen: while a daemon is suspended, a second one starts at its address without an error, and 21 of 40 connections go to the suspended one (the lead's trial). Cause: POCO's bind(address, true) sets SO_REUSEPORT besides SO_REUSEADDR. Class: one flag of a library that stands for two options. Change: all listeners set SO_REUSEADDR alone, those of the own interface too; outgoing peer connections likewise. Evidence: aSecondDaemonTakesThePortOfASuspendedOneOnceItEnds failed with the old option put back (the second daemon has no listener.unavailable line, as it listens) and passes now; it asks 40 callers after the first one has ended. Why it works: without SO_REUSEPORT on both sides the kernel refuses a second listener at an address.

--- a/Hallchute/src/Daemon/CallerServer.cpp
+++ b/Hallchute/src/Daemon/CallerServer.cpp
@@ -76,7 +76,8 @@
 CallerServer::CallerServer(CallerServices& services, const std::string& listen, int maxConnections)
     : threads_(4, maxConnections + 1, kIdleThreadSeconds) {
   Poco::Net::ServerSocket socket;
-  socket.bind(Poco::Net::SocketAddress(listen), true);
+  // Without SO_REUSEPORT, which lets another process listen here too.
+  socket.bind(Poco::Net::SocketAddress(listen), true, false);
   socket.listen(kBacklog);
   Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
   params->setMaxThreads(maxConnections);
--- a/Hallchute/src/Daemon/OperatorServer.cpp
+++ b/Hallchute/src/Daemon/OperatorServer.cpp
@@ -36,7 +36,8 @@
 OperatorServer::OperatorServer(OperatorServices& services, const std::string& listen)
     : threads_(2, kMaxThreads) {
   Poco::Net::ServerSocket socket;
-  socket.bind(Poco::Net::SocketAddress(listen), true);
+  // Without SO_REUSEPORT, which lets another process listen here too.
+  socket.bind(Poco::Net::SocketAddress(listen), true, false);
   socket.listen();
   Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
   params->setMaxThreads(kMaxThreads - 1);
--- a/Hallchute/src/Net/Listener.cpp
+++ b/Hallchute/src/Net/Listener.cpp
@@ -51,7 +51,9 @@
 
 void Listener::open() {
   Poco::Net::ServerSocket socket;
-  socket.bind(address_, true);
+  // POCO sets SO_REUSEPORT too unless told otherwise: another process could then listen here, and
+  // the kernel would deal connections out to both.
+  socket.bind(address_, true, false);
   socket.listen(backlog_);
   socket.setBlocking(false);
   socket_ = socket;
--- a/Hallchute/src/Net/PeerTransport.cpp
+++ b/Hallchute/src/Net/PeerTransport.cpp
@@ -70,7 +70,7 @@
   }
   try {
     Poco::Net::StreamSocket socket;
-    socket.impl()->bind(source_, true);
+    socket.impl()->bind(source_, true, false);
     socket.connectNB(Poco::Net::SocketAddress(address));
     const std::uint64_t id = nextConnection_++;
     connections_[id] =
--- a/test/GatewayStartTest.cpp
+++ b/test/GatewayStartTest.cpp
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(aMetricsPortInUseDoesNotEndTheDaemon);
   CPPUNIT_TEST(aListenPortInUseIsTakenOnceItIsFree);
   CPPUNIT_TEST(aPortIsNotSharedWithAnotherProcess);
+  CPPUNIT_TEST(aSecondDaemonTakesThePortOfASuspendedOneOnceItEnds);
   CPPUNIT_TEST(aDaemonThatWaitsForItsPortEndsAtOnce);
   CPPUNIT_TEST(anAddressMayBecomeThisHostsLater);
   CPPUNIT_TEST(theSoftLimitOfDescriptorsIsRaised);
@@ -106,6 +107,23 @@
     CPPUNIT_ASSERT_MESSAGE(second.output(), second.answers(kStartLimit));
   }
 
+  /// About half of the callers went to the suspended daemon, and nobody was told.
+  void aSecondDaemonTakesThePortOfASuspendedOneOnceItEnds() {
+    GatewayProcess first("127.8.0.11");
+    first.start();
+    CPPUNIT_ASSERT(first.answers(kStartLimit));
+    first.process().signal(SIGSTOP);
+    GatewayProcess second("127.8.0.11");
+    second.callers = first.callers;
+    second.start();
+    CPPUNIT_ASSERT_MESSAGE("no word", writes(second, "listener.unavailable", kObservation));
+    CPPUNIT_ASSERT_MESSAGE("both listen", !writes(second, "listener.open", kObservation));
+    first.process().kill();
+    CPPUNIT_ASSERT_MESSAGE(second.output(), writes(second, "listener.open", kStartLimit));
+    constexpr int kCallers = 40;
+    for (int i = 0; i < kCallers; ++i) CPPUNIT_ASSERT(callerIsAnswered(second));
+  }
+
   void aDaemonThatWaitsForItsPortEndsAtOnce() {
     GatewayProcess gateway("127.8.0.9");
     const Poco::Net::ServerSocket other = occupy(gateway.callers);
@@ -186,6 +204,16 @@
                            used < kObservation / 4);
   }
 
+  static bool writes(const GatewayProcess& gateway, const std::string& event, milliseconds limit) {
+    constexpr milliseconds kPollInterval{10};
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (std::chrono::steady_clock::now() < end) {
+      if (gateway.output().find(event) != std::string::npos) return true;
+      std::this_thread::sleep_for(kPollInterval);
+    }
+    return false;
+  }
+
   static bool callerIsAnswered(const GatewayProcess& gateway) {
     RawCaller caller(gateway.callers);
     caller.send("GET /s/x HTTP/1.1\r\nHost: h.example\r\n\r\n");
