Rest a listener when there is no descriptor for a connection

Cause: accept fails with EMFILE and leaves the connection in the queue, so that the level-triggered listener is ready again at once; FrontServer and PeerTransport both took any failure for a caller that had left. Class: a resource was taken to be as large as the settings say. Change: Listener rests 100 ms (listener.exhausted, one line in 10 s at most; hallchute_listener_exhausted_total). Why it works: a failed accept costs one call in 100 ms, and callers are refused while descriptors remain for upstreams, the store and peers.

--- a/Hallchute/src/Daemon/Control.cpp
+++ b/Hallchute/src/Daemon/Control.cpp
@@ -47,7 +47,7 @@
     : settings_(settings),
       jobs_(jobs),
       metrics_(metrics),
-      transport_(loop_, startup.peerListen, startup.peerSecret),
+      transport_(loop_, startup.peerListen, startup.peerSecret, &metrics),
       membership_(MembershipPolicy{}, initialSelfStatus(startup), randomSeed(startup)),
       owners_(settings, directory_),
       broker_(loop_, transport_, membership_, directory_, settings, owners_, metrics),
--- a/Hallchute/src/Front/FrontServer.cpp
+++ b/Hallchute/src/Front/FrontServer.cpp
@@ -24,8 +24,9 @@
     : loop_(loop),
       handler_(handler),
       metrics_(metrics),
-      listener_(loop, listen, kBacklog,
-                [this](const Poco::Net::StreamSocket& socket) { accept(socket); }) {}
+      listener_(
+          loop, listen, kBacklog, [this](const Poco::Net::StreamSocket& socket) { accept(socket); },
+          &metrics) {}
 
 FrontServer::~FrontServer() = default;
 
--- a/Hallchute/src/Net/Listener.cpp
+++ b/Hallchute/src/Net/Listener.cpp
@@ -9,16 +9,20 @@
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <system_error>
 #include <utility>
 
 #include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Observability/LogLine.h"
+#include "Hallchute/src/Observability/Metrics.h"
 
 namespace Hallchute {
 namespace {
 
 /// Time between two tries to listen.
 constexpr Millis kRetryInterval{100};
+/// How long nothing is accepted when there is no descriptor for it.
+constexpr Millis kPause{100};
 /// Minimum time between two log lines about the same fault.
 constexpr Millis kLogInterval{10'000};
 
@@ -27,13 +31,21 @@
   return error == EACCES || error == EPERM || error == EAFNOSUPPORT;
 }
 
+/// Whether the connection stays in the accept queue for want of descriptors or memory. The event
+/// loop would report it again at once, without end.
+bool isExhausted(int error) {
+  return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
+}
+
 }  // namespace
 
-Listener::Listener(EventLoop& loop, const std::string& address, int backlog, AcceptHandler onAccept)
+Listener::Listener(EventLoop& loop, const std::string& address, int backlog, AcceptHandler onAccept,
+                   Metrics* metrics)
     : loop_(loop),
       address_(address),
       backlog_(backlog),
       onAccept_(std::move(onAccept)),
+      metrics_(metrics),
       began_(clockNow()) {
   try {
     open();
@@ -89,8 +101,11 @@
 
 void Listener::accept() {
   const int fd = ::accept4(socket_->impl()->sockfd(), nullptr, nullptr, SOCK_CLOEXEC);
-  // The other side may have disconnected between the event and the call.
-  if (fd < 0) return;
+  if (fd < 0) {
+    // Else the other side has disconnected between the event and the call.
+    if (isExhausted(errno)) pause(errno);
+    return;
+  }
   const Poco::Net::StreamSocket socket(new Poco::Net::StreamSocketImpl(fd));
   try {
     onAccept_(socket);
@@ -99,4 +114,22 @@
   }
 }
 
+void Listener::pause(int error) {
+  loop_.setEvents(socket_->impl()->sockfd(), 0);
+  timer_ = loop_.after(kPause, [this] { resume(); });
+  if (metrics_ != nullptr) {
+    metrics_->add("hallchute_listener_exhausted_total", "address=\"" + address_.toString() + "\"");
+  }
+  const Instant now = clockNow();
+  if (exhaustedLogged_ && now - *exhaustedLogged_ < kLogInterval) return;
+  exhaustedLogged_ = now;
+  LogLine(LogLevel::warning, "listener.exhausted")
+      .with("address", address_.toString())
+      .with("detail", std::generic_category().message(error));
+}
+
+void Listener::resume() {
+  loop_.setEvents(socket_->impl()->sockfd(), POLLIN);
+}
+
 }  // namespace Hallchute
--- a/Hallchute/src/Net/PeerTransport.cpp
+++ b/Hallchute/src/Net/PeerTransport.cpp
@@ -34,12 +34,14 @@
   if (PeerConnection* connection = transport_->find(connection_)) connection->close(id_);
 }
 
-PeerTransport::PeerTransport(EventLoop& loop, const std::string& listen, std::string secret)
+PeerTransport::PeerTransport(EventLoop& loop, const std::string& listen, std::string secret,
+                             Metrics* metrics)
     : loop_(loop),
       secret_(std::move(secret)),
       source_(Poco::Net::SocketAddress(listen).host(), 0),
-      listener_(loop, listen, kBacklog,
-                [this](const Poco::Net::StreamSocket& socket) { accept(socket); }) {}
+      listener_(
+          loop, listen, kBacklog, [this](const Poco::Net::StreamSocket& socket) { accept(socket); },
+          metrics) {}
 
 PeerTransport::~PeerTransport() {
   connections_.clear();
--- a/Hallchute/src/Net/PeerTransport.h
+++ b/Hallchute/src/Net/PeerTransport.h
@@ -20,6 +20,7 @@
 namespace Hallchute {
 
 class EventLoop;
+class Metrics;
 class PeerConnection;
 
 /// \brief Streams to and from other daemons, over one connection per peer and direction.
@@ -33,8 +34,10 @@
 
   /// \brief Accepts peers at once, or as soon as the address is free.
   /// \param listen address to accept peers at; \param secret shared by all daemons of the fleet.
+  /// \param metrics may be null.
   /// \throws Poco::Exception if the address can never be bound.
-  PeerTransport(EventLoop& loop, const std::string& listen, std::string secret);
+  PeerTransport(EventLoop& loop, const std::string& listen, std::string secret,
+                Metrics* metrics = nullptr);
   ~PeerTransport();
   PeerTransport(const PeerTransport&) = delete;
   PeerTransport& operator=(const PeerTransport&) = delete;
--- a/Hallchute/src/Node/FleetLink.cpp
+++ b/Hallchute/src/Node/FleetLink.cpp
@@ -19,8 +19,8 @@
 }  // namespace
 
 FleetLink::FleetLink(EventLoop& loop, const std::string& listen, const std::string& fleet,
-                     Callbacks callbacks)
-    : callbacks_(std::move(callbacks)), transport_(loop, listen, fleet) {
+                     Callbacks callbacks, Metrics& metrics)
+    : callbacks_(std::move(callbacks)), transport_(loop, listen, fleet, &metrics) {
   transport_.serve(kReportPath, [this](const PeerStreamPtr& stream) {
     stream->onMessage = [this](std::string_view message) {
       const auto report = unpack<FleetReport>(message);
--- a/Hallchute/src/Node/FleetLink.h
+++ b/Hallchute/src/Node/FleetLink.h
@@ -16,6 +16,7 @@
 namespace Hallchute {
 
 class EventLoop;
+class Metrics;
 
 /// \brief Exchanges reports and snapshots with other daemons. Control thread only.
 /// \ingroup Node
@@ -32,7 +33,7 @@
   /// \param fleet a name shared by all daemons of a deployment; peers with another one are
   /// rejected.
   FleetLink(EventLoop& loop, const std::string& listen, const std::string& fleet,
-            Callbacks callbacks);
+            Callbacks callbacks, Metrics& metrics);
   ~FleetLink();
   FleetLink(const FleetLink&) = delete;
   FleetLink& operator=(const FleetLink&) = delete;
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -25,6 +25,10 @@
 constexpr Millis kExitMargin{700};
 /// Descriptors reserved for uses other than callers and upstreams.
 constexpr std::size_t kReservedDescriptors = 300;
+/// Connections to the readiness page, and to the metrics page: part of the reserved descriptors.
+constexpr std::size_t kMaxPageConnections = 64;
+/// A page gets one connection for this many descriptors, up to that number.
+constexpr std::size_t kDescriptorsPerPage = 16;
 /// Upper bound of a watch's timeout. The timeout also stays below the contact bound, within which a
 /// lost connection must be noticed.
 constexpr Millis kMaxWatchTimeout{3'000};
@@ -77,7 +81,10 @@
       // The store's address identifies the deployment: no two deployments share a store.
       link_(controlLoop_, startup_.peerListen, startup_.storeAddress,
             {[this](const FleetReport& report) { handleReport(report); },
-             [this](const SnapshotRequest& request) { return storeCopy_.snapshot(request); }}) {
+             [this](const SnapshotRequest& request) { return storeCopy_.snapshot(request); }},
+            metrics_) {
+  callerServer_.setLimits(callerLimits({}));
+  readinessServer_.setLimits(pageLimits());
   serveMetrics();
   fleet_.addAddresses(startup_.seeds);
   fleet_.noteWallClock(Millis(wallClockMs()), clockNow());
@@ -102,6 +109,7 @@
   if (startup_.metricsListen.empty()) return;
   try {
     metricsServer_.emplace(trafficLoop_, startup_.metricsListen, metricsPage_, metrics_);
+    metricsServer_->setLimits(pageLimits());
   } catch (const Poco::Exception& e) {
     LogLine(LogLevel::error, "listener.unavailable")
         .with("address", startup_.metricsListen)
@@ -200,9 +208,7 @@
   services_ = settings.services;
   quotaTokens_ = quotaTokensOf(settings);
   GatewaySettings applied = settings;
-  const std::size_t usable =
-      startup_.descriptors - std::min(startup_.descriptors / 2, kReservedDescriptors);
-  applied.limits.connections = usable / 2;
+  applied.limits = callerLimits(applied.limits);
   const FrontLimits limits = applied.limits;
   const auto routes = std::make_shared<const RouteTable>(std::move(applied));
   trafficLoop_.post([this, routes, limits] {
@@ -211,6 +217,19 @@
   });
 }
 
+/// Each caller may need a connection to an upstream.
+FrontLimits GatewayNode::callerLimits(FrontLimits limits) const {
+  const std::size_t reserved = std::min(startup_.descriptors / 2, kReservedDescriptors);
+  limits.connections = (startup_.descriptors - reserved) / 2;
+  return limits;
+}
+
+FrontLimits GatewayNode::pageLimits() const {
+  FrontLimits limits;
+  limits.connections = std::min(startup_.descriptors / kDescriptorsPerPage, kMaxPageConnections);
+  return limits;
+}
+
 void GatewayNode::collectLocalReport() {
   const std::int64_t window = engine_.usage().windowAt(engine_.wallClock(clockNow()));
   engine_.usage().forgetBefore(window - kUsageWindowsKept);
--- a/Hallchute/src/Node/GatewayNode.h
+++ b/Hallchute/src/Node/GatewayNode.h
@@ -63,6 +63,9 @@
   void serveMetrics();
   TrafficOptions trafficOptions() const;
   void startDuties();
+  /// \p limits with as many connections as there are descriptors for.
+  FrontLimits callerLimits(FrontLimits limits) const;
+  FrontLimits pageLimits() const;
   void applySettings(const GatewaySettings& settings);
   /// The holder of the duties with the highest epoch in any report.
   DutyHolder latestHolder(Instant now) const;
--- a/Hallchute/src/Node/NodeStartup.h
+++ b/Hallchute/src/Node/NodeStartup.h
@@ -59,7 +59,7 @@
   std::string dutyAddress;
   bool ordersReplicas = false;
   bool reportsUsage = false;
-  /// Limit of the process's open file descriptors.
+  /// How many file descriptors the process may have open.
   std::size_t descriptors = 1'024;
   NodeBounds bounds;
   /// Processing capacity of the host in thousandths of a processor.
