--- a/Hallchute/src/Net/PeerTransport.cpp
+++ b/Hallchute/src/Net/PeerTransport.cpp
@@ -3,8 +3,7 @@
 
 #include "Hallchute/src/Net/PeerTransport.h"
 
-#include <poll.h>
-
+#include <utility>
 #include <vector>
 
 #include "Hallchute/src/Net/EventLoop.h"
@@ -35,18 +34,16 @@
   if (PeerConnection* connection = transport_->find(connection_)) connection->close(id_);
 }
 
-PeerTransport::PeerTransport(EventLoop& loop, const std::string& listen, std::string secret)
-    : loop_(loop), secret_(std::move(secret)) {
-  const Poco::Net::SocketAddress address(listen);
-  listener_.bind(address, true);
-  listener_.listen(kBacklog);
-  listener_.setBlocking(false);
-  source_ = Poco::Net::SocketAddress(address.host(), 0);
-  loop_.watch(listener_.impl()->sockfd(), POLLIN, [this](short) { accept(); });
-}
+PeerTransport::PeerTransport(EventLoop& loop, const std::string& listen, std::string secret,
+                             Metrics* metrics)
+    : loop_(loop),
+      secret_(std::move(secret)),
+      source_(Poco::Net::SocketAddress(listen).host(), 0),
+      listener_(
+          loop, listen, kBacklog, [this](const Poco::Net::StreamSocket& socket) { accept(socket); },
+          metrics) {}
 
 PeerTransport::~PeerTransport() {
-  loop_.unwatch(listener_.impl()->sockfd());
   connections_.clear();
 }
 
@@ -64,15 +61,9 @@
   return it == connections_.end() ? nullptr : it->second.get();
 }
 
-void PeerTransport::accept() {
-  try {
-    Poco::Net::StreamSocket socket = listener_.acceptConnection();
-    const std::uint64_t id = nextConnection_++;
-    connections_[id] =
-        std::make_unique<PeerConnection>(*this, id, PeerSession::Role::server, socket);
-  } catch (const Poco::Exception&) {
-    // The peer closed the connection before it was accepted.
-  }
+void PeerTransport::accept(const Poco::Net::StreamSocket& socket) {
+  const std::uint64_t id = nextConnection_++;
+  connections_[id] = std::make_unique<PeerConnection>(*this, id, PeerSession::Role::server, socket);
 }
 
 PeerConnection* PeerTransport::connectionTo(const std::string& address) {
@@ -81,7 +72,7 @@
   }
   try {
     Poco::Net::StreamSocket socket;
-    socket.impl()->bind(source_, true);
+    socket.impl()->bind(source_, true, false);
     socket.connectNB(Poco::Net::SocketAddress(address));
     const std::uint64_t id = nextConnection_++;
     connections_[id] =
