Test of shared ports: the suspended daemon's readiness port is shared too

The test took any answer of the second daemon's readiness page for listening at the callers' port. That page had a port of its own and says 503 while the daemon waits for the callers' port, so that the test failed with the fault gone. Now both ports are the first daemon's, which is suspended: an answer from there within a second, in as many tries as go into it, is the second daemon's. As strict: with SO_REUSEPORT about half of the tries reach the second daemon.

--- a/test/GatewayStartTest.cpp
+++ b/test/GatewayStartTest.cpp
@@ -99,6 +99,9 @@
     CPPUNIT_ASSERT(first.answers(kStartLimit));
     GatewayProcess second("127.8.0.5");
     second.callers = first.callers;
+    second.readiness = first.readiness;
+    // What answers at the shared addresses from here on is the second daemon.
+    first.process().signal(SIGSTOP);
     second.start();
     std::this_thread::sleep_for(kObservation);
     CPPUNIT_ASSERT_THROW(occupy(first.callers), Poco::Exception);
