--- a/test/GatewayStartTest.cpp
+++ b/test/GatewayStartTest.cpp
@@ -1,14 +1,21 @@
 // This file is part of hallchute, a serving system for language models.
 // SPDX-License-Identifier: Apache-2.0
 
+#include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/ServerSocket.h>
 #include <cppunit/extensions/HelperMacros.h>
 #include <signal.h>
 
 #include <chrono>
+#include <cstdlib>
+#include <sstream>
 #include <string>
 #include <thread>
+#include <variant>
+#include <vector>
 
+#include "Hallchute/src/Net/HttpExchange.h"
+#include "standin/StandinServer.h"
 #include "test/GatewayProcess.h"
 
 namespace {
@@ -35,6 +42,8 @@
   CPPUNIT_TEST(aMetricsPortInUseDoesNotEndTheDaemon);
   CPPUNIT_TEST(aListenPortInUseIsTakenOnceItIsFree);
   CPPUNIT_TEST(aPortIsNotSharedWithAnotherProcess);
+  CPPUNIT_TEST(aStoreThatNeverAnsweredIsLoggedAndCounted);
+  CPPUNIT_TEST(unreadableAnswersOfTheStoreAreLoggedAndCounted);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -93,6 +102,73 @@
     first.process().kill();
     CPPUNIT_ASSERT_MESSAGE(second.output(), second.answers(kStartLimit));
   }
+
+  /// A daemon that had never reached its store wrote nothing about it, and served nothing.
+  void aStoreThatNeverAnsweredIsLoggedAndCounted() {
+    GatewayProcess gateway("127.8.0.6");
+    gateway.start();
+    CPPUNIT_ASSERT(gateway.answers(kStartLimit));
+    std::this_thread::sleep_for(kObservation);
+    const std::string output = gateway.output();
+    for (const char* const followed : {"settings", "upstreams"}) {
+      const std::vector<std::string> lines = linesOf(output, "store.lost", followed);
+      // It retries several times a second.
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(output, std::size_t{1}, lines.size());
+      CPPUNIT_ASSERT_MESSAGE(output, lines[0].find("refused") != std::string::npos);
+      CPPUNIT_ASSERT_MESSAGE(metricsOf(gateway),
+                             failedCalls(gateway, "follows=\"" + std::string(followed) +
+                                                      "\",status=\"UNAVAILABLE\"") >= 2);
+    }
+  }
+
+  void unreadableAnswersOfTheStoreAreLoggedAndCounted() {
+    Standin::StandinServer store(
+        "127.0.0.1:0", [](const Standin::Request&, Poco::Net::HTTPServerResponse& response) {
+          const std::string body = "<html>welcome</html>";
+          response.sendBuffer(body.data(), body.size());
+        });
+    GatewayProcess gateway("127.8.0.7");
+    gateway.store = store.address();
+    gateway.start();
+    CPPUNIT_ASSERT(gateway.answers(kStartLimit));
+    std::this_thread::sleep_for(kObservation);
+    const std::string output = gateway.output();
+    const std::vector<std::string> lines = linesOf(output, "store.lost", "settings");
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(output, std::size_t{1}, lines.size());
+    CPPUNIT_ASSERT_MESSAGE(output, lines[0].find("can't be read") != std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(metricsOf(gateway),
+                           failedCalls(gateway, "follows=\"settings\",status=\"UNKNOWN\"") >= 2);
+  }
+
+ private:
+  /// The lines of an event on what a follower `follows`.
+  static std::vector<std::string> linesOf(const std::string& output, const std::string& event,
+                                          const std::string& followed) {
+    std::vector<std::string> lines;
+    std::istringstream in(output);
+    for (std::string line; std::getline(in, line);) {
+      if (line.find("\"event\":\"" + event + "\"") == std::string::npos) continue;
+      if (line.find("\"follows\":\"" + followed + "\"") == std::string::npos) continue;
+      lines.push_back(line);
+    }
+    return lines;
+  }
+
+  static std::string metricsOf(const GatewayProcess& gateway) {
+    Hallchute::HttpExchange exchange({gateway.metrics, "", kObservation, kObservation});
+    Hallchute::HttpRequest call;
+    call.target = "/metrics";
+    const Hallchute::HttpResult result = exchange.run(call);
+    const auto* answer = std::get_if<Hallchute::HttpResponse>(&result);
+    return answer == nullptr ? std::string() : answer->body;
+  }
+
+  static int failedCalls(const GatewayProcess& gateway, const std::string& labels) {
+    const std::string page = metricsOf(gateway);
+    const std::string series = "hallchute_store_calls_failed_total{" + labels + "} ";
+    const std::size_t at = page.find(series);
+    return at == std::string::npos ? 0 : std::atoi(page.c_str() + at + series.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayStartTest);
--- a/test/TcpChannelTest.cpp
+++ b/test/TcpChannelTest.cpp
@@ -4,15 +4,18 @@
 #include <Poco/Net/ServerSocket.h>
 #include <cppunit/extensions/HelperMacros.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <cerrno>
+#include <cstring>
 #include <memory>
 #include <string>
 #include <thread>
 
 #include "Hallchute/src/Http/TcpChannel.h"
 #include "Hallchute/src/Net/EventLoop.h"
+#include "Hallchute/src/Net/HttpExchange.h"
 
 namespace {
 
@@ -41,6 +44,9 @@
   CPPUNIT_TEST(anAbortResetsEvenAfterTheOtherSideFinished);
   CPPUNIT_TEST(nothingIsSentWhereNobodyListens);
   CPPUNIT_TEST(whatAPeerHasNoRoomForIsNotAcknowledged);
+  CPPUNIT_TEST(aSourcePortCanBeListenedAt);
+  CPPUNIT_TEST(aSourcePortInTimeWaitCanBeListenedAt);
+  CPPUNIT_TEST(theSourcePortOfAnExchangeCanBeListenedAt);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -121,7 +127,68 @@
     CPPUNIT_ASSERT(emptied);
   }
 
+  /// An outgoing connection kept a daemon from starting whose listen port it had been given.
+  void aSourcePortCanBeListenedAt() {
+    Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+    EventLoop loop;
+    Owner owner;
+    std::thread thread([&] { loop.run(); });
+    const Poco::Net::StreamSocket peer = connect(loop, owner, listener);
+    const int error = listenError(peer.peerAddress());
+    stop(loop, thread, owner);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(std::strerror(error), 0, error);
+  }
+
+  /// It went on for a minute after the connection's end.
+  void aSourcePortInTimeWaitCanBeListenedAt() {
+    Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+    EventLoop loop;
+    Owner owner;
+    std::thread thread([&] { loop.run(); });
+    Poco::Net::StreamSocket peer = connect(loop, owner, listener);
+    const Poco::Net::SocketAddress source = peer.peerAddress();
+    // The side that closes first keeps the port.
+    stop(loop, thread, owner);
+    char byte = 0;
+    CPPUNIT_ASSERT_EQUAL(0, peer.receiveBytes(&byte, 1));
+    peer.close();
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    const int error = listenError(source);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(std::strerror(error), 0, error);
+  }
+
+  void theSourcePortOfAnExchangeCanBeListenedAt() {
+    Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+    int error = -1;
+    std::thread thread([&] {
+      const Poco::Net::StreamSocket peer = listener.acceptConnection();
+      error = listenError(peer.peerAddress());
+    });
+    HttpExchange exchange({listener.address().toString(), "127.0.0.1", kLimit, Millis(1'000)});
+    exchange.run(HttpRequest{});
+    thread.join();
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(std::strerror(error), 0, error);
+  }
+
  private:
+  static Poco::Net::StreamSocket connect(EventLoop& loop, Owner& owner,
+                                         Poco::Net::ServerSocket& listener) {
+    loop.call([&] {
+      owner.channel = std::make_unique<TcpChannel>(loop, listener.address().toString(), "127.0.0.1",
+                                                   kLimit, owner);
+    });
+    return listener.acceptConnection();
+  }
+  /// 0 if a socket with SO_REUSEADDR can listen at \p address, else the error.
+  static int listenError(const Poco::Net::SocketAddress& address) {
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    const bool listens = ::bind(fd, address.addr(), address.length()) == 0 && ::listen(fd, 1) == 0;
+    const int error = listens ? 0 : errno;
+    ::close(fd);
+    return error;
+  }
   static bool awaitAcknowledged(EventLoop& loop, const Owner& owner) {
     const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(5);
     bool acknowledged = false;
