Read answers of the store that come in chunks

Callers saw: where the store (or a proxy before it) answers with `Transfer-Encoding: chunked`, a daemon never got settings; readiness stayed 503 for good.

Cause: HttpExchange took a Content-Length for the only legal framing. Dropping that check alone would not do: POCO's stream of a chunked body ends alike with and without the last chunk, so a cut answer would count as whole. The bytes now go through HttpReader, which knows the last chunk and refuses garbled sizes; extensions and trailers are bounded to 16 KiB. A transfer coding overrides a length. An answer that ends with the connection stays refused, as a cut can't be told from its end, and the text says so. A silence in a chunked body is told as a timeout.

--- a/Hallchute/src/Net/HttpExchange.cpp
+++ b/Hallchute/src/Net/HttpExchange.cpp
@@ -15,13 +15,18 @@
 #include <array>
 #include <istream>
 
+#include "Hallchute/src/Http/HttpReader.h"
+
 namespace Hallchute {
 namespace {
 
 using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
 
 constexpr std::size_t kMaxBodyBytes = 64U << 20U;
 constexpr std::size_t kReadBytes = 16U << 10U;
+/// Bytes of a chunked body's trailers, or of the extensions of one chunk.
+constexpr std::uint32_t kMaxChunkedHeadBytes = 16U << 10U;
 
 Poco::Timespan timespan(Millis time) {
   return {static_cast<Poco::Timespan::TimeDiff>(time.count()) * Poco::Timespan::MILLISECONDS};
@@ -40,14 +45,13 @@
   return socket;
 }
 
-/// Reads \p length bytes, or up to the end of the stream if it is negative.
 /// \returns whether all \p length bytes were read.
 bool readBody(std::istream& in, std::streamsize length, std::string& body) {
   std::array<char, kReadBytes> buffer;
   while (in.good() && body.size() <= kMaxBodyBytes) {
-    std::streamsize toRead = static_cast<std::streamsize>(buffer.size());
-    if (length >= 0) toRead = std::min(toRead, length - static_cast<std::streamsize>(body.size()));
-    if (toRead == 0) return true;
+    const std::streamsize toRead = std::min(static_cast<std::streamsize>(buffer.size()),
+                                            length - static_cast<std::streamsize>(body.size()));
+    if (toRead <= 0) return toRead == 0;
     in.read(buffer.data(), toRead);
     body.append(buffer.data(), static_cast<std::size_t>(in.gcount()));
   }
@@ -56,6 +60,30 @@
 
 }  // namespace
 
+/// Gives access to the bytes that follow a response's header.
+class HttpExchange::Session final : public Poco::Net::HTTPClientSession {
+ public:
+  using HTTPClientSession::HTTPClientSession;
+
+  /// POCO's stream of a chunked body ends in the same way whether or not the last chunk has been
+  /// received, and at a chunk size that isn't a number. HttpReader tells them apart.
+  /// \returns whether the body was complete and valid.
+  bool readChunked(std::string& body) {
+    HttpReader reader(HttpMessageType::responses, {kMaxChunkedHeadBytes, kMaxBodyBytes});
+    std::string received = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    std::array<char, kReadBytes> buffer;
+    while (true) {
+      const HttpProgress progress = reader.read(received);
+      body += reader.takeBody();
+      if (progress != HttpProgress::needsMore) return progress == HttpProgress::complete;
+      if (received.size() > kMaxChunkedHeadBytes) return false;
+      const int count = read(buffer.data(), static_cast<std::streamsize>(buffer.size()));
+      if (count <= 0) return false;
+      received.append(buffer.data(), static_cast<std::size_t>(count));
+    }
+  }
+};
+
 std::string HttpResponse::header(std::string_view name) const {
   for (const auto& [key, value] : headers) {
     if (Poco::icompare(key, std::string(name)) == 0) return value;
@@ -68,7 +96,7 @@
 
 HttpResult HttpExchange::open(const HttpRequest& call) {
   try {
-    session_ = std::make_unique<Poco::Net::HTTPClientSession>(connect(endpoint_));
+    session_ = std::make_unique<Session>(connect(endpoint_));
   } catch (const Poco::Exception& e) {
     return HttpNeverSent{endpoint_.address + ": " + e.displayText()};
   }
@@ -82,7 +110,7 @@
       request.setContentLength64(static_cast<Poco::Int64>(call.body.size()));
     }
     session_->sendRequest(request) << call.body << std::flush;
-    response_ = std::make_unique<Poco::Net::HTTPResponse>();
+    response_ = std::make_unique<HTTPResponse>();
     body_ = &session_->receiveResponse(*response_);
     HttpResponse answer;
     answer.status = response_->getStatus();
@@ -102,11 +130,22 @@
   if (answer == nullptr) return result;
   const bool empty = call.method == HTTPRequest::HTTP_HEAD || answer->status == 204;
   if (empty) return result;
-  if (!response_->hasContentLength()) {
-    return HttpMaybeSent{endpoint_.address + ": the answer has no Content-Length"};
+  // A transfer coding overrides a length (RFC 9112, 6.3).
+  const bool chunked = response_->getChunkedTransferEncoding();
+  const bool otherCoding = !chunked && response_->has(HTTPResponse::TRANSFER_ENCODING);
+  if (otherCoding || (!chunked && !response_->hasContentLength())) {
+    return HttpMaybeSent{endpoint_.address +
+                         ": the end of the answer can't be told from a cut: it has no "
+                         "Content-Length and isn't chunked"};
   }
-  if (!readBody(*body_, response_->getContentLength64(), answer->body)) {
-    return HttpMaybeSent{endpoint_.address + ": the answer was cut short"};
+  try {
+    const bool complete = chunked ? session_->readChunked(answer->body)
+                                  : readBody(*body_, response_->getContentLength64(), answer->body);
+    if (!complete) return HttpMaybeSent{endpoint_.address + ": the answer was cut short"};
+  } catch (const Poco::TimeoutException& e) {
+    return HttpMaybeSent{endpoint_.address + ": " + e.displayText(), true};
+  } catch (const Poco::Exception& e) {
+    return HttpMaybeSent{endpoint_.address + ": " + e.displayText()};
   }
   return result;
 }
--- a/Hallchute/src/Net/HttpExchange.h
+++ b/Hallchute/src/Net/HttpExchange.h
@@ -16,7 +16,6 @@
 #include "Hallchute/src/Core/Time.h"
 
 namespace Poco::Net {
-class HTTPClientSession;
 class HTTPResponse;
 }  // namespace Poco::Net
 
@@ -32,7 +31,7 @@
   std::vector<std::pair<std::string, std::string>> headers;
 };
 
-/// \brief A complete response: the body is as long as its Content-Length.
+/// \brief A complete response: the body is as long as its Content-Length, or has its last chunk.
 /// \ingroup Net
 struct HttpResponse {
   int status = 0;
@@ -85,17 +84,21 @@
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
 
-  /// \brief Sends \p call and reads the complete response.
+  /// \brief Sends \p call and reads the complete response: its Content-Length, or all its chunks. A
+  /// body that ends with the connection counts as incomplete.
   HttpResult run(const HttpRequest& call);
   /// \brief Sends \p call and reads the response header; the body can be read from stream().
   /// \returns a response with an empty body.
   HttpResult open(const HttpRequest& call);
-  /// \brief The body after open(). Goes into an error state after responseTimeout without data.
+  /// \brief The body after open(). Goes into an error state after responseTimeout without data. Its
+  /// end doesn't tell whether the body was complete: the content must.
   std::istream& stream() { return *body_; }
 
  private:
+  class Session;
+
   HttpEndpoint endpoint_;
-  std::unique_ptr<Poco::Net::HTTPClientSession> session_;
+  std::unique_ptr<Session> session_;
   std::unique_ptr<Poco::Net::HTTPResponse> response_;
   std::istream* body_ = nullptr;
 };
