Log and count a store that never answered

Callers saw: nothing served, and no line why: `store.lost` was written only for a store that had answered before.

Cause: the line hung on a change of the state "reachable", which begins as false. Now the first failed call since the start or the last contact is logged with its detail, then `store.stillLost` every 30 s; `hallchute_store_calls_failed_total` counts failed calls by what they follow and by status.

--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -72,7 +72,8 @@
                  {[this](const GatewaySettings& settings) { applySettings(settings); },
                   [this](const std::vector<UpstreamRecord>& upstreams) {
                     trafficLoop_.post([this, upstreams] { engine_.setUpstreams(upstreams); });
-                  }}),
+                  }},
+                 metrics_),
       // The store's address identifies the deployment: no two deployments share a store.
       link_(controlLoop_, startup_.peerListen, startup_.storeAddress,
             {[this](const FleetReport& report) { handleReport(report); },
--- a/Hallchute/src/Node/ObjectFollower.cpp
+++ b/Hallchute/src/Node/ObjectFollower.cpp
@@ -5,6 +5,7 @@
 
 #include <utility>
 
+#include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Observability/LogLine.h"
 
 namespace Hallchute {
@@ -16,6 +17,9 @@
 /// Delay before retrying where no other daemon relies on this one: failed calls are billed too.
 constexpr Millis kProbeInterval{2'000};
 
+/// Time between two log lines on a store that stays unavailable.
+constexpr Millis kFailureLogInterval{30'000};
+
 std::string_view modeText(FollowMode mode) {
   switch (mode) {
     case FollowMode::off:
@@ -100,14 +104,33 @@
 }
 
 void ObjectFollower::updateReachability(bool reachable, const absl::Status& status) {
+  if (!reachable) {
+    callbacks_.onFailedCall(status);
+    if (mode_ != FollowMode::off) logFailure(status);
+  } else {
+    failedCalls_ = 0;
+  }
   if (mode_ == FollowMode::off || reachable_.exchange(reachable) == reachable) return;
-  LogLine(reachable ? LogLevel::info : LogLevel::warning,
-          reachable ? "store.regained" : "store.lost")
+  if (!reachable) {
+    outageSeen_ = true;
+    return;
+  }
+  LogLine(LogLevel::info, "store.regained").with("follows", name_).with("asOf", asOf_);
+  if (std::exchange(outageSeen_, false)) callbacks_.onRecovery();
+}
+
+void ObjectFollower::logFailure(const absl::Status& status) {
+  const Instant now = clockNow();
+  const bool first = failedCalls_++ == 0;
+  if (first) firstFailure_ = now;
+  if (!first && now - failureLogged_ < kFailureLogInterval) return;
+  failureLogged_ = now;
+  LogLine(LogLevel::warning, first ? "store.lost" : "store.stillLost")
       .with("follows", name_)
       .with("asOf", asOf_)
+      .with("failedCalls", failedCalls_)
+      .with("forMs", std::chrono::duration_cast<Millis>(now - firstFailure_))
       .with("detail", view(status.message()));
-  if (!reachable) outageSeen_ = true;
-  if (reachable && std::exchange(outageSeen_, false)) callbacks_.onRecovery();
 }
 
 bool ObjectFollower::listNewest() {
@@ -147,6 +170,7 @@
   // A gap in the history is a response of the store. After any other failure a list shows whether
   // the store can be reached.
   const bool gap = absl::IsOutOfRange(batch.status());
+  if (!gap) callbacks_.onFailedCall(batch.status());
   LogLine(LogLevel::info, "store.watchEnded")
       .with("follows", name_)
       .with("asOf", asOf_)
--- a/Hallchute/src/Node/ObjectFollower.h
+++ b/Hallchute/src/Node/ObjectFollower.h
@@ -46,6 +46,8 @@
     std::function<void(const Objects&, std::uint64_t asOf)> onChange;
     /// Called when the store responds again after a failure, before onChange().
     std::function<void()> onRecovery;
+    /// Called on the follower's thread for each call that the store didn't answer, or not readably.
+    std::function<void(const absl::Status&)> onFailedCall = [](const absl::Status&) {};
   };
 
   /// \param name the kind of objects in log lines.
@@ -75,6 +77,8 @@
   bool watchOnce();
   void apply(const SourceBatch& batch);
   void updateReachability(bool reachable, const absl::Status& status);
+  /// Logs the first failure since the start or the last contact, and then one in a while.
+  void logFailure(const absl::Status& status);
   void waitFor(Millis time);
   void waitWhileOff();
 
@@ -88,6 +92,10 @@
   /// The initial list has not succeeded yet.
   bool initialListPending_ = true;
   bool outageSeen_ = false;
+  /// Failed calls since the start or the last contact.
+  std::uint64_t failedCalls_ = 0;
+  Instant firstFailure_{};
+  Instant failureLogged_{};
   std::atomic<bool> reachable_{false};
   /// An up-to-date list or a watch has succeeded since the start, or since the mode was last off.
   std::atomic<bool> current_{false};
--- a/Hallchute/src/Node/StoreCopy.cpp
+++ b/Hallchute/src/Node/StoreCopy.cpp
@@ -10,6 +10,7 @@
 #include "Hallchute/src/Net/EventLoop.h"
 #include "Hallchute/src/Node/FleetLink.h"
 #include "Hallchute/src/Observability/LogLine.h"
+#include "Hallchute/src/Observability/Metrics.h"
 
 namespace Hallchute {
 namespace {
@@ -24,23 +25,27 @@
 
 }  // namespace
 
-StoreCopy::StoreCopy(EventLoop& loop, NodePorts ports, Millis watchTimeout, Callbacks callbacks)
+StoreCopy::StoreCopy(EventLoop& loop, NodePorts ports, Millis watchTimeout, Callbacks callbacks,
+                     Metrics& metrics)
     : loop_(loop),
       ports_(std::move(ports)),
       callbacks_(std::move(callbacks)),
+      metrics_(metrics),
       freshness_(clockNow()),
-      settingsFollower_("settings", ports_.settings, {watchTimeout, Millis(0), kInitialWatchDelay},
-                        {[this](const ObjectFollower::Objects& objects, std::uint64_t) {
-                           const auto it = objects.find(std::string(ports_.settingsName));
-                           if (it != objects.end()) decodeSettings(it->second.content, "store");
-                         },
-                         [] {}}),
-      upstreamFollower_("upstreams", ports_.upstreams,
-                        {watchTimeout, kUpstreamBatchDelay, kInitialWatchDelay},
-                        {[this](const ObjectFollower::Objects& objects, std::uint64_t asOf) {
-                           decodeUpstreams(objects, asOf);
-                         },
-                         [this] { loop_.post([this] { handleStoreRecovery(); }); }}) {}
+      settingsFollower_(
+          "settings", ports_.settings, {watchTimeout, Millis(0), kInitialWatchDelay},
+          {[this](const ObjectFollower::Objects& objects, std::uint64_t) {
+             const auto it = objects.find(std::string(ports_.settingsName));
+             if (it != objects.end()) decodeSettings(it->second.content, "store");
+           },
+           [] {}, [this](const absl::Status& status) { countFailedCall("settings", status); }}),
+      upstreamFollower_(
+          "upstreams", ports_.upstreams, {watchTimeout, kUpstreamBatchDelay, kInitialWatchDelay},
+          {[this](const ObjectFollower::Objects& objects, std::uint64_t asOf) {
+             decodeUpstreams(objects, asOf);
+           },
+           [this] { loop_.post([this] { handleStoreRecovery(); }); },
+           [this](const absl::Status& status) { countFailedCall("upstreams", status); }}) {}
 
 void StoreCopy::start() {
   settingsFollower_.start();
@@ -129,6 +134,12 @@
   if (freshness_.wasUnreachable(now)) retainLapsed(now);
 }
 
+void StoreCopy::countFailedCall(std::string_view followed, const absl::Status& status) {
+  metrics_.add("hallchute_store_calls_failed_total",
+               "follows=\"" + std::string(followed) + "\",status=\"" +
+                   absl::StatusCodeToString(status.code()) + "\"");
+}
+
 void StoreCopy::retainLapsed(Instant now) {
   if (!upstreams_.noteStoreRecovery(now)) return;
   LogLine(LogLevel::info, "upstreams.held").with("forMs", LapsedUpstreams::kReregistrationTime);
--- a/Hallchute/src/Node/StoreCopy.h
+++ b/Hallchute/src/Node/StoreCopy.h
@@ -23,6 +23,7 @@
 class EventLoop;
 class FleetLink;
 class FleetView;
+class Metrics;
 
 /// \brief A daemon's copy of the settings and the upstreams in the platform's store.
 /// \ingroup Node
@@ -37,7 +38,8 @@
   };
 
   /// \param watchTimeout how long a watch may return nothing.
-  StoreCopy(EventLoop& loop, NodePorts ports, Millis watchTimeout, Callbacks callbacks);
+  StoreCopy(EventLoop& loop, NodePorts ports, Millis watchTimeout, Callbacks callbacks,
+            Metrics& metrics);
   StoreCopy(const StoreCopy&) = delete;
   StoreCopy& operator=(const StoreCopy&) = delete;
 
@@ -62,6 +64,7 @@
   void decodeUpstreams(const ObjectFollower::Objects& objects, std::uint64_t asOf);
   void applySettings(const GatewaySettings& settings, const std::string& text);
   void handleStoreRecovery();
+  void countFailedCall(std::string_view followed, const absl::Status& status);
   void retainLapsed(Instant now);
   /// Calls onUpstreams() if \p changed.
   void publishUpstreams(bool changed);
@@ -70,6 +73,7 @@
   EventLoop& loop_;
   NodePorts ports_;
   Callbacks callbacks_;
+  Metrics& metrics_;
   StoreFreshness freshness_;
   std::uint64_t settingsVersion_ = 0;
   std::string settingsText_;
