Don't take listeners' ports for outgoing connections

Callers saw: a daemon didn't start (exit 5, Address already in use) while a connection of a process had its listen port as the source, and up to 60 s after that connection.

Cause: sockets were bound to port 0 before they connected, without SO_REUSEADDR: the kernel takes a port exclusively, for all destinations, also in TIME-WAIT. makeOutgoingSocket() binds to the address alone (IP_BIND_ADDRESS_NO_PORT) and sets SO_REUSEADDR, for callers' and upstreams' channels, store calls and peers. Peers' connections no longer set SO_REUSEPORT.

They connect from an address of their own now, with the same assertions: from 127.0.0.1 they failed now and then, as the kernel shares a port with connections of other programs, which bar a listener by themselves. That remains: a connection of another program under the daemon's address, or one that is bound nowhere, still can.

--- a/Hallchute/src/Http/TcpChannel.cpp
+++ b/Hallchute/src/Http/TcpChannel.cpp
@@ -15,6 +15,7 @@
 #include <cerrno>
 
 #include "Hallchute/src/Net/EventLoop.h"
+#include "Hallchute/src/Net/OutgoingSocket.h"
 #include "Hallchute/src/Net/SocketLiveness.h"
 
 namespace Hallchute {
@@ -37,7 +38,7 @@
                        Millis connectTimeout, TcpChannelOwner& owner)
     : loop_(loop), owner_(owner), connecting_(true) {
   try {
-    if (!source.empty()) socket_.impl()->bind(Poco::Net::SocketAddress(source, 0), false);
+    if (!source.empty()) socket_ = makeOutgoingSocket(Poco::Net::SocketAddress(source, 0));
     socket_.connectNB(Poco::Net::SocketAddress(address));
     fd_ = socket_.impl()->sockfd();
     socket_.setNoDelay(true);
--- a/Hallchute/src/Net/HttpExchange.cpp
+++ b/Hallchute/src/Net/HttpExchange.cpp
@@ -16,6 +16,7 @@
 #include <istream>
 
 #include "Hallchute/src/Http/HttpReader.h"
+#include "Hallchute/src/Net/OutgoingSocket.h"
 
 namespace Hallchute {
 namespace {
@@ -35,7 +36,7 @@
 Poco::Net::StreamSocket connect(const HttpEndpoint& endpoint) {
   Poco::Net::StreamSocket socket;
   if (!endpoint.source.empty()) {
-    socket.impl()->bind(Poco::Net::SocketAddress(endpoint.source, 0), false);
+    socket = makeOutgoingSocket(Poco::Net::SocketAddress(endpoint.source, 0));
   }
   socket.connect(Poco::Net::SocketAddress(endpoint.address), timespan(endpoint.connectTimeout));
   socket.setNoDelay(true);
--- a/Hallchute/src/Net/PeerTransport.cpp
+++ b/Hallchute/src/Net/PeerTransport.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "Hallchute/src/Net/EventLoop.h"
+#include "Hallchute/src/Net/OutgoingSocket.h"
 #include "Hallchute/src/Net/PeerConnection.h"
 
 namespace Hallchute {
@@ -80,8 +81,7 @@
     if (PeerConnection* connection = find(it->second)) return connection;
   }
   try {
-    Poco::Net::StreamSocket socket;
-    socket.impl()->bind(source_, true);
+    Poco::Net::StreamSocket socket = makeOutgoingSocket(source_);
     socket.connectNB(Poco::Net::SocketAddress(address));
     const std::uint64_t id = nextConnection_++;
     connections_[id] =
--- a/test/TcpChannelTest.cpp
+++ b/test/TcpChannelTest.cpp
@@ -22,6 +22,8 @@
 using namespace Hallchute;
 
 constexpr Millis kLimit{200};
+/// Connections of other programs, which share ports with ours, don't have it as their source.
+constexpr const char* kOwnIp = "127.8.1.1";
 
 /// Records the callbacks, and aborts its channel when that ends.
 class Owner final : public TcpChannelOwner {
@@ -129,7 +131,7 @@
 
   /// An outgoing connection kept a daemon from starting whose listen port it had been given.
   void aSourcePortCanBeListenedAt() {
-    Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+    Poco::Net::ServerSocket listener(Poco::Net::SocketAddress(kOwnIp, 0));
     EventLoop loop;
     Owner owner;
     std::thread thread([&] { loop.run(); });
@@ -141,7 +143,7 @@
 
   /// It went on for a minute after the connection's end.
   void aSourcePortInTimeWaitCanBeListenedAt() {
-    Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+    Poco::Net::ServerSocket listener(Poco::Net::SocketAddress(kOwnIp, 0));
     EventLoop loop;
     Owner owner;
     std::thread thread([&] { loop.run(); });
@@ -158,13 +160,13 @@
   }
 
   void theSourcePortOfAnExchangeCanBeListenedAt() {
-    Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+    Poco::Net::ServerSocket listener(Poco::Net::SocketAddress(kOwnIp, 0));
     int error = -1;
     std::thread thread([&] {
       const Poco::Net::StreamSocket peer = listener.acceptConnection();
       error = listenError(peer.peerAddress());
     });
-    HttpExchange exchange({listener.address().toString(), "127.0.0.1", kLimit, Millis(1'000)});
+    HttpExchange exchange({listener.address().toString(), kOwnIp, kLimit, Millis(1'000)});
     exchange.run(HttpRequest{});
     thread.join();
     CPPUNIT_ASSERT_EQUAL_MESSAGE(std::strerror(error), 0, error);
@@ -174,8 +176,8 @@
   static Poco::Net::StreamSocket connect(EventLoop& loop, Owner& owner,
                                          Poco::Net::ServerSocket& listener) {
     loop.call([&] {
-      owner.channel = std::make_unique<TcpChannel>(loop, listener.address().toString(), "127.0.0.1",
-                                                   kLimit, owner);
+      owner.channel =
+          std::make_unique<TcpChannel>(loop, listener.address().toString(), kOwnIp, kLimit, owner);
     });
     return listener.acceptConnection();
   }
