Read whole numbers of any size from outside

JsonReader::integer threw above 2^63: a start-up file with such a number ended the daemon, at the start or at SIGHUP. wholeNumber() reads by the value's own type and never throws.

--- a/Hallchute/src/Settings/JsonReader.cpp
+++ b/Hallchute/src/Settings/JsonReader.cpp
@@ -6,6 +6,9 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <limits>
+
+#include "Hallchute/src/Settings/WholeNumber.h"
 
 namespace Hallchute {
 
@@ -33,13 +36,14 @@
     report(name, "must be an integer");
     return defaultValue;
   }
-  const auto number = value.convert<std::int64_t>();
-  if (number < minimum || number > maximum) {
-    report(name, "must be between " + std::to_string(minimum) + " and " + std::to_string(maximum) +
-                     ", is " + std::to_string(number));
-    return defaultValue;
-  }
-  return number;
+  // Poco throws where a value doesn't fit in the type that it is converted to.
+  constexpr std::uint64_t kMaxInteger = std::numeric_limits<std::int64_t>::max();
+  const bool fits = wholeNumber(value).value_or(0) <= kMaxInteger;
+  const std::int64_t number = fits ? value.convert<std::int64_t>() : 0;
+  if (fits && number >= minimum && number <= maximum) return number;
+  report(name, "must be between " + std::to_string(minimum) + " and " + std::to_string(maximum) +
+                   ", is " + value.toString());
+  return defaultValue;
 }
 
 double JsonReader::number(const std::string& name, double minimum, double maximum,
