--- a/Hallchute/src/Net/EventLoop.cpp
+++ b/Hallchute/src/Net/EventLoop.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdint>
+#include <exception>
 #include <future>
 
 #include "Hallchute/src/Net/Clock.h"
@@ -84,12 +85,19 @@
     task();
     return;
   }
-  std::promise<void> done;
-  post([&] {
-    task();
-    done.set_value();
+  // Shared: the waiting thread may return before set_value() has.
+  const auto done = std::make_shared<std::promise<void>>();
+  std::future<void> result = done->get_future();
+  post([&task, done] {
+    // An exception belongs to the caller, who waits.
+    try {
+      task();
+      done->set_value();
+    } catch (...) {
+      done->set_exception(std::current_exception());
+    }
   });
-  done.get_future().wait();
+  result.get();
 }
 
 void EventLoop::watch(int socket, short events, SocketTask task) {
--- a/Hallchute/src/Node/DutyRunner.cpp
+++ b/Hallchute/src/Node/DutyRunner.cpp
@@ -6,8 +6,10 @@
 #include <utility>
 
 #include "Hallchute/src/Net/Clock.h"
+#include "Hallchute/src/Observability/ExceptionText.h"
 #include "Hallchute/src/Observability/LogLine.h"
 #include "Hallchute/src/Observability/Metrics.h"
+#include "Hallchute/src/Observability/ThreadName.h"
 #include "Hallchute/src/Ports/DutyPort.h"
 
 namespace Hallchute {
@@ -112,14 +114,32 @@
 }
 
 void DutyRunner::run() {
+  nameThread("duties");
   bool sizeRead = false;
-  for (int i = 0; i < kMaxSizeReads && !sizeRead && !stopping_; ++i) sizeRead = readEarlierSize();
+  for (int i = 0; i < kMaxSizeReads && !sizeRead && !stopping_; ++i) {
+    runTurn([&] { sizeRead = readEarlierSize(); });
+  }
   while (!stopping_) {
-    runOnce();
+    runTurn([this] { runOnce(); });
     std::this_thread::sleep_for(kPollPeriod);
   }
 }
 
+void DutyRunner::runTurn(const std::function<void()>& turn) {
+  try {
+    turn();
+  } catch (const std::exception& e) {
+    LogLine(LogLevel::error, "duty.exception")
+        .with("epoch", keeper_.holder().epoch)
+        .with("detail", exceptionText(e));
+    metrics_.add("hallchute_duty_exceptions_total", "");
+    // A write whose outcome nobody noted may have been executed, as after a lost response: the
+    // record is read again before any other step.
+    keeper_.stepDown();
+    updateHolder();
+  }
+}
+
 void DutyRunner::runOnce() {
   const DutyInput input = callbacks_.input();
   if (input.leaving) {
--- a/Hallchute/src/Node/DutyRunner.h
+++ b/Hallchute/src/Node/DutyRunner.h
@@ -71,6 +71,8 @@
   };
 
   void run();
+  /// Calls \p turn; an exception ends only this turn.
+  void runTurn(const std::function<void()>& turn);
   void runOnce();
   void release(const DutyFacts& facts);
   /// \returns whether the store responded.
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -11,6 +11,7 @@
 #include "Hallchute/src/Fleet/ReportSums.h"
 #include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Observability/LogLine.h"
+#include "Hallchute/src/Observability/ThreadName.h"
 
 namespace Hallchute {
 namespace {
@@ -316,7 +317,10 @@
 
 void GatewayNode::run() {
   trafficLoop_.every(kReportPeriod, [this] { collectLocalReport(); });
-  controlThread_ = std::thread([this] { controlLoop_.run(); });
+  controlThread_ = std::thread([this] {
+    nameThread("control");
+    controlLoop_.run();
+  });
   storeCopy_.start();
   if (duties_) duties_->start();
   LogLine(LogLevel::info, "daemon.start")
--- a/Hallchute/src/Node/ObjectFollower.cpp
+++ b/Hallchute/src/Node/ObjectFollower.cpp
@@ -6,7 +6,9 @@
 #include <utility>
 
 #include "Hallchute/src/Net/Clock.h"
+#include "Hallchute/src/Observability/ExceptionText.h"
 #include "Hallchute/src/Observability/LogLine.h"
+#include "Hallchute/src/Observability/ThreadName.h"
 
 namespace Hallchute {
 namespace {
@@ -88,16 +90,42 @@
 }
 
 void ObjectFollower::run() {
+  nameThread(name_);
   while (!stopping_) {
     if (mode_ == FollowMode::off) {
       waitWhileOff();
       continue;
     }
     if (refresh_.exchange(false)) listed_ = false;
-    if (!callStore()) waitFor(mode_ == FollowMode::following ? kRetryDelay : kProbeInterval);
+    if (!callStoreOrLog()) waitFor(mode_ == FollowMode::following ? kRetryDelay : kProbeInterval);
   }
 }
 
+bool ObjectFollower::callStoreOrLog() {
+  try {
+    return callStore();
+  } catch (const std::exception& e) {
+    handleException(e);
+    return false;
+  }
+}
+
+/// The copy may lack a part of a batch, or onChange() may not have seen all of it: a new list
+/// replaces it, and until then the copy doesn't count as current.
+void ObjectFollower::handleException(const std::exception& exception) {
+  listed_ = false;
+  current_ = false;
+  const std::string text = exceptionText(exception);
+  callbacks_.onFailedCall(absl::InternalError(text));
+  const Instant now = clockNow();
+  if (exceptionLogged_ && now - *exceptionLogged_ < kFailureLogInterval) return;
+  exceptionLogged_ = now;
+  LogLine(LogLevel::error, "store.exception")
+      .with("follows", name_)
+      .with("asOf", asOf_)
+      .with("detail", text);
+}
+
 bool ObjectFollower::callStore() {
   if (initialListPending_) return listInitial();
   return listed_ ? watchOnce() : listNewest();
--- a/Hallchute/src/Node/ObjectFollower.h
+++ b/Hallchute/src/Node/ObjectFollower.h
@@ -6,9 +6,11 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <exception>
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -46,7 +48,8 @@
     std::function<void(const Objects&, std::uint64_t asOf)> onChange;
     /// Called when the store responds again after a failure, before onChange().
     std::function<void()> onRecovery;
-    /// Called on the follower's thread for each call that the store didn't answer, or not readably.
+    /// Called on the follower's thread for each call that the store didn't answer, or not readably;
+    /// with `Internal` if a call or a callback threw an exception.
     std::function<void(const absl::Status&)> onFailedCall = [](const absl::Status&) {};
   };
 
@@ -68,6 +71,9 @@
 
  private:
   void run();
+  /// Like callStore(), but an exception ends only this call.
+  bool callStoreOrLog();
+  void handleException(const std::exception& exception);
   /// Makes the next call to the store. Like the functions that it calls, \returns whether the store
   /// responded.
   bool callStore();
@@ -96,6 +102,7 @@
   std::uint64_t failedCalls_ = 0;
   Instant firstFailure_{};
   Instant failureLogged_{};
+  std::optional<Instant> exceptionLogged_;
   std::atomic<bool> reachable_{false};
   /// An up-to-date list or a watch has succeeded since the start, or since the mode was last off.
   std::atomic<bool> current_{false};
--- a/Hallchute/src/Observability/LogLine.cpp
+++ b/Hallchute/src/Observability/LogLine.cpp
@@ -15,6 +15,7 @@
 
 #include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Observability/LogContext.h"
+#include "Hallchute/src/Observability/LogFields.h"
 
 namespace Hallchute {
 namespace {
@@ -123,6 +124,10 @@
   appendText(configuration.fields, "failureDomain", domain);
 }
 
+std::string_view logLineFields() {
+  return logConfiguration().fields;
+}
+
 }  // namespace internal
 
 LogLine::LogLine(LogLevel level, std::string_view event) : level_(level) {
--- a/test/ForeignBytesTest.cpp
+++ b/test/ForeignBytesTest.cpp
@@ -248,7 +248,7 @@
     report.self = {DaemonId("d"), "10.0.0.1:1", 5, FailureDomainName("f"), 1'000};
     report.usage[7][OrganisationName("o")] = 3;
     report.members.push_back(report.self);
-    report.draining.push_back({UpstreamId("i"), 5});
+    report.draining = {{UpstreamId("i"), 5}};
     FleetSnapshot snapshot;
     snapshot.settingsText = kSettings;
     snapshot.upstreams.emplace_back();
--- a/test/ObjectFollowerTest.cpp
+++ b/test/ObjectFollowerTest.cpp
@@ -3,10 +3,14 @@
 
 #include "Hallchute/src/Node/ObjectFollower.h"
 
+#include <Poco/Exception.h>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <atomic>
 #include <chrono>
+#include <functional>
+#include <memory>
+#include <stdexcept>
 #include <thread>
 
 namespace {
@@ -44,11 +48,32 @@
   std::atomic<int> watches{0};
 };
 
+/// A store with one object, whose calls throw at first.
+class ThrowingSource final : public ObjectSource {
+ public:
+  explicit ThrowingSource(int failures) : failures_(failures) {}
+  absl::StatusOr<SourceBatch> list(ReadConsistency) override {
+    if (++lists <= failures_) throw Poco::RangeException("Value too large");
+    return SourceBatch{{{"thing", 1, nullptr, false}}, 1};
+  }
+  absl::StatusOr<SourceBatch> watch(std::uint64_t revision, Millis) override {
+    std::this_thread::sleep_for(Millis(5));
+    return SourceBatch{{{"other", revision + 1, nullptr, false}}, revision + 1};
+  }
+
+  std::atomic<int> lists{0};
+
+ private:
+  int failures_;
+};
+
 class ObjectFollowerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ObjectFollowerTest);
   CPPUNIT_TEST(aFollowerThatRestsMakesNoCalls);
   CPPUNIT_TEST(aFollowerGathersChanges);
   CPPUNIT_TEST(aFollowerBeginsWithAnOldList);
+  CPPUNIT_TEST(aCallThatThrowsIsFollowedByAList);
+  CPPUNIT_TEST(aChangeThatThrowsIsNotLost);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -86,6 +111,54 @@
     CPPUNIT_ASSERT_EQUAL(0, source.watches.load());
   }
 
+  /// An exception ended the whole process.
+  void aCallThatThrowsIsFollowedByAList() {
+    ThrowingSource source(2);
+    std::atomic<int> changes{0};
+    std::atomic<int> internal{0};
+    ObjectFollower follower(
+        "things", source, {Millis(1)},
+        {[&](const ObjectFollower::Objects&, std::uint64_t) { ++changes; }, [] {},
+         [&](const absl::Status& status) {
+           if (status == absl::InternalError("Out of range: Value too large")) ++internal;
+         }});
+    follower.start();
+    CPPUNIT_ASSERT(holdsSoon([&] { return changes >= 1 && follower.inContact(); }));
+    follower.stop();
+    // Two that threw, the initial one.
+    CPPUNIT_ASSERT_EQUAL(3, source.lists.load());
+    CPPUNIT_ASSERT_EQUAL(2, internal.load());
+  }
+
+  /// What a watch brought is not repeated by the next one.
+  void aChangeThatThrowsIsNotLost() {
+    ThrowingSource source(0);
+    std::atomic<int> calls{0};
+    std::atomic<bool> contactDuringFailure{false};
+    std::atomic<std::size_t> objects{0};
+    std::atomic<int> failed{0};
+    std::unique_ptr<ObjectFollower> follower;
+    follower = std::make_unique<ObjectFollower>(
+        "things", source, FollowTiming{Millis(1)},
+        ObjectFollower::Callbacks{[&](const ObjectFollower::Objects& all, std::uint64_t) {
+                                    // The second call is the first watch's.
+                                    if (++calls == 2) throw std::runtime_error("no memory");
+                                    objects = all.size();
+                                  },
+                                  [] {},
+                                  [&](const absl::Status&) {
+                                    ++failed;
+                                    contactDuringFailure = follower->inContact();
+                                  }});
+    follower->start();
+    CPPUNIT_ASSERT(holdsSoon([&] { return objects == 2; }));
+    follower->stop();
+    CPPUNIT_ASSERT_EQUAL(1, failed.load());
+    CPPUNIT_ASSERT(!contactDuringFailure);
+    // The initial one, and the one after the exception.
+    CPPUNIT_ASSERT_EQUAL(2, source.lists.load());
+  }
+
   void aFollowerThatRestsMakesNoCalls() {
     CountedSource source;
     std::atomic<std::uint64_t> seen{0};
@@ -108,6 +181,16 @@
     follower.stop();
     CPPUNIT_ASSERT(seen >= 1);
   }
+
+ private:
+  static bool holdsSoon(const std::function<bool()>& condition) {
+    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (!condition()) {
+      if (std::chrono::steady_clock::now() > limit) return false;
+      std::this_thread::sleep_for(Millis(1));
+    }
+    return true;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ObjectFollowerTest);
