--- a/Hallchute/src/Cli/ServeCommand.cpp
+++ b/Hallchute/src/Cli/ServeCommand.cpp
@@ -25,9 +25,10 @@
 
 ExitCode serveCommand() {
   StartupFile startup;
-  const ExitCode read = readConfigFile(configPath(), [&](std::string_view text, Findings& findings) {
-    startup = readStartupFile(text, findings);
-  });
+  const ExitCode read =
+      readConfigFile(configPath(), [&](std::string_view text, Findings& findings) {
+        startup = readStartupFile(text, findings);
+      });
   if (read != ExitCode::ok) return read;
   const sigset_t signals = blockSignals(kStopSignals);
   startLogging(parseLogLevel(startup.logLevel), startup.daemon.str(), startup.domain.str());
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -11,6 +11,7 @@
 #include "Hallchute/src/Fleet/ReportSums.h"
 #include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Observability/LogLine.h"
+#include "Hallchute/src/Observability/ThreadName.h"
 
 namespace Hallchute {
 namespace {
@@ -77,7 +78,8 @@
                  {[this](const GatewaySettings& settings) { applySettings(settings); },
                   [this](const std::vector<UpstreamRecord>& upstreams) {
                     trafficLoop_.post([this, upstreams] { engine_.setUpstreams(upstreams); });
-                  }}),
+                  }},
+                 metrics_),
       // The store's address identifies the deployment: no two deployments share a store.
       link_(controlLoop_, startup_.peerListen, startup_.storeAddress,
             {[this](const FleetReport& report) { handleReport(report); },
@@ -344,7 +346,10 @@
 
 void GatewayNode::run() {
   trafficLoop_.every(kReportPeriod, [this] { collectLocalReport(); });
-  controlThread_ = std::thread([this] { controlLoop_.run(); });
+  controlThread_ = std::thread([this] {
+    nameThread("control");
+    controlLoop_.run();
+  });
   storeCopy_.start();
   if (duties_) duties_->start();
   LogLine(LogLevel::info, "daemon.start")
--- a/Hallchute/src/Node/ObjectFollower.h
+++ b/Hallchute/src/Node/ObjectFollower.h
@@ -6,9 +6,11 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <exception>
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -46,6 +48,9 @@
     std::function<void(const Objects&, std::uint64_t asOf)> onChange;
     /// Called when the store responds again after a failure, before onChange().
     std::function<void()> onRecovery;
+    /// Called on the follower's thread for each call that the store didn't answer, or not readably;
+    /// with `Internal` if a call or a callback threw an exception.
+    std::function<void(const absl::Status&)> onFailedCall = [](const absl::Status&) {};
   };
 
   /// \param name the kind of objects in log lines.
@@ -66,6 +71,9 @@
 
  private:
   void run();
+  /// Like callStore(), but an exception ends only this call.
+  bool callStoreOrLog();
+  void handleException(const std::exception& exception);
   /// Makes the next call to the store. Like the functions that it calls, \returns whether the store
   /// responded.
   bool callStore();
@@ -75,6 +83,8 @@
   bool watchOnce();
   void apply(const SourceBatch& batch);
   void updateReachability(bool reachable, const absl::Status& status);
+  /// Logs the first failure since the start or the last contact, and then one in a while.
+  void logFailure(const absl::Status& status);
   void waitFor(Millis time);
   void waitWhileOff();
 
@@ -88,6 +98,11 @@
   /// The initial list has not succeeded yet.
   bool initialListPending_ = true;
   bool outageSeen_ = false;
+  /// Failed calls since the start or the last contact.
+  std::uint64_t failedCalls_ = 0;
+  Instant firstFailure_{};
+  Instant failureLogged_{};
+  std::optional<Instant> exceptionLogged_;
   std::atomic<bool> reachable_{false};
   /// An up-to-date list or a watch has succeeded since the start, or since the mode was last off.
   std::atomic<bool> current_{false};
