Soak: daemons that end by themselves fail a run; soak kind stops

A daemon that ends without the soak's doing, a stop that ends with another exit code than 0 and the report of a sanitizer in a daemon's log went unnoticed: a daemon was only started again.

--- a/test/soak/CrashSoak.cpp
+++ b/test/soak/CrashSoak.cpp
@@ -210,7 +210,7 @@
   callers.stop();
   const std::vector<Standin::Arrival> arrivals = fleet.arrivals();
   const std::vector<Attempt> attempts = callers.attempts();
-  bool kept = true;
+  bool kept = fleet.noneEndedByItself();
   for (std::uint64_t i = 0; i < kCrashingContents; ++i) {
     kept = checkCrashing(fleet, arrivals, attempts, crashingContent(i), end - kCalmEnd) && kept;
   }
--- a/test/soak/GatewayFleet.cpp
+++ b/test/soak/GatewayFleet.cpp
@@ -10,7 +10,9 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <fstream>
+#include <iostream>
 #include <stdexcept>
 #include <thread>
 #include <utility>
@@ -26,6 +28,8 @@
 constexpr Millis kStartLimit{20'000};
 constexpr Millis kStartPoll{50};
 constexpr const char* kService = "pool";
+/// What a daemon's log has when a sanitizer or the C++ runtime found a fault in it.
+constexpr std::array kFaultTexts{"Sanitizer", "runtime error: ", "terminate called"};
 
 Poco::JSON::Object::Ptr routeJson() {
   Poco::JSON::Object::Ptr route = new Poco::JSON::Object;
@@ -48,6 +52,10 @@
       work_(std::move(work)),
       storeServer_("127.0.0.1:0", [this](const Standin::Request& request,
                                          Poco::Net::HTTPServerResponse& response) {
+        if (storeAway_) {
+          Standin::hangUp(request);
+          return;
+        }
         store_.handle(request, response);
       }) {
   // Runners at the same time must not share addresses.
@@ -133,16 +141,54 @@
 
 void GatewayFleet::startDaemon(std::size_t index) {
   GatewayProcess& daemon = daemons_[index];
+  noteIfEnded(daemon);
+  daemon.stopping = false;
+  daemon.killed = false;
   daemon.process = std::make_unique<Scenario::ChildProcess>(
       daemon.command, absl::StrCat(work_, "/", daemon.name, ".log"));
   noteDisturbed(index);
 }
 
 void GatewayFleet::kill(std::size_t index) {
+  noteIfEnded(daemons_[index]);
   daemons_[index].process->kill();
+  daemons_[index].killed = true;
   noteDisturbed(index);
 }
 
+void GatewayFleet::stop(std::size_t index) {
+  daemons_[index].process->signal(SIGTERM);
+  daemons_[index].stopping = true;
+  noteDisturbed(index);
+}
+
+bool GatewayFleet::stopped(std::size_t index) {
+  return daemons_[index].stopping && !daemons_[index].process->running();
+}
+
+void GatewayFleet::noteIfEnded(const GatewayProcess& daemon) {
+  const std::optional<int> code = daemon.process ? daemon.process->exitCode() : std::nullopt;
+  if (!code || daemon.killed || (daemon.stopping && *code == 0)) return;
+  const std::string how = daemon.stopping ? "ended after a stop" : "ended by itself";
+  endedByThemselves_.push_back(absl::StrCat(daemon.name, " ", how, ": exit code ", *code));
+}
+
+bool GatewayFleet::noneEndedByItself() {
+  for (const GatewayProcess& daemon : daemons_) {
+    noteIfEnded(daemon);
+    std::ifstream log(absl::StrCat(work_, "/", daemon.name, ".log"));
+    for (std::string line; std::getline(log, line);) {
+      const bool fault = std::any_of(kFaultTexts.begin(), kFaultTexts.end(), [&](const char* text) {
+        return line.find(text) != std::string::npos;
+      });
+      if (fault) endedByThemselves_.push_back(absl::StrCat(daemon.name, ": ", line));
+    }
+  }
+  for (const std::string& what : endedByThemselves_) std::cout << what << "\n";
+  std::cout << endedByThemselves_.size() << " faults of daemons\n";
+  return endedByThemselves_.empty();
+}
+
 void GatewayFleet::suspend(std::size_t index) {
   daemons_[index].process->signal(SIGSTOP);
   noteDisturbed(index);
--- a/test/soak/GatewayFleet.h
+++ b/test/soak/GatewayFleet.h
@@ -4,6 +4,7 @@
 #ifndef HALLCHUTE_TEST_SOAK_GATEWAYFLEET_H
 #define HALLCHUTE_TEST_SOAK_GATEWAYFLEET_H
 
+#include <atomic>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -26,6 +27,9 @@
   std::string callers;
   std::vector<std::string> command;
   std::unique_ptr<Scenario::ChildProcess> process;
+  /// Whether stop() or kill() was called since its start.
+  bool stopping = false;
+  bool killed = false;
 };
 
 /// \brief Real gateway processes in front of replicas of one service, with a store that lists
@@ -45,6 +49,15 @@
   void kill(std::size_t index);
   void suspend(std::size_t index);
   void resume(std::size_t index);
+  /// \brief Sends SIGTERM; once it has ended, stopped() says so and startDaemon() starts it again.
+  void stop(std::size_t index);
+  /// \brief Whether the daemon has ended after stop(); any exit code but 0 counts as a fault.
+  bool stopped(std::size_t index);
+  /// \brief While \p away, the store hangs up on every request.
+  void setStoreAway(bool away) { storeAway_ = away; }
+  /// \brief Whether no daemon ended but by stop() and kill(), and none wrote the report of a
+  /// sanitizer or of an uncaught exception. Prints what was seen otherwise.
+  bool noneEndedByItself();
   std::vector<GatewayProcess>& daemons() { return daemons_; }
 
   /// \brief Adds a replica to the service and lists it in the store.
@@ -72,14 +85,17 @@
   void writeStartup(const GatewayProcess& daemon, const std::string& peers,
                     const std::string& seeds, int domain) const;
   bool ready(const GatewayProcess& daemon) const;
+  void noteIfEnded(const GatewayProcess& daemon);
 
   std::string binaries_;
   std::string work_;
   Standin::ObjectStoreStandin store_;
+  std::atomic<bool> storeAway_{false};
   Standin::StandinServer storeServer_;
   std::vector<GatewayProcess> daemons_;
   std::vector<std::unique_ptr<Standin::ReplicaStandin>> replicas_;
   std::vector<Disturbance> disturbances_;
+  std::vector<std::string> endedByThemselves_;
 };
 
 }  // namespace Soak
--- a/test/soak/LimitSoak.cpp
+++ b/test/soak/LimitSoak.cpp
@@ -182,7 +182,7 @@
     std::this_thread::sleep_for(kTurn);
   }
   callers.stop();
-  bool kept = true;
+  bool kept = fleet.noneEndedByItself();
   for (std::size_t i = 0; i < kLimited; ++i) kept = checkReplica(fleet, i, phases[i], end) && kept;
   const std::vector<Attempt> attempts = callers.attempts();
   const auto served = std::count_if(attempts.begin(), attempts.end(),
--- a/test/soak/LimitSoak.h
+++ b/test/soak/LimitSoak.h
@@ -12,7 +12,7 @@
 /// killed, started and suspended.
 /// \returns whether each replica got at most one and a half times what its limit allows in 4 s, and
 /// 5 requests, from daemons that had received it; whether it was used at all, and fully after the
-/// limit; and whether requests were served. Prints the figures.
+/// limit; whether requests were served; and whether no daemon ended by itself. Prints the figures.
 bool runLimitSoak(const SoakOptions& options);
 
 }  // namespace Soak
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -15,6 +15,7 @@
 #include "test/soak/CrashSoak.h"
 #include "test/soak/LimitSoak.h"
 #include "test/soak/SoakOptions.h"
+#include "test/soak/StopSoak.h"
 
 ABSL_FLAG(int, daemons, 7, "gateway processes");
 ABSL_FLAG(int, seconds, 20, "length of the run");
@@ -33,7 +34,8 @@
   options.work = work.path();
   if (kind == "crashes") return Soak::runCrashSoak(options) ? 0 : 1;
   if (kind == "limits") return Soak::runLimitSoak(options) ? 0 : 1;
-  std::cerr << "usage: hallchute-gateway-soak BUILD crashes|limits\n";
+  if (kind == "stops") return Soak::runStopSoak(options) ? 0 : 1;
+  std::cerr << "usage: hallchute-gateway-soak BUILD crashes|limits|stops\n";
   return 2;
 }
 
