--- a/test/soak/GatewayFleet.cpp
+++ b/test/soak/GatewayFleet.cpp
@@ -6,7 +6,9 @@
 #include <Poco/JSON/Array.h>
 #include <Poco/Net/ServerSocket.h>
 #include <absl/strings/str_cat.h>
+#include <fcntl.h>
 #include <signal.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -81,6 +83,19 @@
   writeSettings();
 }
 
+GatewayFleet::~GatewayFleet() {
+  if (unreadPipe_ >= 0) close(unreadPipe_);
+}
+
+void GatewayFleet::leaveOutputUnread() {
+  constexpr mode_t kMode = 0600;
+  if (mkfifo(pipePath().c_str(), kMode) == 0) {
+    unreadPipe_ = open(pipePath().c_str(), O_RDWR | O_NONBLOCK | O_CLOEXEC);
+  }
+  if (unreadPipe_ < 0) throw std::runtime_error("can't make " + pipePath());
+  while (write(unreadPipe_, "\n", 1) == 1) continue;
+}
+
 std::string GatewayFleet::newAddress(const std::string& ip) const {
   Poco::Net::ServerSocket probe;
   probe.bind(Poco::Net::SocketAddress(ip, 0), true);
@@ -144,8 +159,9 @@
   noteIfEnded(daemon);
   daemon.stopping = false;
   daemon.killed = false;
-  daemon.process = std::make_unique<Scenario::ChildProcess>(
-      daemon.command, absl::StrCat(work_, "/", daemon.name, ".log"));
+  const std::string log = absl::StrCat(work_, "/", daemon.name, ".log");
+  daemon.process =
+      std::make_unique<Scenario::ChildProcess>(daemon.command, unreadPipe_ < 0 ? log : pipePath());
   noteDisturbed(index);
 }
 
--- a/test/soak/GatewayFleet.h
+++ b/test/soak/GatewayFleet.h
@@ -42,6 +42,12 @@
 
   /// \param binaries the build folder; \param work an empty folder for settings and logs.
   GatewayFleet(std::string binaries, std::string work, int daemons);
+  ~GatewayFleet();
+  GatewayFleet(const GatewayFleet&) = delete;
+  GatewayFleet& operator=(const GatewayFleet&) = delete;
+
+  /// \brief The daemons write to a full pipe that nobody reads, instead of to their logs.
+  void leaveOutputUnread();
 
   /// \brief Starts all daemons and waits until they are ready.
   void start();
@@ -86,6 +92,7 @@
                     const std::string& seeds, int domain) const;
   bool ready(const GatewayProcess& daemon) const;
   void noteIfEnded(const GatewayProcess& daemon);
+  std::string pipePath() const { return work_ + "/unread"; }
 
   std::string binaries_;
   std::string work_;
@@ -96,6 +103,7 @@
   std::vector<std::unique_ptr<Standin::ReplicaStandin>> replicas_;
   std::vector<Disturbance> disturbances_;
   std::vector<std::string> endedByThemselves_;
+  int unreadPipe_ = -1;
 };
 
 }  // namespace Soak
--- a/test/soak/SoakOptions.h
+++ b/test/soak/SoakOptions.h
@@ -16,6 +16,8 @@
   int daemons = 7;
   int seconds = 20;
   unsigned seed = 1;
+  /// Whether the daemons' standard output is a full pipe that nobody reads.
+  bool unread = false;
 };
 
 }  // namespace Soak
--- a/test/soak/StopSoak.cpp
+++ b/test/soak/StopSoak.cpp
@@ -29,7 +29,7 @@
 constexpr unsigned kRunTimeMs = 3'000;
 constexpr unsigned kSuspensionMs = 1'000;
 /// The grace period of the daemons' settings, and time for a busy machine and a suspension.
-constexpr Millis kStopLimit{45'000};
+constexpr Millis kStopLimit{20'000};
 constexpr unsigned kReloadTurns = 10;
 constexpr unsigned kStoreTurns = 100;
 constexpr std::size_t kHeldConnections = 40;
@@ -132,6 +132,7 @@
 bool runStopSoak(const SoakOptions& options) {
   GatewayFleet fleet(options.binaries, options.work, options.daemons);
   for (int i = 0; i < kReplicas; ++i) fleet.addReplica(kWorkTime);
+  if (options.unread) fleet.leaveOutputUnread();
   fleet.start();
   Callers callers(fleet, options.seed);
   callers.add(12, Millis(40), body);
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -21,6 +21,7 @@
 ABSL_FLAG(int, seconds, 20, "length of the run");
 ABSL_FLAG(unsigned, seed, 1, "seed of the callers and faults");
 ABSL_FLAG(bool, keep, false, "keep the daemons' logs and print their folder");
+ABSL_FLAG(bool, unread, false, "stops: nobody reads the daemons' standard output");
 
 namespace {
 
@@ -50,6 +51,7 @@
   options.daemons = absl::GetFlag(FLAGS_daemons);
   options.seconds = absl::GetFlag(FLAGS_seconds);
   options.seed = absl::GetFlag(FLAGS_seed);
+  options.unread = absl::GetFlag(FLAGS_unread);
   try {
     return run(words.size() > 2 ? words[2] : "", options);
   } catch (const Poco::Exception& e) {
