--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -15,11 +15,13 @@
 #include "test/soak/CrashSoak.h"
 #include "test/soak/LimitSoak.h"
 #include "test/soak/SoakOptions.h"
+#include "test/soak/StopSoak.h"
 
 ABSL_FLAG(int, daemons, 7, "gateway processes");
 ABSL_FLAG(int, seconds, 20, "length of the run");
 ABSL_FLAG(unsigned, seed, 1, "seed of the callers and faults");
 ABSL_FLAG(bool, keep, false, "keep the daemons' logs and print their folder");
+ABSL_FLAG(bool, unread, false, "stops: nobody reads the daemons' standard output");
 
 namespace {
 
@@ -33,7 +35,8 @@
   options.work = work.path();
   if (kind == "crashes") return Soak::runCrashSoak(options) ? 0 : 1;
   if (kind == "limits") return Soak::runLimitSoak(options) ? 0 : 1;
-  std::cerr << "usage: hallchute-gateway-soak BUILD crashes|limits\n";
+  if (kind == "stops") return Soak::runStopSoak(options) ? 0 : 1;
+  std::cerr << "usage: hallchute-gateway-soak BUILD crashes|limits|stops\n";
   return 2;
 }
 
@@ -48,6 +51,7 @@
   options.daemons = absl::GetFlag(FLAGS_daemons);
   options.seconds = absl::GetFlag(FLAGS_seconds);
   options.seed = absl::GetFlag(FLAGS_seed);
+  options.unread = absl::GetFlag(FLAGS_unread);
   try {
     return run(words.size() > 2 ? words[2] : "", options);
   } catch (const Poco::Exception& e) {
