--- a/test/CrashFleetTest.cpp
+++ b/test/CrashFleetTest.cpp
@@ -53,6 +53,8 @@
   SimulatedFleet::Partition partition{};
   /// When all daemons restart; 0 for never.
   int restartAllAtMs = 0;
+  /// When all daemons restart again and again; 0 for never.
+  int restartAllPeriodMs = 0;
   /// When single daemons restart, one after another; 0 for never.
   int restartOnePeriodMs = 0;
 };
@@ -151,7 +153,8 @@
     host.startedMs = ms;
   }
   void restartDaemons(int ms) {
-    if (ms > 0 && ms == day_.restartAllAtMs) {
+    const bool again = ms > 0 && day_.restartAllPeriodMs > 0 && ms % day_.restartAllPeriodMs == 0;
+    if (again || (ms > 0 && ms == day_.restartAllAtMs)) {
       fleet_.dropReportsUnderWay();
       for (int i = 0; i < day_.daemons; ++i) start(i, ms);
     }
@@ -289,6 +292,7 @@
 class CrashFleetTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CrashFleetTest);
   CPPUNIT_TEST(aCrashingRequestIsQuarantinedByTheFleet);
+  CPPUNIT_TEST(restartsOfAllDaemonsForgetNoCrashes);
   CPPUNIT_TEST(requestsHitByCrashesOfOthersAreServed);
   CPPUNIT_TEST(aPartsLimitIsItsShare);
   CPPUNIT_TEST(aCompletedRunClearsAContentEverywhere);
@@ -333,6 +337,25 @@
     }
   }
 
+  /// No life of the daemons sees three crashes, and half of the attempts come in contact.
+  void restartsOfAllDaemonsForgetNoCrashes() {
+    CrashDay day;
+    day.crashing = 1;
+    day.crashingPeriodMs = 10'000;
+    day.otherCrashMs = 0;
+    day.restartAllPeriodMs = 6'500;
+    day.lengthMs = 100'000;
+    for (unsigned seed = 1; seed <= 5; ++seed) {
+      CrashFleet fleet(day, seed);
+      fleet.run();
+      const std::string label = "seed " + std::to_string(seed);
+      CPPUNIT_ASSERT_MESSAGE(label + ": too few crashes", fleet.crashesUnder(0) >= 3);
+      CPPUNIT_ASSERT_MESSAGE(
+          label + ": " + std::to_string(fleet.lateArrivals(0)) + " late arrivals",
+          fleet.lateArrivals(0) <= kAllowedRetries);
+    }
+  }
+
   void requestsHitByCrashesOfOthersAreServed() {
     struct Row {
       const char* label;
--- a/test/CrashQuarantineTest.cpp
+++ b/test/CrashQuarantineTest.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "GatewayRig.h"
@@ -21,6 +22,8 @@
 
 const Instant kStart = Instant(std::chrono::hours(1));
 constexpr int kMaxAttempts = 20;
+/// How long a caller waits that leaves before the upstream ends.
+constexpr Millis kLeaveDelay{100};
 const UpstreamScript kCrash{"", UpstreamScript::Then::reset};
 const UpstreamScript kAnswer{
     "HTTP/1.1 200 OK\r\nHallchute-Attempt-Id: {id}\r\nHallchute-Replica-Signature: s\r\n"
@@ -42,20 +45,38 @@
 /// A gateway in front of upstreams that all follow the same scripts.
 class Pool {
  public:
-  Pool(WorkKind kind, int upstreams, const std::vector<UpstreamScript>& scripts) {
+  Pool(WorkKind kind, int upstreams, const std::vector<UpstreamScript>& scripts)
+      : scripts_(scripts) {
     rig_.setSettings(settingsWith(plainRoute(kind)));
-    std::vector<UpstreamRecord> records;
     for (int i = 0; i < upstreams; ++i) {
       upstreams_.push_back(std::make_unique<ScriptedUpstream>(scripts));
-      records.push_back(upstreamAt("u" + std::to_string(i), upstreams_.back()->address()));
+      records_.push_back(upstreamAt("u" + std::to_string(i), upstreams_.back()->address()));
     }
-    rig_.setUpstreams(records);
+    rig_.setUpstreams(records_);
   }
   std::string ask(const std::string& body) {
     RawCaller caller(rig_.address());
     caller.send(requestText("POST", "", body));
     return caller.read("\r\n\r\n");
   }
+  /// Sends a request whose caller leaves. The upstream that it reached ends just after that and
+  /// starts again.
+  void askAndLeave(const std::string& body) {
+    RawCaller caller(rig_.address());
+    caller.send(requestText("POST", "", body));
+    caller.read("\r\n\r\n", kLeaveDelay);
+    caller.close();
+    std::this_thread::sleep_for(kLeaveDelay);
+    for (std::size_t i = 0; i < upstreams_.size(); ++i) {
+      if (upstreams_[i]->requests().empty()) continue;
+      ++ended_;
+      upstreams_[i] = std::make_unique<ScriptedUpstream>(scripts_);
+      records_[i].address = upstreams_[i]->address();
+      ++records_[i].incarnation;
+    }
+    rig_.setUpstreams(records_);
+  }
+  int upstreamsEnded() const { return ended_; }
   int runs() const {
     std::size_t runs = 0;
     for (const auto& upstream : upstreams_) runs += upstream->requests().size();
@@ -69,13 +90,17 @@
   GatewayRig& rig() { return rig_; }
 
  private:
+  std::vector<UpstreamScript> scripts_;
+  std::vector<UpstreamRecord> records_;
   std::vector<std::unique_ptr<ScriptedUpstream>> upstreams_;
+  int ended_ = 0;
   GatewayRig rig_;
 };
 
 class CrashQuarantineTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CrashQuarantineTest);
   CPPUNIT_TEST(aRequestThatCrashedThreeUpstreamsIsRefused);
+  CPPUNIT_TEST(crashesAfterTheCallerLeftCount);
   CPPUNIT_TEST(attemptsThatRunAreNotRefused);
   CPPUNIT_TEST(answersThatCantBeReadAreNoCrashes);
   CPPUNIT_TEST(theStoreKeepsTheQuarantine);
@@ -110,6 +135,17 @@
     }
   }
 
+  /// The upstream ends a moment after the gateway cancelled the run, as its caller had left.
+  void crashesAfterTheCallerLeftCount() {
+    constexpr int kUpstreams = 6;
+    // Three that end and as many arrivals as a request may make after that.
+    constexpr int kMaxEnded = 6;
+    Pool pool(WorkKind::once, kUpstreams, {{"", UpstreamScript::Then::hang}});
+    for (int i = 0; i < kMaxAttempts; ++i) pool.askAndLeave("bad");
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(pool.upstreamsEnded()) + " upstreams ended",
+                           pool.upstreamsEnded() >= 3 && pool.upstreamsEnded() <= kMaxEnded);
+  }
+
   void attemptsThatRunAreNotRefused() {
     // Each upstream breaks its first request off and answers all others.
     Pool pool(WorkKind::once, 3, {kCrash, kAnswer});
