Keep crash histories in the store from the first crash on

Cause: the holder copied only contents in quarantine to the store. A fleet that restarts before the third crash forgot the first two. Class: state that a bound rests on and that ends with the processes. Why it works: every history with a crash that isn't refuted goes into the duties' record, at most 64, with the counts that are written once a second anyway; a change of the quarantine itself is still written at once. Contents that run to their end leave the record, so that few remain there.

--- a/Hallchute/src/Duty/DutyRecord.h
+++ b/Hallchute/src/Duty/DutyRecord.h
@@ -34,9 +34,9 @@
   /// Number of daemons that the writer knew when it last wrote counts; 0 if none were written yet.
   /// Daemons that start later read from it how many share the quotas.
   std::size_t daemons = 0;
-  /// Requests that no daemon dispatches, so that a restart of all daemons doesn't let them crash
-  /// further upstreams.
-  std::vector<CrashHistory> quarantined{};
+  /// Contents under which upstreams crashed, so that a restart of all daemons doesn't let them
+  /// crash further ones.
+  std::vector<CrashHistory> crashHistories{};
 };
 
 /// \brief A record with its revision in the store. \ingroup Duty
--- a/Hallchute/src/Duty/DutyStateMachine.cpp
+++ b/Hallchute/src/Duty/DutyStateMachine.cpp
@@ -4,9 +4,11 @@
 #include "Hallchute/src/Duty/DutyStateMachine.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "Hallchute/src/Fleet/ReportSums.h"
+#include "Hallchute/src/Gateway/CrashLedger.h"
 
 namespace Hallchute {
 namespace {
@@ -34,6 +36,15 @@
 /// Reported windows kept in the record: those that may still be due, and one more.
 constexpr std::int64_t kRetainedWindows = 4;
 
+/// The histories that keep a content from being dispatched.
+std::vector<CrashHistory> quarantinedIn(const DutyRecord& record) {
+  std::vector<CrashHistory> histories;
+  std::copy_if(
+      record.crashHistories.begin(), record.crashHistories.end(), std::back_inserter(histories),
+      [](const CrashHistory& history) { return history.count() >= CrashLedger::kMaxCrashes; });
+  return histories;
+}
+
 }  // namespace
 
 DutyStateMachine::DutyStateMachine(DutyPolicy policy, DaemonId self, std::uint64_t incarnation)
@@ -222,14 +233,14 @@
   return added;
 }
 
-/// The contents in quarantine. A holder that has just taken over may not have merged the record's
+/// A holder that has just taken over may not have merged the record's
 /// into its own yet.
-std::vector<CrashHistory> DutyStateMachine::quarantineToStore(const DutyFacts& facts,
-                                                              Instant now) const {
-  if (now - acquiredAt_ >= policy_.lease) return facts.quarantined;
+std::vector<CrashHistory> DutyStateMachine::historiesToStore(const DutyFacts& facts,
+                                                             Instant now) const {
+  if (now - acquiredAt_ >= policy_.lease) return facts.crashHistories;
   std::map<RequestFingerprint, CrashHistory> all;
-  for (const CrashHistory& history : stored_->record.quarantined) all[history.content] = history;
-  for (const CrashHistory& history : facts.quarantined) all[history.content] = history;
+  for (const CrashHistory& history : stored_->record.crashHistories) all[history.content] = history;
+  for (const CrashHistory& history : facts.crashHistories) all[history.content] = history;
   std::vector<CrashHistory> histories;
   histories.reserve(all.size());
   for (const auto& [content, history] : all) histories.push_back(history);
@@ -245,11 +256,14 @@
     return DutySteps::SendUsage{record.holder.epoch, window, counts};
   }
   DutyRecord updated = record;
-  updated.quarantined = quarantineToStore(facts, now);
-  const bool urgent = finaliseWindows(facts, updated) || updated.quarantined != record.quarantined;
+  updated.crashHistories = historiesToStore(facts, now);
+  const bool urgent =
+      finaliseWindows(facts, updated) || quarantinedIn(updated) != quarantinedIn(record);
   if (!urgent && now - checkpointedAt_ < kCheckpointInterval) return DutySteps::Nothing{};
   updated.openUsage = openWindowUsage(facts, updated);
-  if (!urgent && updated.openUsage == record.openUsage) return DutySteps::Nothing{};
+  const bool changed =
+      updated.openUsage != record.openUsage || updated.crashHistories != record.crashHistories;
+  if (!urgent && !changed) return DutySteps::Nothing{};
   // A holder that has just taken over may not have discovered all daemons yet.
   const bool settled = now - acquiredAt_ >= policy_.lease;
   updated.daemons = settled ? facts.expected : std::max(record.daemons, facts.expected);
--- a/Hallchute/src/Duty/DutyStateMachine.h
+++ b/Hallchute/src/Duty/DutyStateMachine.h
@@ -41,8 +41,8 @@
   bool usageComplete = true;
   /// Usage of the whole fleet by window.
   UsageByWindow usage;
-  /// Contents in quarantine, in order of their fingerprints.
-  std::vector<CrashHistory> quarantined;
+  /// Contents under which upstreams crashed, in order of their fingerprints.
+  std::vector<CrashHistory> crashHistories;
   /// Time since the Unix epoch, used only to number the windows.
   Millis wallClock{0};
 };
@@ -96,7 +96,7 @@
   DutyStep nextAsNonHolder(const DutyFacts& facts, Instant now);
   Millis finalisationDelay(const DutyFacts& facts) const;
   UsageByWindow unfinalisedUsage(const DutyFacts& facts) const;
-  std::vector<CrashHistory> quarantineToStore(const DutyFacts& facts, Instant now) const;
+  std::vector<CrashHistory> historiesToStore(const DutyFacts& facts, Instant now) const;
   UsageByWindow openWindowUsage(const DutyFacts& facts, const DutyRecord& record) const;
   bool finaliseWindows(const DutyFacts& facts, DutyRecord& record) const;
   std::int64_t firstUnreportedWindow(const DutyFacts& facts) const;
--- a/Hallchute/src/Gateway/CrashLedger.cpp
+++ b/Hallchute/src/Gateway/CrashLedger.cpp
@@ -132,12 +132,25 @@
   return histories;
 }
 
-std::vector<CrashHistory> CrashLedger::allQuarantined() const {
-  std::vector<CrashHistory> histories;
+std::vector<CrashHistory> CrashLedger::historiesToStore() const {
+  std::vector<const Entry*> chosen;
   for (const auto& [content, entry] : entries_) {
-    if (histories.size() == kMaxReported) break;
-    if (entry.history.count() >= kMaxCrashes) histories.push_back(entry.history);
+    if (entry.history.count() > 0) chosen.push_back(&entry);
+  }
+  if (chosen.size() > kMaxStored) {
+    const auto end = chosen.begin() + kMaxStored;
+    const auto goesFirst = [](const Entry* a, const Entry* b) {
+      return std::pair(a->history.count(), a->changedAt) >
+             std::pair(b->history.count(), b->changedAt);
+    };
+    std::nth_element(chosen.begin(), end, chosen.end(), goesFirst);
+    chosen.erase(end, chosen.end());
   }
+  std::vector<CrashHistory> histories;
+  histories.reserve(chosen.size());
+  for (const Entry* entry : chosen) histories.push_back(entry->history);
+  std::sort(histories.begin(), histories.end(),
+            [](const auto& a, const auto& b) { return a.content < b.content; });
   return histories;
 }
 
--- a/Hallchute/src/Gateway/CrashLedger.h
+++ b/Hallchute/src/Gateway/CrashLedger.h
@@ -30,6 +30,9 @@
   static constexpr std::size_t kMaxContents = 4'096;
   /// Contents in one report: bounds its size when upstreams with many requests crash at once.
   static constexpr std::size_t kMaxReported = 256;
+  /// Histories kept in the store: bounds the size of the record. Contents that run to their end
+  /// after a crash leave it, so that few remain.
+  static constexpr std::size_t kMaxStored = 64;
   /// How long a content is remembered after the last change of its history.
   static constexpr Millis kRetention = std::chrono::hours(1);
 
@@ -53,8 +56,10 @@
   /// more than one crash, for daemons that start or return from a partition.
   /// \param forwards whether this daemon also passes on what others reported to it.
   std::vector<CrashHistory> report(bool forwards, Instant now);
-  /// \brief Contents in quarantine, in order of their fingerprints, at most kMaxReported.
-  std::vector<CrashHistory> allQuarantined() const;
+  /// \brief The histories to keep in the store, in order of their fingerprints: all with crashes
+  /// that are not refuted, as a fleet that restarts may see too few for a quarantine in each life.
+  /// If there are more than kMaxStored, those with the most crashes, then the latest.
+  std::vector<CrashHistory> historiesToStore() const;
   void sweep(Instant now);
 
  private:
--- a/Hallchute/src/Node/DutyRunner.cpp
+++ b/Hallchute/src/Node/DutyRunner.cpp
@@ -103,7 +103,7 @@
   const absl::StatusOr<StoredDutyRecord> stored = port_.read(ReadConsistency::possiblyStale);
   if (stored.ok()) {
     callbacks_.onEarlierSize(stored->record.daemons);
-    callbacks_.onQuarantine(stored->record.quarantined);
+    callbacks_.onQuarantine(stored->record.crashHistories);
   }
   const bool answered = stored.ok() || absl::IsNotFound(stored.status());
   LogLine(LogLevel::info, "fleet.earlierSize")
@@ -172,7 +172,7 @@
   const absl::StatusOr<StoredDutyRecord> stored = port_.read(ReadConsistency::latest);
   if (stored.ok()) {
     keeper_.noteRead(*stored, clockNow());
-    callbacks_.onQuarantine(stored->record.quarantined);
+    callbacks_.onQuarantine(stored->record.crashHistories);
   } else {
     keeper_.noteOutcome(outcomeOf(stored.status()), 0, clockNow());
   }
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -191,7 +191,7 @@
     facts.usageComplete = fleet_.usageComplete(now);
     facts.usage = fleet_.usageElsewhere(now);
     addUsage(facts.usage, localReport_.usage);
-    facts.quarantined = localReport_.quarantined;
+    facts.crashHistories = localReport_.crashHistories;
     facts.live = fleet_.liveOthers(now);
     if (!leaving_) facts.live[self_.daemon] = self_.incarnation;
     UpstreamLoads loads = fleet_.loadsElsewhere(now);
@@ -240,7 +240,7 @@
                     engine_.usage().counts(),
                     {},
                     engine_.crashes().report(forwards_, clockNow()),
-                    engine_.crashes().allQuarantined(),
+                    engine_.crashes().historiesToStore(),
                     engine_.upstreamTable().limits().report(forwards_, clockNow())};
   for (const auto& [id, entry] : engine_.upstreams().entries()) {
     if (entry.record.state != UpstreamState::draining) continue;
--- a/Hallchute/src/Node/GatewayNode.h
+++ b/Hallchute/src/Node/GatewayNode.h
@@ -55,7 +55,7 @@
     std::vector<UpstreamIncarnation> draining;
     /// What to report to other daemons, and what to keep in the store.
     std::vector<CrashHistory> crashes;
-    std::vector<CrashHistory> quarantined;
+    std::vector<CrashHistory> crashHistories;
     std::vector<NamedLimit> limits;
   };
 
--- a/test/CrashFleetTest.cpp
+++ b/test/CrashFleetTest.cpp
@@ -175,7 +175,7 @@
                               : CrashLedger::kMaxCrashes);
     // The holder of the duties copies the quarantine to the store.
     if (i == 0 && ms % kStoreDelayMs < SimulatedFleet::kReportPeriodMs) {
-      stored_ = host.ledger->allQuarantined();
+      stored_ = host.ledger->historiesToStore();
     }
   }
   void deliver(int ms) {
--- a/test/CrashQuarantineTest.cpp
+++ b/test/CrashQuarantineTest.cpp
@@ -175,11 +175,11 @@
     PlatformDuties duties(store, server.address(), "127.0.0.1");
     DutyRecord record;
     record.holder = {DaemonId("a"), 1, 1};
-    record.quarantined = {historyOf(1), historyOf(0xfedcba9876543210)};
+    record.crashHistories = {historyOf(1), historyOf(0xfedcba9876543210)};
     CPPUNIT_ASSERT(duties.create(record).ok());
     const auto stored = duties.read(ReadConsistency::latest);
     CPPUNIT_ASSERT(stored.ok());
-    CPPUNIT_ASSERT(stored->record.quarantined == record.quarantined);
+    CPPUNIT_ASSERT(stored->record.crashHistories == record.crashHistories);
   }
 
   /// The next holder keeps what the record holds until it has had the time to merge it.
@@ -187,7 +187,7 @@
     const DutyPolicy policy{Millis(3'000), Millis(5'000), Millis(10'000)};
     DutyStateMachine machine(policy, DaemonId("a"), 1);
     StoredDutyRecord stored;
-    stored.record.quarantined = {historyOf(5)};
+    stored.record.crashHistories = {historyOf(5)};
     stored.revision = 1;
     machine.noteRead(stored, at(0));
     DutyFacts facts;
@@ -198,10 +198,10 @@
       const auto* change = std::get_if<DutySteps::Write>(&step);
       if (change == nullptr) return {};
       machine.noteOutcome(DutyOutcome::done, ++stored.revision, at(ms));
-      return change->record.quarantined;
+      return change->record.crashHistories;
     };
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, write(0).size());
-    facts.quarantined = {historyOf(3)};
+    facts.crashHistories = {historyOf(3)};
     CPPUNIT_ASSERT((write(250) == std::vector{historyOf(3), historyOf(5)}));
     CPPUNIT_ASSERT(write(500).empty());
     // It has been told of all that the record held: one was cleared since.
