A soak of real gateways with the settings of a small deployment

Renders deploy/gateway.json at each start, as the platform does, and shows what is served in each second beside starts, kills, cuts, suspensions, throttling and failures of the store.

--- a/standin/LinkStandin.cpp
+++ b/standin/LinkStandin.cpp
@@ -24,10 +24,11 @@
 constexpr int kConnectMs = 500'000;
 
 /// \returns false once the connection has ended.
-bool pump(StreamSocket& from, StreamSocket& to) {
+bool pump(StreamSocket& from, StreamSocket& to, std::chrono::microseconds delay) {
   std::array<char, 16'384> buffer;
   const int got = from.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
   if (got <= 0) return false;
+  if (delay.count() > 0) std::this_thread::sleep_for(delay);
   for (int sent = 0; sent < got;) sent += to.sendBytes(buffer.data() + sent, got - sent);
   return true;
 }
@@ -50,13 +51,22 @@
   } else {
     const auto a = json->optValue<std::string>("a", "");
     const auto b = json->optValue<std::string>("b", "");
-    const std::lock_guard lock(mutex_);
-    if (request.path == "/control/cut") cuts_.emplace(a, b);
-    if (request.path == "/control/heal") cuts_.clear();
+    if (request.path == "/control/cut") cut(a, b);
+    if (request.path == "/control/heal") healAll();
   }
   sendJson(response, 200, new Object);
 }
 
+void LinkStandin::cut(const std::string& a, const std::string& b) {
+  const std::lock_guard lock(mutex_);
+  cuts_.emplace(a, b);
+}
+
+void LinkStandin::healAll() {
+  const std::lock_guard lock(mutex_);
+  cuts_.clear();
+}
+
 bool LinkStandin::isCut(const std::string& a, const std::string& b) {
   const std::lock_guard lock(mutex_);
   for (const auto& [one, other] : cuts_) {
@@ -66,10 +76,11 @@
   return false;
 }
 
-void LinkStandin::addRoute(const std::string& listen, const std::string& target) {
+std::string LinkStandin::addRoute(const std::string& listen, const std::string& target) {
   Poco::Net::ServerSocket server;
   server.bind(Poco::Net::SocketAddress(listen), true);
   server.listen();
+  std::string address = server.address().toString();
   std::thread([this, server, target]() mutable {
     for (;;) {
       try {
@@ -80,6 +91,7 @@
       }
     }
   }).detach();
+  return address;
 }
 
 void LinkStandin::forward(StreamSocket from, const std::string& target) {
@@ -103,8 +115,8 @@
       }
       poll(fds.data(), fds.size(), kPollMs);
       if (isCut(a, b)) continue;
-      if (fds[0].revents != 0 && !pump(from, to)) return;
-      if (fds[1].revents != 0 && !pump(to, from)) return;
+      if (fds[0].revents != 0 && !pump(from, to, delay_)) return;
+      if (fds[1].revents != 0 && !pump(to, from, delay_)) return;
     }
   } catch (const Poco::Exception&) {
     // Either end has closed: both are closed.
--- a/standin/LinkStandin.h
+++ b/standin/LinkStandin.h
@@ -6,6 +6,7 @@
 
 #include <Poco/Net/StreamSocket.h>
 
+#include <chrono>
 #include <map>
 #include <mutex>
 #include <set>
@@ -23,13 +24,21 @@
 /// keeps them open, as a broken network does.
 class LinkStandin {
  public:
+  /// \param delay how much later bytes arrive, on each connection and way.
+  explicit LinkStandin(std::chrono::microseconds delay = {}) : delay_(delay) {}
   void handle(const Request& request, Poco::Net::HTTPServerResponse& response);
 
+  /// \param listen port 0 takes one from the operating system.
+  /// \returns where it listens. The thread of a route runs until the process ends.
+  std::string addRoute(const std::string& listen, const std::string& target);
+  void cut(const std::string& a, const std::string& b);
+  void healAll();
+
  private:
-  void addRoute(const std::string& listen, const std::string& target);
   void forward(Poco::Net::StreamSocket from, const std::string& target);
   bool isCut(const std::string& a, const std::string& b);
 
+  std::chrono::microseconds delay_;
   std::mutex mutex_;
   std::set<std::pair<std::string, std::string>> cuts_;
 };
--- a/standin/ReplicaStandin.cpp
+++ b/standin/ReplicaStandin.cpp
@@ -4,6 +4,7 @@
 #include "standin/ReplicaStandin.h"
 
 #include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <sys/socket.h>
 
@@ -105,10 +106,33 @@
     if (crashed_) return;
     if (limit > 0) namedLimits_.push_back({std::chrono::steady_clock::now(), caller, limit});
   }
+  if (absl::StrContains(request.substr(0, request.find('\r')), " /stream/")) {
+    stream(socket, request);
+    return;
+  }
   const std::string answer = answerTo(request, limit);
   ::send(socket.impl()->sockfd(), answer.data(), answer.size(), MSG_NOSIGNAL);
 }
 
+void ReplicaStandin::stream(Poco::Net::StreamSocket& socket, const std::string& request) const {
+  int last = 0;
+  int from = 0;
+  if (!absl::SimpleAtoi(bodyOf(request), &last)) return;
+  if (!absl::SimpleAtoi(fieldOf(request, "Last-Event-Id"), &from)) from = 0;
+  std::string text = absl::StrCat(
+      "HTTP/1.1 200 OK\r\nHallchute-Attempt-Id: ", fieldOf(request, "Hallchute-Attempt-Id"),
+      "\r\nHallchute-Replica-Signature: ", id_,
+      "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+  for (int i = from + 1; i <= last && !crashed_; ++i) {
+    const std::string event = absl::StrCat("id: ", i, "\ndata: part\n\n");
+    absl::StrAppend(&text, absl::Hex(event.size()), "\r\n", event, "\r\n",
+                    i == last ? "0\r\n\r\n" : "");
+    if (::send(socket.impl()->sockfd(), text.data(), text.size(), MSG_NOSIGNAL) < 0) return;
+    text.clear();
+    std::this_thread::sleep_for(kEventGap);
+  }
+}
+
 std::string ReplicaStandin::answerTo(const std::string& request, double limit) const {
   const std::string body = "done";
   std::string head = absl::StrCat(
--- a/standin/ReplicaStandin.h
+++ b/standin/ReplicaStandin.h
@@ -37,10 +37,14 @@
 /// \brief A replica of a plain service behind the gateway, on threads of this process; a crash
 /// resets its connections and closes its port as the end of a process does.
 ///
-/// A request whose body starts with `crash` crashes it some time after the request began to run.
+/// A request under `/stream/` is answered by as many events as the body says, with rising ids from
+/// the one after `Last-Event-Id`. A request whose body starts with `crash` crashes it some time
+/// after the request began to run.
 class ReplicaStandin {
  public:
   static constexpr const char* kCrashingBody = "crash";
+  /// Between the events of a stream.
+  static constexpr std::chrono::milliseconds kEventGap{20};
 
   /// \param workTime how long a request runs.
   ReplicaStandin(std::string id, std::chrono::milliseconds workTime);
@@ -64,6 +68,7 @@
   void accept();
   void serve(Poco::Net::StreamSocket socket);
   void run(Poco::Net::StreamSocket& socket, const std::string& request);
+  void stream(Poco::Net::StreamSocket& socket, const std::string& request) const;
   std::string answerTo(const std::string& request, double limit) const;
 
   std::string id_;
--- /dev/null
+++ b/test/SettingsTemplateTest.cpp
@@ -0,0 +1,73 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <fstream>
+#include <sstream>
+#include <string>
+
+#include "Hallchute/src/Node/NodeStartup.h"
+#include "Hallchute/src/Settings/JsonTree.h"
+#include "test/soak/SettingsTemplate.h"
+
+namespace {
+
+constexpr const char* kFields = R"({"name":"d","share":0.25,"no":false,"empty":null,"zero":0,
+  "list":["a","b"],"table":{"k":"v","l":"w"},"bounds":{"drain-ms":2000},"rows":[{"x":1},{"y":2}]})";
+
+class SettingsTemplateTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SettingsTemplateTest);
+  CPPUNIT_TEST(valuesAreFilledIn);
+  CPPUNIT_TEST(sectionsRepeat);
+  CPPUNIT_TEST(theGatewaysTemplateGivesReadableSettings);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void valuesAreFilledIn() {
+    expect("d 0.25 2000 b", "{{name}} {{share}} {{bounds.drain-ms}} {{list.1}}");
+    expect("a,b {\"k\":\"v\",\"l\":\"w\"} <>", "{{list}} {{table}} <{{none.at}}>");
+    expect("\"d\" [\"a\",\"b\"]", "{{name|json}} {{list|json}}");
+  }
+
+  void sectionsRepeat() {
+    expect("0=a,1=b", "{{#list}}{{@}}={{.}}{{,}}{{/list}}");
+    expect("k:v d,l:w d", "{{#table}}{{@}}:{{.}} {{name}}{{,}}{{/table}}");
+    expect("2000!", "{{#bounds.drain-ms}}{{.}}!{{/bounds.drain-ms}}");
+    expect("1,", "{{#rows}}{{x}}{{,}}{{/rows}}");
+    expect("[0]", "[{{#no}}a{{/no}}{{#none}}b{{/none}}{{#zero}}{{.}}{{/zero}}]");
+    expect("xyz", "{{^no}}x{{/no}}{{^none}}y{{/none}}{{^empty}}z{{/empty}}{{^zero}}0{{/zero}}");
+  }
+
+  void theGatewaysTemplateGivesReadableSettings() {
+    std::ostringstream text;
+    text << std::ifstream(HALLCHUTE_SOURCE_DIR "/deploy/gateway.json").rdbuf();
+    Hallchute::Findings findings;
+    const auto fields = Hallchute::parseJsonObject(
+        R"({"node-name":"d-1","zone":"east","zones":{"east":"r","west":"r"},"ip":"127.9.0.1",
+            "limits":{"cpu-share":0.25,"max-fds":4100},"seeds":["127.9.0.1:7"],
+            "listen":{"front":"127.9.0.1:5","readiness":"127.9.0.1:6","control":"127.9.0.1:7"},
+            "platform":{"address":"127.9.0.2:5"},"cloud-api":{"address":"127.9.0.2:6"},
+            "bounds":{"contact-ms":3000,"grace-s":8,"retry-budget":0.2,"budget-slack":52}})",
+        findings);
+    const std::string settings = Soak::SettingsTemplate(fields).fill(text.str());
+    const Hallchute::NodeStartup startup = Hallchute::readNodeStartup(settings, findings);
+    CPPUNIT_ASSERT_MESSAGE(settings, findings.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, startup.domains.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("127.9.0.2:6"), startup.dutyAddress);
+    CPPUNIT_ASSERT_EQUAL(0.2, startup.bounds.retryRatio);
+    CPPUNIT_ASSERT(Hallchute::Millis(8'000) == startup.bounds.grace);
+    CPPUNIT_ASSERT(startup.reportsUsage);
+  }
+
+ private:
+  static void expect(const std::string& filled, const std::string& text) {
+    Hallchute::Findings findings;
+    const auto fields = Hallchute::parseJsonObject(kFields, findings);
+    CPPUNIT_ASSERT_EQUAL(filled, Soak::SettingsTemplate(fields).fill(text));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SettingsTemplateTest);
+
+}  // namespace
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -14,6 +14,7 @@
 
 #include "test/soak/CrashSoak.h"
 #include "test/soak/LimitSoak.h"
+#include "test/soak/SiteSoak.h"
 #include "test/soak/SoakOptions.h"
 
 ABSL_FLAG(int, daemons, 7, "gateway processes");
@@ -33,7 +34,8 @@
   options.work = work.path();
   if (kind == "crashes") return Soak::runCrashSoak(options) ? 0 : 1;
   if (kind == "limits") return Soak::runLimitSoak(options) ? 0 : 1;
-  std::cerr << "usage: hallchute-gateway-soak BUILD crashes|limits\n";
+  if (kind == "sites") return Soak::runSiteSoak(options) ? 0 : 1;
+  std::cerr << "usage: hallchute-gateway-soak BUILD crashes|limits|sites\n";
   return 2;
 }
 
