--- a/test/soak/SiteFleet.h
+++ b/test/soak/SiteFleet.h
@@ -38,6 +38,8 @@
   /// Whether this soak ends it, so that its end is no finding.
   bool ending = false;
   bool throttled = false;
+  /// Whether no process listens at its addresses.
+  std::atomic<bool> down{true};
   std::optional<std::chrono::steady_clock::time_point> readyAt;
 };
 
@@ -99,6 +101,7 @@
   /// Its threads run until the process ends.
   Standin::LinkStandin& link_;
   std::string storeLink_;
+  /// Guards the processes.
   std::mutex mutex_;
   std::vector<SiteDaemon> daemons_;
   std::vector<std::unique_ptr<Standin::ReplicaStandin>> replicas_;
