--- a/test/QuotaLedgerTest.cpp
+++ b/test/QuotaLedgerTest.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(quotaChangesApplyImmediately);
   CPPUNIT_TEST(quotaBucketsStartAlmostEmpty);
   CPPUNIT_TEST(retryDelayCoversPeerDiscovery);
+  CPPUNIT_TEST(aSuspendedDaemonAdmitsRequestsWithinTheQuota);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -85,6 +86,23 @@
     CPPUNIT_ASSERT(!ledger.take(org, 10, at(100)));
   }
 
+  /// A daemon that was suspended for 5 s heard at once what its peers had spent, about half the
+  /// quota, but its bucket had filled for 2 s only: it refused every request of the organisation.
+  void aSuspendedDaemonAdmitsRequestsWithinTheQuota() {
+    const GatewayOrganisation org = organisation(100, 200);
+    const QuotaFleet fleet{6, 1, 1.0 / 6, false, Millis(250)};
+    QuotaLedger ledger(at(-60'000), {0.1, 50, Millis(8'000)});
+    ledger.setFleet(fleet, at(0));
+    CPPUNIT_ASSERT(!ledger.take(org, 10, at(0)));
+    ledger.setFleet(fleet, at(5'000));
+    for (int peer = 0; peer < 5; ++peer) ledger.noteSpentElsewhere(org.name, 55, at(5'000));
+    CPPUNIT_ASSERT(!ledger.take(org, 10, at(5'010)));
+    // The same amount is beyond the quota if nothing was suspended.
+    for (int ms = 5'100; ms <= 7'000; ms += 100) ledger.setFleet(fleet, at(ms));
+    ledger.noteSpentElsewhere(org.name, 275, at(7'000));
+    CPPUNIT_ASSERT(ledger.take(org, 10, at(7'010)).has_value());
+  }
+
   void quotaScalesWithTheLiveFractionOfTheFleet() {
     QuotaLedger ledger(at(-60'000));
     const GatewayOrganisation org = organisation(100, 100);
--- a/test/soak/CallerResult.h
+++ b/test/soak/CallerResult.h
@@ -20,6 +20,7 @@
   int promptTokens;
   std::chrono::milliseconds limit;
   bool safe;
+  double tokens;
 };
 
 /// \brief How a request of a caller ended, after its retries.
@@ -33,6 +34,9 @@
   const RequestSort* sort = nullptr;
   /// To the first event, or to the whole answer.
   std::chrono::milliseconds first{0};
+  std::size_t tenant = 0;
+  /// Attempts that were refused because of the tenant's quota.
+  int overQuota = 0;
   std::string id;
 };
 
--- a/test/soak/SiteCallers.cpp
+++ b/test/soak/SiteCallers.cpp
@@ -23,16 +23,17 @@
 using Millis = std::chrono::milliseconds;
 
 constexpr std::array<RequestSort, 5> kSorts{{
-    {"long", "/stream/long/a", 7.78, 17, 9'190, Millis(8'000), true},
-    {"middle", "/stream/middle/a", 10.3, 8, 2'368, Millis(4'000), true},
-    {"chat", "/stream/chat/a", 11.6, 78, 715, Millis(15'000), true},
-    {"order", "/order/a", 7.41, 0, 0, Millis(600), false},
-    {"look", "/look/a", 4.57, 0, 0, Millis(600), true},
+    {"long", "/stream/long/a", 7.78, 17, 9'190, Millis(8'000), true, 9'241},
+    {"middle", "/stream/middle/a", 10.3, 8, 2'368, Millis(4'000), true, 2'392},
+    {"chat", "/stream/chat/a", 11.6, 78, 715, Millis(15'000), true, 949},
+    {"order", "/order/a", 7.41, 0, 0, Millis(600), false, 200},
+    {"look", "/look/a", 4.57, 0, 0, Millis(600), true, 200},
 }};
 constexpr std::array<std::size_t, 2> kFirstCallersOfOtherZones{21, 37};
 constexpr std::array<double, SiteFleet::kTenants> kTenantParts{0.4, 0.25, 0.15, 0.1, 0.1};
 constexpr int kTokensAnEvent = 3;
 constexpr Millis kPollPeriod{1'000};
+constexpr int kTooMany = 429;
 constexpr int kMisses = 2;
 constexpr Millis kConnectLimit{1'000};
 /// After a gap of this length a caller gives a stream up.
@@ -45,7 +46,7 @@
 }
 
 bool isPromise(int status) {
-  return status == 429 || status == 503 || status == 408 || status == 421;
+  return status == kTooMany || status == 503 || status == 408 || status == 421;
 }
 
 std::unique_ptr<Poco::Net::HTTPClientSession> connection(const std::string& address) {
@@ -121,7 +122,8 @@
   auto next = Clock::now();
   for (std::uint64_t number = 1; !stopping_; ++number) {
     const std::size_t caller = random_() % callers_.size();
-    Call call{callers_[caller], caller, random_() % 2 == 0, tenants(random_), {}, 0, {}, false};
+    Call call{callers_[caller], caller, random_() % 2 == 0, {}, 0, {}, false};
+    call.result.tenant = tenants(random_);
     call.result.sort = &kSorts[sorts(random_)];
     call.result.id = absl::StrCat("r", number);
     ++running_;
@@ -192,6 +194,7 @@
   } catch (const Poco::Exception&) {
     return;
   }
+  if (result.status == kTooMany) ++result.overQuota;
   if (isPromise(result.status)) {
     result.end = End::refused;
     call.surelyNotRun = true;
@@ -226,7 +229,7 @@
   request.setContentLength(static_cast<std::streamsize>(body.size()));
   request.set("Hallchute-Attempt-Id", result.id);
   request.set("Hallchute-Deadline-Ms", std::to_string(left.count()));
-  request.set("Authorization", absl::StrCat("Bearer key-", call.tenant));
+  request.set("Authorization", absl::StrCat("Bearer key-", result.tenant));
   if (sort.events > 0) {
     const int parts = sort.promptTokens;
     request.set("Hallchute-Model", "m");
--- a/test/soak/SiteCallers.h
+++ b/test/soak/SiteCallers.h
@@ -52,7 +52,6 @@
     Caller& caller;
     std::size_t hash = 0;
     bool keeps = false;
-    std::size_t tenant = 0;
     CallerResult result;
     int events = 0;
     std::string retryAfter;
--- a/test/soak/SiteFleet.cpp
+++ b/test/soak/SiteFleet.cpp
@@ -48,6 +48,7 @@
 constexpr double kLeastQuota = 18'000;
 constexpr std::array<double, SiteFleet::kTenants> kTenantParts{0.4, 0.25, 0.15, 0.1, 0.1};
 constexpr std::size_t kSmallerFleet = 6;
+constexpr double kLargerSize = 1.48;
 
 constexpr const char* kBounds =
     R"({"contact-ms":3000,"drain-ms":2000,"grace-s":8,"config-ms":2000,"lease-ms":3000,
@@ -146,10 +147,8 @@
     routes->getObject(static_cast<unsigned>(i))->set("host", kHost);
   }
   Array::Ptr tenants = new Array;
-  const double size = daemons_.size() > kSmallerFleet ? 1.48 : 1;
   for (std::size_t i = 0; i < kTenants; ++i) {
-    const double rate =
-        std::max(kLeastQuota, kQuotaRoom * size * kTokensPerSecond * kTenantParts[i]);
+    const double rate = quota(i);
     Array::Ptr keys = new Array;
     keys->add(absl::StrCat("key-", i));
     Object::Ptr tenant = new Object;
@@ -158,7 +157,7 @@
     tenant->set("unit", "tokens");
     tenant->set("plain-tokens", 200);
     tenant->set("rate-per-s", rate);
-    tenant->set("burst", 2 * rate);
+    tenant->set("burst", kBurstSeconds * rate);
     tenants->add(tenant);
   }
   Object::Ptr limits = new Object;
@@ -172,6 +171,11 @@
   store_.put("config", "main", settings);
 }
 
+double SiteFleet::quota(std::size_t tenant) const {
+  const double size = daemons_.size() > kSmallerFleet ? kLargerSize : 1;
+  return std::max(kLeastQuota, kQuotaRoom * size * kTokensPerSecond * kTenantParts.at(tenant));
+}
+
 void SiteFleet::addReplicas(const std::string& service, int count, Millis workTime) {
   for (int i = 0; i < count; ++i) {
     replicas_.push_back(
--- a/test/soak/SiteFleet.h
+++ b/test/soak/SiteFleet.h
@@ -58,6 +58,10 @@
   SiteFleet& operator=(const SiteFleet&) = delete;
 
   std::vector<SiteDaemon>& daemons() { return daemons_; }
+  /// \brief A tenant's quota, in tokens a second.
+  double quota(std::size_t tenant) const;
+  /// \brief How much a tenant may spend at once, in seconds of its quota.
+  static constexpr double kBurstSeconds = 2;
   /// \brief Fills the daemon's settings and starts its process.
   void start(std::size_t index);
   void kill(std::size_t index);
--- a/test/soak/SiteSoak.cpp
+++ b/test/soak/SiteSoak.cpp
@@ -382,6 +382,31 @@
   std::cout << "\n";
 }
 
+/// Counts refusals for a quota while one bucket of the tenant would still hold half its burst.
+void printRefusedInQuota(const SiteFleet& fleet, std::vector<CallerResult> results) {
+  std::sort(results.begin(), results.end(),
+            [](const auto& a, const auto& b) { return a.at < b.at; });
+  struct Bucket {
+    double level = 0;
+    Clock::time_point at;
+  };
+  std::map<std::size_t, Bucket> buckets;
+  int refused = 0;
+  int inside = 0;
+  for (const CallerResult& result : results) {
+    const double rate = fleet.quota(result.tenant);
+    const double burst = SiteFleet::kBurstSeconds * rate;
+    Bucket& bucket = buckets[result.tenant];
+    const std::chrono::duration<double> elapsed = result.at - bucket.at;
+    bucket = {std::min(burst, bucket.level + rate * elapsed.count()), result.at};
+    refused += result.overQuota;
+    if (bucket.level >= burst / 2) inside += result.overQuota;
+    bucket.level -= result.sort->tokens;
+  }
+  std::cout << "attempts refused for a quota: " << refused
+            << ", with over half the burst left: " << inside << "\n";
+}
+
 }  // namespace
 
 bool runSiteSoak(const SoakOptions& options) {
@@ -396,6 +421,7 @@
   const std::vector<CallerResult> results = callers.results();
   const bool kept = checkSeconds(op, results, fleet.daemons().size());
   printLatencies(op, results);
+  printRefusedInQuota(fleet, results);
   return kept && op.clean();
 }
 
