A daemon that was suspended serves its organisations within their quotas at once (proposal)

Its bucket filled for its burst at most, and then all that peers had spent in the pause was deducted: with half the quota in use, 5 s of suspension left level -69432 of a burst of 158400, others -197390. Refill beyond the burst at the end of a pause of over 0.6 s now meets the reports that arrive within the next 0.5 s.

--- a/Hallchute/src/Gateway/QuotaLedger.cpp
+++ b/Hallchute/src/Gateway/QuotaLedger.cpp
@@ -33,6 +33,11 @@
 /// unknown. With 0.5, the fleets of the test at kInitialLevelTolerance admit up to 10.7 seconds'
 /// worth.
 constexpr double kReportLagToleranceAtStart = 0.1;
+/// Buckets are refilled several times a second; a longer interval means that the process was
+/// suspended or held up.
+constexpr double kPauseS = 0.6;
+/// Time within which the reports on a pause arrive.
+constexpr double kPauseReportsS = 0.5;
 /// Time constant of the average demand at this daemon: long enough that a single request doesn't
 /// dominate the average, short enough to follow a step in demand.
 constexpr double kDemandTimeConstantS = 2.0;
@@ -51,8 +56,12 @@
 void QuotaLedger::refill(Bucket& bucket, Instant now) const {
   const std::chrono::duration<double> elapsed = now - bucket.refilled;
   bucket.refilled = now;
-  bucket.level =
-      std::min(bucket.burst, bucket.level + elapsed.count() * bucket.rate * fleet_.liveFraction);
+  bucket.level += elapsed.count() * bucket.rate * fleet_.liveFraction;
+  if (elapsed.count() > kPauseS) {
+    bucket.pauseRefill = std::max(0.0, bucket.level - bucket.burst);
+    bucket.pauseEnded = now;
+  }
+  bucket.level = std::min(bucket.burst, bucket.level);
 }
 
 QuotaLedger::Bucket& QuotaLedger::bucketOf(const GatewayOrganisation& organisation, Instant now) {
@@ -61,6 +70,8 @@
     bucket = {0, organisation.rate, organisation.burst, started_, true};
     bucket.level = initialLevel(bucket);
     refill(bucket, now);
+    // The time since the start was no pause.
+    bucket.pauseRefill = 0;
     return bucket;
   }
   refill(bucket, now);
@@ -148,7 +159,13 @@
   const auto it = buckets_.find(organisation);
   if (it == buckets_.end()) return;
   Bucket& bucket = it->second;
-  if (!fleet_.discovering) bucket.level -= amount;
+  const std::chrono::duration<double> sinceRefill = now - bucket.refilled;
+  if (sinceRefill.count() > kPauseS) refill(bucket, now);
+  const std::chrono::duration<double> sincePause = now - bucket.pauseEnded;
+  const double available = sincePause.count() <= kPauseReportsS ? bucket.pauseRefill : 0;
+  const double covered = std::min(available, amount);
+  bucket.pauseRefill -= covered;
+  if (!fleet_.discovering) bucket.level -= amount - covered;
   addToDecayingRate(bucket.peerSpendRate, bucket.peerSpendUpdated, kSpendRateTimeConstantS, amount,
                     now);
 }
--- a/Hallchute/src/Gateway/QuotaLedger.h
+++ b/Hallchute/src/Gateway/QuotaLedger.h
@@ -74,6 +74,10 @@
     /// Requested amount per second at this daemon, refused requests included.
     double demand = 0;
     Instant demandUpdated{};
+    /// Refill that exceeded the burst at the end of a pause of this process. What peers spent in
+    /// the pause is deducted from it first, as their reports arrive at once.
+    double pauseRefill = 0;
+    Instant pauseEnded{};
     /// Amount per second that peers recently reported as spent.
     double peerSpendRate = 0;
     Instant peerSpendUpdated{};
