--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -14,6 +14,7 @@
 
 #include "test/soak/CrashSoak.h"
 #include "test/soak/LimitSoak.h"
+#include "test/soak/SiteSoak.h"
 #include "test/soak/SoakOptions.h"
 #include "test/soak/StopSoak.h"
 
@@ -35,8 +36,10 @@
   options.work = work.path();
   if (kind == "crashes") return Soak::runCrashSoak(options) ? 0 : 1;
   if (kind == "limits") return Soak::runLimitSoak(options) ? 0 : 1;
+  if (kind == "sites") return Soak::runSiteSoak(options) ? 0 : 1;
   if (kind == "stops") return Soak::runStopSoak(options) ? 0 : 1;
-  std::cerr << "usage: hallchute-gateway-soak BUILD crashes|limits|stops\n";
+  std::cerr << "usage: hallchute-gateway-soak BUILD crashes|limits|sites|stops
+";
   return 2;
 }
 
