--- a/test/SettingsTemplateTest.cpp
+++ b/test/SettingsTemplateTest.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <sstream>
 #include <string>
+#include <vector>
 
 #include "Hallchute/src/Node/NodeStartup.h"
 #include "Hallchute/src/Settings/JsonTree.h"
@@ -21,6 +22,7 @@
   CPPUNIT_TEST(valuesAreFilledIn);
   CPPUNIT_TEST(sectionsRepeat);
   CPPUNIT_TEST(theGatewaysTemplateGivesReadableSettings);
+  CPPUNIT_TEST(settingsWithoutLimitsAreReadable);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -40,27 +42,47 @@
   }
 
   void theGatewaysTemplateGivesReadableSettings() {
-    std::ostringstream text;
-    text << std::ifstream(HALLCHUTE_SOURCE_DIR "/deploy/gateway.json").rdbuf();
-    Hallchute::Findings findings;
-    const auto fields = Hallchute::parseJsonObject(
+    const Hallchute::NodeStartup startup = startupFrom(
         R"({"node-name":"d-1","zone":"east","zones":{"east":"r","west":"r"},"ip":"127.9.0.1",
             "limits":{"cpu-share":0.25,"max-fds":4100},"seeds":["127.9.0.1:7"],
             "listen":{"front":"127.9.0.1:5","readiness":"127.9.0.1:6","control":"127.9.0.1:7"},
             "platform":{"address":"127.9.0.2:5"},"cloud-api":{"address":"127.9.0.2:6"},
-            "bounds":{"contact-ms":3000,"grace-s":8,"retry-budget":0.2,"budget-slack":52}})",
-        findings);
-    const std::string settings = Soak::SettingsTemplate(fields).fill(text.str());
-    const Hallchute::NodeStartup startup = Hallchute::readNodeStartup(settings, findings);
-    CPPUNIT_ASSERT_MESSAGE(settings, findings.empty());
+            "bounds":{"contact-ms":3000,"grace-s":8,"retry-budget":0.2,"budget-slack":52}})");
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, startup.domains.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4'100}, startup.descriptors);
+    CPPUNIT_ASSERT(startup.seeds == std::vector<std::string>{"127.9.0.1:7"});
     CPPUNIT_ASSERT_EQUAL(std::string("127.9.0.2:6"), startup.dutyAddress);
     CPPUNIT_ASSERT_EQUAL(0.2, startup.bounds.retryRatio);
     CPPUNIT_ASSERT(Hallchute::Millis(8'000) == startup.bounds.grace);
     CPPUNIT_ASSERT(startup.reportsUsage);
   }
 
+  /// A host without limits, in a deployment without duties, bounds and seeds: the start-up file was
+  /// no JSON, and the daemon ended.
+  void settingsWithoutLimitsAreReadable() {
+    const Hallchute::NodeStartup startup = startupFrom(
+        R"({"node-name":"d-1","zone":"east","ip":"127.9.0.1","platform":{"address":"127.9.0.2:5"},
+            "listen":{"front":"127.9.0.1:5","readiness":"127.9.0.1:6","control":"127.9.0.1:7"}})");
+    const Hallchute::NodeStartup defaults;
+    CPPUNIT_ASSERT_EQUAL(defaults.descriptors, startup.descriptors);
+    CPPUNIT_ASSERT_EQUAL(defaults.capacity, startup.capacity);
+    CPPUNIT_ASSERT(startup.seeds.empty());
+    CPPUNIT_ASSERT(!startup.reportsUsage);
+  }
+
  private:
+  /// What a gateway reads from the deployment's template, filled from \p fieldsText.
+  static Hallchute::NodeStartup startupFrom(const std::string& fieldsText) {
+    std::ostringstream text;
+    text << std::ifstream(HALLCHUTE_SOURCE_DIR "/deploy/gateway.json").rdbuf();
+    Hallchute::Findings findings;
+    const auto fields = Hallchute::parseJsonObject(fieldsText, findings);
+    const std::string settings = Soak::SettingsTemplate(fields).fill(text.str());
+    Hallchute::NodeStartup startup = Hallchute::readNodeStartup(settings, findings);
+    CPPUNIT_ASSERT_MESSAGE(settings, findings.empty());
+    return startup;
+  }
+
   static void expect(const std::string& filled, const std::string& text) {
     Hallchute::Findings findings;
     const auto fields = Hallchute::parseJsonObject(kFields, findings);
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -38,8 +38,7 @@
   if (kind == "limits") return Soak::runLimitSoak(options) ? 0 : 1;
   if (kind == "sites") return Soak::runSiteSoak(options) ? 0 : 1;
   if (kind == "stops") return Soak::runStopSoak(options) ? 0 : 1;
-  std::cerr << "usage: hallchute-gateway-soak BUILD crashes|limits|sites|stops
-";
+  std::cerr << "usage: hallchute-gateway-soak BUILD crashes|limits|sites|stops\n";
   return 2;
 }
 
