Upstreams that end after a cancelled run count as crashed

Cause: a cancelled run's channel is closed, as that is how work is cancelled, and only an open channel told of a crash. The class: what the cancelling side no longer listens to counts as not having happened. A half-closed channel would not help: an upstream that cancels closes as one that ends does.

Fix: AbandonedRuns remembers for 1 s which content was cancelled at which process (only if the upstream's host had acknowledged the request). If the process is seen to have ended in that time, the content has crashed it, by the same call of the ledger as before. Signs taken, and why: - a refused connection (ECONNREFUSED): nothing listens; a cut is silence and an upstream that is full answers or drops; - two connections with requests on them that the upstream ended: one may be closed by an upstream that goes on; - another incarnation in the directory: the process was replaced. A refusal or a replacement of a process that was draining is no crash. Not taken: an entry that vanishes (its host may be cut off from the directory), idle connections that end, resets and time limits of this side.

New rows for the signs and for their reverse.

Limit: a daemon that sees no sign within 1 s counts nothing.

--- a/Hallchute/src/Http/TcpChannel.cpp
+++ b/Hallchute/src/Http/TcpChannel.cpp
@@ -133,6 +133,7 @@
   socklen_t size = sizeof error;
   ::getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size);
   if (error != 0) {
+    refused_ = error == ECONNREFUSED;
     reportEnd(ChannelEnd::notConnected);
     return;
   }
--- a/Hallchute/src/Http/TcpChannel.h
+++ b/Hallchute/src/Http/TcpChannel.h
@@ -71,6 +71,8 @@
   std::size_t unsent() const { return sendBuffer_.size(); }
   /// \brief Bytes that the kernel has accepted since the connection was opened.
   std::uint64_t sentBytes() const { return sentBytes_; }
+  /// \brief Whether the peer's host refused the connection, which is otherwise not established.
+  bool refused() const { return refused_; }
   /// \brief Whether the peer's kernel has acknowledged all bytes passed to send(). Where the kernel
   /// doesn't report this, whether this host's kernel has accepted them all.
   bool acknowledged() const;
@@ -100,6 +102,7 @@
   std::uint64_t sentBytes_ = 0;
   std::uint64_t connectTimer_ = 0;
   bool connecting_ = false;
+  bool refused_ = false;
   bool ended_ = false;
   bool shutdownRequested_ = false;
   /// Shared with callbacks, to detect that the owner destroyed this channel.
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -76,6 +76,13 @@
 
 void TrafficEngine::setUpstreams(std::span<const UpstreamRecord> records) {
   const Instant now = clockNow();
+  // An entry that is only gone proves nothing: its host may be cut off from the directory.
+  for (const UpstreamRecord& record : records) {
+    const UpstreamEntry* known = upstreams_.find(record.id);
+    if (known == nullptr || record.incarnation == 0) continue;
+    const std::uint64_t before = known->record.incarnation;
+    if (record.incarnation != before) noteProcessEnded({record.id, before});
+  }
   for (const UpstreamId& removed : upstreams_.replace(records, now)) {
     const UpstreamEntry* entry = upstreams_.find(removed);
     const bool restarted = entry != nullptr && !entry->unlistedSince;
@@ -127,6 +134,30 @@
   logQuarantine(*crashes_.quarantined(content));
 }
 
+void TrafficEngine::noteAbandoned(RequestFingerprint content, const UpstreamIncarnation& upstream) {
+  abandoned_.note(content, upstream, clockNow());
+}
+
+void TrafficEngine::noteConnectionEnded(const UpstreamIncarnation& upstream) {
+  noteAbandonedCrashes(abandoned_.noteConnectionEnded(upstream, clockNow()), upstream);
+}
+
+void TrafficEngine::noteProcessEnded(const UpstreamIncarnation& upstream) {
+  const UpstreamEntry* entry = upstreams_.find(upstream.id);
+  if (entry != nullptr && entry->leaving == upstream.incarnation) return;
+  noteAbandonedCrashes(abandoned_.noteProcessEnded(upstream, clockNow()), upstream);
+}
+
+void TrafficEngine::noteAbandonedCrashes(const std::vector<RequestFingerprint>& contents,
+                                         const UpstreamIncarnation& upstream) {
+  for (const RequestFingerprint content : contents) {
+    LogLine(LogLevel::info, "upstream.endedAfterCancel")
+        .with("upstream", upstream.id.str())
+        .with("content", describe(content));
+    noteCrash(content, upstream);
+  }
+}
+
 void TrafficEngine::refuse(FrontExchange& exchange, const ClientRequest& request, int status,
                            std::string_view reason, std::optional<Millis> retryAfter) {
   LogLine(LogLevel::info, "request.refused")
--- a/Hallchute/src/Traffic/TrafficEngine.h
+++ b/Hallchute/src/Traffic/TrafficEngine.h
@@ -11,8 +11,10 @@
 #include <span>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "Hallchute/src/Front/FrontHandler.h"
+#include "Hallchute/src/Gateway/AbandonedRuns.h"
 #include "Hallchute/src/Gateway/CrashLedger.h"
 #include "Hallchute/src/Gateway/QuotaFleet.h"
 #include "Hallchute/src/Gateway/QuotaLedger.h"
@@ -100,6 +102,12 @@
   void noteNamedLimit(const UpstreamId& upstream, std::uint64_t incarnation,
                       const UpstreamResponse& answer);
   void noteCrash(RequestFingerprint content, const UpstreamIncarnation& upstream);
+  /// \brief Records that this daemon cancelled a run that had reached its upstream.
+  void noteAbandoned(RequestFingerprint content, const UpstreamIncarnation& upstream);
+  /// \brief Records that an upstream ended a connection with a request on it.
+  void noteConnectionEnded(const UpstreamIncarnation& upstream);
+  /// \brief Records that an upstream's process ended, which is no crash if it was leaving.
+  void noteProcessEnded(const UpstreamIncarnation& upstream);
   void endSession(std::uint64_t session);
 
  private:
@@ -108,6 +116,8 @@
   /// Logs the quota state behind a refusal, immediately before the refusal itself is logged.
   void logQuotaShortage(const SessionAdmission& admission, const QuotaShortage& shortage);
   void logQuarantine(const CrashHistory& history);
+  void noteAbandonedCrashes(const std::vector<RequestFingerprint>& contents,
+                            const UpstreamIncarnation& upstream);
   /// Refuses the request if it needs a valid key and has none.
   /// \returns whether the request is authorised; \p organisation stays null on open routes.
   bool authorise(FrontExchange& exchange, const ClientRequest& request, const Route& route,
@@ -124,6 +134,7 @@
   QuotaLedger quota_;
   UsageLedger usage_;
   CrashLedger crashes_;
+  AbandonedRuns abandoned_;
   std::map<ServiceName, RetryWindow> retryWindows_;
   std::unordered_map<std::uint64_t, std::shared_ptr<TrafficSession>> sessions_;
   std::uint64_t nextSessionId_ = 1;
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -354,7 +354,9 @@
   }
   if (failure == ExchangeFailure::connectionEnded) {
     engine_.noteCrash(admission_.content, {upstream_, upstreamIncarnation_});
+    engine_.noteConnectionEnded({upstream_, upstreamIncarnation_});
   }
+  if (channel_->refused()) engine_.noteProcessEnded({upstream_, upstreamIncarnation_});
   endDispatch(sent ? DispatchResult::broken : DispatchResult::unreachable, false);
   if (sent) {
     handleEvent(RelayEvents::ConnectionBroken{});
@@ -404,6 +406,10 @@
 
 void TrafficSession::perform(const RelayActions::Cancel&) {
   const bool silent = !relay_.ended();
+  // What a cut of the network held up has not run.
+  if (channel_ != nullptr && channel_->delivered()) {
+    engine_.noteAbandoned(admission_.content, {upstream_, upstreamIncarnation_});
+  }
   endDispatch(silent ? DispatchResult::silent : DispatchResult::abandoned, false);
 }
 
--- a/Hallchute/src/Upstream/UpstreamChannel.h
+++ b/Hallchute/src/Upstream/UpstreamChannel.h
@@ -69,6 +69,8 @@
   bool isOpenAndIdle() const { return channel_.isOpenAndIdle(); }
   /// \brief Whether the upstream's host has acknowledged the whole request.
   bool delivered() const { return channel_.acknowledged(); }
+  /// \brief Whether the upstream's host refused the connection, as nothing listens at its port.
+  bool refused() const { return channel_.refused(); }
   /// \brief Called when the peer closes the connection, or sends data, between exchanges.
   std::function<void()> onIdleClosed;
   /// \brief The timeout in the upstream's `Keep-Alive` field; zero if it sent none.
--- a/test/CrashQuarantineTest.cpp
+++ b/test/CrashQuarantineTest.cpp
@@ -24,6 +24,8 @@
 constexpr int kMaxAttempts = 20;
 /// How long a caller waits that leaves before the upstream ends.
 constexpr Millis kLeaveDelay{100};
+/// A cancelled run ends within this time.
+constexpr Millis kCancelLimit{500};
 const UpstreamScript kCrash{"", UpstreamScript::Then::reset};
 const UpstreamScript kAnswer{
     "HTTP/1.1 200 OK\r\nHallchute-Attempt-Id: {id}\r\nHallchute-Replica-Signature: s\r\n"
@@ -42,6 +44,13 @@
   return history;
 }
 
+void awaitCancelled(const ScriptedUpstream& upstream, int runs) {
+  const auto limit = std::chrono::steady_clock::now() + kCancelLimit;
+  while (upstream.cancelled() < runs && std::chrono::steady_clock::now() < limit) {
+    std::this_thread::sleep_for(Millis(5));
+  }
+}
+
 /// A gateway in front of upstreams that all follow the same scripts.
 class Pool {
  public:
@@ -101,6 +110,8 @@
   CPPUNIT_TEST_SUITE(CrashQuarantineTest);
   CPPUNIT_TEST(aRequestThatCrashedThreeUpstreamsIsRefused);
   CPPUNIT_TEST(crashesAfterTheCallerLeftCount);
+  CPPUNIT_TEST(abandonedRunsCountOnlyWithProof);
+  CPPUNIT_TEST(signsOfAnEnd);
   CPPUNIT_TEST(attemptsThatRunAreNotRefused);
   CPPUNIT_TEST(answersThatCantBeReadAreNoCrashes);
   CPPUNIT_TEST(theStoreKeepsTheQuarantine);
@@ -146,6 +157,125 @@
                            pool.upstreamsEnded() >= 3 && pool.upstreamsEnded() <= kMaxEnded);
   }
 
+  /// Runs of a content are abandoned at as many upstreams as the limit allows to crash.
+  void abandonedRunsCountOnlyWithProof() {
+    enum class Then { livesOn, othersCancelled, refuses, vanishes, restarts, restartsAsAnnounced };
+    struct Row {
+      const char* label;
+      Then then;
+      bool refused;
+    };
+    for (const Row& row : {Row{"lives on", Then::livesOn, false},
+                           Row{"this side resets others", Then::othersCancelled, false},
+                           Row{"refuses connections", Then::refuses, true},
+                           Row{"vanishes from the directory", Then::vanishes, false},
+                           Row{"restarts", Then::restarts, true},
+                           Row{"restarts as announced", Then::restartsAsAnnounced, false}}) {
+      GatewayRig rig;
+      rig.setSettings(settingsWith(plainRoute(WorkKind::once)));
+      for (std::size_t i = 0; i < CrashLedger::kMaxCrashes; ++i) {
+        auto upstream = std::make_unique<ScriptedUpstream>(
+            std::vector<UpstreamScript>{{"", UpstreamScript::Then::hang}});
+        UpstreamRecord record = upstreamAt("u" + std::to_string(i), upstream->address());
+        record.incarnation = 1;
+        rig.setUpstreams({record});
+        std::vector<std::unique_ptr<RawCaller>> callers;
+        const int others = row.then == Then::othersCancelled ? 3 : 0;
+        for (int c = 0; c <= others; ++c) {
+          callers.push_back(std::make_unique<RawCaller>(rig.address()));
+          callers.back()->send(requestText("POST", "", c == 0 ? "bad" : std::to_string(c)));
+        }
+        callers.back()->read("\r\n\r\n", kLeaveDelay);
+        for (int c = 0; c <= others; ++c) {
+          callers[static_cast<std::size_t>(c)]->close();
+          awaitCancelled(*upstream, c + 1);
+        }
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(row.label, others + 1, upstream->cancelled());
+        switch (row.then) {
+          case Then::livesOn:
+          case Then::othersCancelled:
+            break;
+          case Then::refuses: {
+            upstream.reset();
+            RawCaller other(rig.address());
+            other.send(requestText("POST", "", "other"));
+            CPPUNIT_ASSERT(other.read("\r\n\r\n").starts_with("HTTP/1.1 503"));
+            break;
+          }
+          case Then::vanishes:
+            rig.setUpstreams({});
+            break;
+          case Then::restartsAsAnnounced:
+            record.state = UpstreamState::draining;
+            rig.setUpstreams({record});
+            record.state = UpstreamState::ready;
+            [[fallthrough]];
+          case Then::restarts:
+            ++record.incarnation;
+            rig.setUpstreams({record});
+            break;
+        }
+      }
+      const ScriptedUpstream good({kAnswer});
+      rig.setUpstreams({upstreamAt("good", good.address())});
+      RawCaller caller(rig.address());
+      caller.send(requestText("POST", "", "bad"));
+      const std::string answer = caller.read("\r\n\r\n");
+      CPPUNIT_ASSERT_MESSAGE(row.label + answer,
+                             answer.starts_with(row.refused ? "HTTP/1.1 503" : "HTTP/1.1 200"));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          row.label, std::uint64_t{row.refused ? 1U : 0U},
+          rig.metrics().counter("hallchute_requests_refused_total", "reason=\"crashesUpstreams\""));
+    }
+  }
+
+  void signsOfAnEnd() {
+    const UpstreamIncarnation own(UpstreamId("u1"), 7);
+    const UpstreamIncarnation later(UpstreamId("u1"), 8);
+    const UpstreamIncarnation foreign(UpstreamId("u2"), 7);
+    struct Sign {
+      UpstreamIncarnation upstream;
+      bool processEnded;
+      int ms;
+    };
+    struct Row {
+      const char* label;
+      std::vector<Sign> signs;
+      std::size_t crashes;
+    };
+    const int memory = static_cast<int>(AbandonedRuns::kMemory.count());
+    for (const Row& row : std::vector<Row>{
+             {"none", {}, 0},
+             {"one connection", {{own, false, 50}}, 0},
+             {"two connections", {{own, false, 50}, {own, false, 51}}, 1},
+             {"one each of two processes", {{own, false, 50}, {later, false, 51}}, 0},
+             {"one each of two upstreams", {{own, false, 50}, {foreign, false, 51}}, 0},
+             {"the second too late", {{own, false, memory}, {own, false, memory + 1}}, 0},
+             {"the process", {{own, true, 50}}, 1},
+             {"the process at the last moment", {{own, true, memory}}, 1},
+             {"the process too late", {{own, true, memory + 1}}, 0},
+             {"another process", {{later, true, 50}}, 0},
+             {"another upstream", {{foreign, true, 50}}, 0},
+             {"the process twice", {{own, true, 50}, {own, true, 51}}, 1}}) {
+      AbandonedRuns runs;
+      runs.note(RequestFingerprint{1}, own, at(0));
+      std::size_t crashes = 0;
+      for (const Sign& sign : row.signs) {
+        crashes += (sign.processEnded ? runs.noteProcessEnded(sign.upstream, at(sign.ms))
+                                      : runs.noteConnectionEnded(sign.upstream, at(sign.ms)))
+                       .size();
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.label, row.crashes, crashes);
+    }
+    AbandonedRuns full;
+    for (std::size_t i = 0; i <= AbandonedRuns::kMaxRuns; ++i) {
+      full.note(RequestFingerprint{i}, own, at(0));
+    }
+    const auto kept = full.noteProcessEnded(own, at(1));
+    CPPUNIT_ASSERT_EQUAL(AbandonedRuns::kMaxRuns, kept.size());
+    CPPUNIT_ASSERT(kept.front() == RequestFingerprint{1});
+  }
+
   void attemptsThatRunAreNotRefused() {
     // Each upstream breaks its first request off and answers all others.
     Pool pool(WorkKind::once, 3, {kCrash, kAnswer});
--- a/test/TcpChannelTest.cpp
+++ b/test/TcpChannelTest.cpp
@@ -90,8 +90,10 @@
     });
     awaitEnd(owner);
     const std::uint64_t sent = owner.channel->sentBytes();
+    const bool refused = owner.channel->refused();
     stop(loop, thread, owner);
     CPPUNIT_ASSERT(owner.end == ChannelEnd::notConnected);
+    CPPUNIT_ASSERT(refused);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, sent);
   }
 
