Ask an upstream that doesn't answer for its limit at most once a second

Cause: only an answer ended the preference, and a hung upstream gives none. Why it works: the preference ends when a request was sent, answered or not, and comes back after a second.

--- a/Hallchute/src/Gateway/LimitLedger.cpp
+++ b/Hallchute/src/Gateway/LimitLedger.cpp
@@ -131,7 +131,9 @@
   const auto it = entries_.find(upstream);
   if (it == entries_.end() || !it->second.limit.limited) return false;
   const bool recent = sharedClock(now) - it->second.limit.namedAt < kConfirmationInterval;
-  return !recent && maySend(upstream, now);
+  // One request at a time: an upstream that doesn't answer must not draw all that its limit allows.
+  const bool asked = now - it->second.sentAt < kConfirmationInterval;
+  return !recent && !asked && maySend(upstream, now);
 }
 
 void LimitLedger::noteSent(const UpstreamId& upstream, Instant now) {
@@ -141,6 +143,7 @@
   const std::int64_t period = periodAt(now);
   if (entry.sentIn != period) entry.sent = 0;
   entry.sentIn = period;
+  entry.sentAt = now;
   ++entry.sent;
 }
 
--- a/Hallchute/src/Gateway/LimitLedger.h
+++ b/Hallchute/src/Gateway/LimitLedger.h
@@ -43,7 +43,8 @@
   /// \brief Whether this daemon may send a request to the upstream now.
   bool maySend(const UpstreamId& upstream, Instant now) const;
   /// \brief Whether a request should go to the upstream to learn whether its limit still holds: no
-  /// answer has named it for some time, and this daemon may send a request there now.
+  /// answer has named it for some time, this daemon may send a request there now, and has sent none
+  /// for that time.
   bool needsConfirmation(const UpstreamId& upstream, Instant now) const;
   void noteSent(const UpstreamId& upstream, Instant now);
   /// \brief Requests that this daemon may send to the upstream in the half second of \p now;
@@ -63,6 +64,8 @@
     /// Requests sent in the period `sentIn` of the shared clock.
     std::uint64_t sent = 0;
     std::int64_t sentIn = 0;
+    /// When this daemon last sent a request, answered or not.
+    Instant sentAt{};
   };
 
   Millis sharedClock(Instant now) const;
--- a/test/NamedLimitTest.cpp
+++ b/test/NamedLimitTest.cpp
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(requestsBeyondALimitGoElsewhere);
   CPPUNIT_TEST(requestsBeyondAllLimitsAreRefusedAtOnce);
   CPPUNIT_TEST(aDroppedLimitIsNoticed);
+  CPPUNIT_TEST(anUpstreamThatDoesNotAnswerIsSeldomAsked);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -105,6 +106,7 @@
     constexpr int kLongestWaitMs = 3'000;
     UpstreamTable table;
     std::vector<UpstreamRecord> records;
+    records.reserve(kUpstreams);
     for (int i = 0; i < kUpstreams; ++i) records.push_back(poolMember(i));
     const auto at = [](int ms) { return Instant(std::chrono::hours(1)) + Millis(ms); };
     table.replace(records, at(0));
@@ -128,6 +130,36 @@
                              ms - answeredMs <= kLongestWaitMs);
     }
   }
+
+  /// An upstream with a high limit hung: all that its limit allowed went there, for as long as it
+  /// didn't answer.
+  void anUpstreamThatDoesNotAnswerIsSeldomAsked() {
+    constexpr int kUpstreams = 12;
+    constexpr int kRequestPeriodMs = 20;
+    constexpr int kLengthMs = 20'000;
+    UpstreamTable table;
+    std::vector<UpstreamRecord> records;
+    records.reserve(kUpstreams);
+    for (int i = 0; i < kUpstreams; ++i) records.push_back(poolMember(i));
+    const auto at = [](int ms) { return Instant(std::chrono::hours(1)) + Millis(ms); };
+    table.replace(records, at(0));
+    LimitLedger& limits = table.limits();
+    limits.setFleet({{1}, 0, true, Millis(0)});
+    limits.noteAnswer({records.front().id, 0}, 60, at(0));
+    int asked = 0;
+    for (int ms = 0; ms < kLengthMs; ms += kRequestPeriodMs) {
+      UpstreamCriteria criteria;
+      criteria.service = ServiceName("pool");
+      criteria.requestId = std::to_string(ms);
+      const UpstreamEntry* const picked = pickUpstream(table, criteria, at(ms));
+      CPPUNIT_ASSERT(picked != nullptr);
+      limits.noteSent(picked->record.id, at(ms));
+      if (picked->record.id == records.front().id) ++asked;
+    }
+    // Its part of the requests, and one a second to learn of its limit.
+    const int part = kLengthMs / kRequestPeriodMs / kUpstreams;
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(asked), asked <= 2 * part + kLengthMs / 1'000);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(NamedLimitTest);
