Don't repeat watches of the store that end at once without a pause

Cause: an answered watch counts as progress, also if it brought nothing and took no time. Class: a loop whose only brake is the other side. Why it works: the second such end in a row waits for the rest of the retry delay; the first goes on at once, so that a gap in the history or one cut is mended as fast as before.

--- a/Hallchute/src/Node/ObjectFollower.cpp
+++ b/Hallchute/src/Node/ObjectFollower.cpp
@@ -128,7 +128,23 @@
 
 bool ObjectFollower::callStore() {
   if (initialListPending_) return listInitial();
-  return listed_ ? watchOnce() : listNewest();
+  if (!listed_) return listNewest();
+  const Instant began = clockNow();
+  const std::uint64_t before = asOf_;
+  const bool answered = watchOnce();
+  paceWatches(clockNow() - began, asOf_ != before);
+  return answered;
+}
+
+/// A store that ends each watch at once would be called without a pause. The first such end is not
+/// delayed: a gap in the history or a cut connection is followed by a list at once.
+void ObjectFollower::paceWatches(Instant::duration took, bool changed) {
+  const auto tookMs = std::chrono::duration_cast<Millis>(took);
+  if (changed || tookMs >= kRetryDelay) {
+    endedAtOnce_ = false;
+    return;
+  }
+  if (std::exchange(endedAtOnce_, true)) waitFor(kRetryDelay - tookMs);
 }
 
 void ObjectFollower::updateReachability(bool reachable, const absl::Status& status) {
--- a/Hallchute/src/Node/ObjectFollower.h
+++ b/Hallchute/src/Node/ObjectFollower.h
@@ -71,6 +71,8 @@
 
  private:
   void run();
+  /// Waits if the store has ended two watches in a row at once and without changes.
+  void paceWatches(Instant::duration took, bool changed);
   /// Like callStore(), but an exception ends only this call.
   bool callStoreOrLog();
   void handleException(const std::exception& exception);
@@ -102,6 +104,8 @@
   std::uint64_t failedCalls_ = 0;
   Instant firstFailure_{};
   Instant failureLogged_{};
+  /// Whether the last watch ended at once and without changes.
+  bool endedAtOnce_ = false;
   std::optional<Instant> exceptionLogged_;
   std::atomic<bool> reachable_{false};
   /// An up-to-date list or a watch has succeeded since the start, or since the mode was last off.
--- a/test/ObjectFollowerTest.cpp
+++ b/test/ObjectFollowerTest.cpp
@@ -48,6 +48,26 @@
   std::atomic<int> watches{0};
 };
 
+/// A store whose watches end at once: without changes, for a gap in its history, or cut.
+class ImpatientSource final : public ObjectSource {
+ public:
+  explicit ImpatientSource(absl::Status end) : end_(std::move(end)) {}
+  absl::StatusOr<SourceBatch> list(ReadConsistency) override {
+    ++calls;
+    return SourceBatch{{}, 1};
+  }
+  absl::StatusOr<SourceBatch> watch(std::uint64_t revision, Millis) override {
+    ++calls;
+    if (!end_.ok()) return end_;
+    return SourceBatch{{}, revision};
+  }
+
+  std::atomic<int> calls{0};
+
+ private:
+  absl::Status end_;
+};
+
 /// A store with one object, whose calls throw at first.
 class ThrowingSource final : public ObjectSource {
  public:
@@ -72,6 +92,7 @@
   CPPUNIT_TEST(aFollowerThatRestsMakesNoCalls);
   CPPUNIT_TEST(aFollowerGathersChanges);
   CPPUNIT_TEST(aFollowerBeginsWithAnOldList);
+  CPPUNIT_TEST(watchesThatEndAtOnceAreNotRepeatedAtOnce);
   CPPUNIT_TEST(aCallThatThrowsIsFollowedByAList);
   CPPUNIT_TEST(aChangeThatThrowsIsNotLost);
   CPPUNIT_TEST_SUITE_END();
@@ -111,6 +132,21 @@
     CPPUNIT_ASSERT_EQUAL(0, source.watches.load());
   }
 
+  /// Thousands of calls a second of each daemon: the store's rate for the whole fleet was used up.
+  void watchesThatEndAtOnceAreNotRepeatedAtOnce() {
+    for (const absl::Status& end :
+         {absl::OkStatus(), absl::OutOfRangeError("gap"), absl::UnavailableError("cut")}) {
+      ImpatientSource source(end);
+      ObjectFollower follower("things", source, {Millis(1'000)},
+                              {[](const ObjectFollower::Objects&, std::uint64_t) {}, [] {}});
+      follower.start();
+      std::this_thread::sleep_for(Millis(1'000));
+      follower.stop();
+      CPPUNIT_ASSERT_MESSAGE(end.ToString() + ": " + std::to_string(source.calls),
+                             source.calls <= 16);
+    }
+  }
+
   /// An exception ended the whole process.
   void aCallThatThrowsIsFollowedByAList() {
     ThrowingSource source(2);
