--- a/test/ForeignEntryTest.cpp
+++ b/test/ForeignEntryTest.cpp
@@ -67,6 +67,7 @@
   CPPUNIT_TEST(entriesOfOthersNameNoUpstream);
   CPPUNIT_TEST(listsHoldInSpiteOfThem);
   CPPUNIT_TEST(watchesHoldInSpiteOfThem);
+  CPPUNIT_TEST(anyNameMayEndAPage);
   CPPUNIT_TEST_SUITE_END();
 
   /// The good entry with the text \p from in place of \p to.
@@ -135,6 +136,34 @@
   }
 
  public:
+  /// The list went on after a name that was no part of a URI as it stood, and failed each time.
+  void anyNameMayEndAPage() {
+    for (const std::string name :
+         {"i-m", "i m", "i&m=1", "i#m", "i%41", "i\r\nX-Other: 1", "\u00e9"}) {
+      std::string after;
+      Standin::StandinServer server("127.0.0.1:0", [&](const Standin::Request& request,
+                                                       Poco::Net::HTTPServerResponse& response) {
+        after = request.query("after", "");
+        Poco::JSON::Object::Ptr metadata = new Poco::JSON::Object;
+        metadata->set("name", after.empty() ? name : "last");
+        Poco::JSON::Object::Ptr object = new Poco::JSON::Object;
+        object->set("metadata", metadata);
+        Poco::JSON::Array::Ptr items = new Poco::JSON::Array;
+        items->add(object);
+        Poco::JSON::Object::Ptr page = new Poco::JSON::Object;
+        page->set("items", items);
+        page->set("as-of", 1);
+        page->set("more-pages", after.empty());
+        Standin::sendJson(response, 200, page);
+      });
+      const ObjectStore store(server.address(), "127.0.0.1");
+      const absl::StatusOr<SourceBatch> batch = store.list("servers", ReadConsistency::latest);
+      CPPUNIT_ASSERT_MESSAGE(name + ": " + batch.status().ToString(), batch.ok());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::size_t{2}, batch->objects.size());
+      CPPUNIT_ASSERT_EQUAL(name, after);
+    }
+  }
+
   void entriesOfOthersNameNoUpstream() {
     Findings findings;
     const JsonObject good = parseJsonObject(kGoodSpec, findings);
