--- a/test/GatewayStartTest.cpp
+++ b/test/GatewayStartTest.cpp
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdlib>
+#include <fstream>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -44,6 +45,7 @@
 class GatewayStartTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(GatewayStartTest);
   CPPUNIT_TEST(settingsAreFoundByTheEnvironment);
+  CPPUNIT_TEST(aStartWaitsForItsSettings);
   CPPUNIT_TEST(anEarlyReloadSignalDoesNotEndTheDaemon);
   CPPUNIT_TEST(aMetricsPortInUseDoesNotEndTheDaemon);
   CPPUNIT_TEST(aListenPortInUseIsTakenOnceItIsFree);
@@ -67,6 +69,16 @@
     CPPUNIT_ASSERT_MESSAGE(gateway.output(), gateway.answers(kStartLimit));
   }
 
+  /// The file was empty for a moment, as whoever wrote it had not finished.
+  void aStartWaitsForItsSettings() {
+    GatewayProcess gateway("127.8.0.14");
+    gateway.start({{"--config=" + gateway.settingsPath() + ".new"}, {}});
+    std::ofstream(gateway.settingsPath() + ".new");
+    std::this_thread::sleep_for(milliseconds(500));
+    std::ofstream(gateway.settingsPath() + ".new") << std::ifstream(gateway.settingsPath()).rdbuf();
+    CPPUNIT_ASSERT_MESSAGE(gateway.output(), gateway.answers(kStartLimit));
+  }
+
   /// SIGHUP during the start ended the daemon by its default action.
   void anEarlyReloadSignalDoesNotEndTheDaemon() {
     GatewayProcess gateway("127.8.0.2");
