--- a/Hallchute/src/Node/NodeStartup.cpp
+++ b/Hallchute/src/Node/NodeStartup.cpp
@@ -4,7 +4,9 @@
 #include "Hallchute/src/Node/NodeStartup.h"
 
 #include <array>
+#include <cstdint>
 #include <limits>
+#include <string>
 
 #include "Hallchute/src/Net/AddressMember.h"
 #include "Hallchute/src/Settings/JsonReader.h"
@@ -52,6 +54,18 @@
   if (bounds.usageWindow <= Millis(0)) reader.report("usageWindowS", "must be above 0");
 }
 
+/// 0 and negative numbers name no limit.
+std::size_t readDescriptors(JsonReader& reader, std::size_t fallback) {
+  const std::int64_t number =
+      reader.integer("descriptors", std::numeric_limits<std::int64_t>::min(), kMaxDescriptors,
+                     static_cast<std::int64_t>(fallback));
+  if (number <= 0) return fallback;
+  if (number < kMinDescriptors) {
+    reader.report("descriptors", "must be at least " + std::to_string(kMinDescriptors));
+  }
+  return static_cast<std::size_t>(number);
+}
+
 void readListen(JsonReader& reader, NodeStartup& startup) {
   startup.callerListen = readAddress(reader, "callers", true);
   startup.readinessListen = readAddress(reader, "readiness", true);
@@ -81,8 +95,7 @@
   startup.capacity = static_cast<std::uint32_t>(processors * 1'000);
   for (const std::string& name : root.stringList("failureDomains"))
     startup.domains.emplace_back(name);
-  startup.descriptors = static_cast<std::size_t>(
-      root.integer("descriptors", kMinDescriptors, kMaxDescriptors, 1'024));
+  startup.descriptors = readDescriptors(root, startup.descriptors);
   for (const char* section : {"listen", "store"}) {
     if (!root.has(section)) root.report(section, "is missing");
   }
--- a/test/GatewayStartupFileTest.cpp
+++ b/test/GatewayStartupFileTest.cpp
@@ -41,6 +41,8 @@
         Row{R"(,"descriptors":1048576,"processors":96)", 1'048'576, 96'000},
         Row{R"(,"descriptors":1073741816,"processors":2048)", 1'073'741'816, 2'048'000},
         Row{R"(,"descriptors":9223372036854775807)", 9'223'372'036'854'775'807U, defaults.capacity},
+        Row{R"(,"descriptors":0)", defaults.descriptors, defaults.capacity},
+        Row{R"(,"descriptors":-1)", defaults.descriptors, defaults.capacity},
         Row{R"(,"descriptors":null,"processors":null)", defaults.descriptors, defaults.capacity},
     };
     for (const Row& row : rows) {
