--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -368,6 +368,7 @@
 void TrafficSession::endDispatch(DispatchResult result, bool keepChannel) {
   if (!std::exchange(dispatched_, false)) return;
   recordUnansweredRun(result);
+  recordAbandonedRun(result);
   notePromptDone();
   engine_.loop().cancel(std::exchange(silenceTimer_, 0));
   const Instant now = clockNow();
@@ -381,6 +382,13 @@
   }
 }
 
+/// Records a run that this daemon cancels. What a cut of the network held up has not run.
+void TrafficSession::recordAbandonedRun(DispatchResult result) {
+  if (result != DispatchResult::silent && result != DispatchResult::abandoned) return;
+  if (channel_ == nullptr || !channel_->delivered()) return;
+  engine_.noteAbandoned(admission_.content, {upstream_, upstreamIncarnation_});
+}
+
 /// Counts a run without an answer if the upstream had enough time to start it.
 void TrafficSession::recordUnansweredRun(DispatchResult result) {
   if (result == DispatchResult::rejected || result == DispatchResult::unreachable) return;
@@ -406,10 +414,6 @@
 
 void TrafficSession::perform(const RelayActions::Cancel&) {
   const bool silent = !relay_.ended();
-  // What a cut of the network held up has not run.
-  if (channel_ != nullptr && channel_->delivered()) {
-    engine_.noteAbandoned(admission_.content, {upstream_, upstreamIncarnation_});
-  }
   endDispatch(silent ? DispatchResult::silent : DispatchResult::abandoned, false);
 }
 
--- a/Hallchute/src/Traffic/TrafficSession.h
+++ b/Hallchute/src/Traffic/TrafficSession.h
@@ -71,6 +71,7 @@
   void notePromptDone();
   void noteCompleted();
   void recordUnansweredRun(DispatchResult result);
+  void recordAbandonedRun(DispatchResult result);
   void endDispatch(DispatchResult result, bool keepChannel);
   void restartSilenceTimer();
   void stopTimers();
--- a/test/GatewayStartTest.cpp
+++ b/test/GatewayStartTest.cpp
@@ -73,7 +73,7 @@
   void aStartWaitsForItsSettings() {
     GatewayProcess gateway("127.8.0.14");
     gateway.start({{"--config=" + gateway.settingsPath() + ".new"}, {}});
-    std::ofstream(gateway.settingsPath() + ".new");
+    const std::ofstream unfinished(gateway.settingsPath() + ".new");
     std::this_thread::sleep_for(milliseconds(500));
     std::ofstream(gateway.settingsPath() + ".new") << std::ifstream(gateway.settingsPath()).rdbuf();
     CPPUNIT_ASSERT_MESSAGE(gateway.output(), gateway.answers(kStartLimit));
