Test: an upstream's start time ends no daemon; one pool for the limits' tests

anUpstreamsStartTimeDoesNotEndTheDaemon runs a real gateway against a store that lists an upstream with `born`. The two tests of confirmed limits share their pool; their checks are the same.

--- a/test/GatewayStartTest.cpp
+++ b/test/GatewayStartTest.cpp
@@ -1,6 +1,7 @@
 // This file is part of hallchute, a serving system for language models.
 // SPDX-License-Identifier: Apache-2.0
 
+#include <Poco/JSON/Object.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/ServerSocket.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -18,6 +19,7 @@
 #include <vector>
 
 #include "Hallchute/src/Net/HttpExchange.h"
+#include "standin/ObjectStoreStandin.h"
 #include "standin/StandinServer.h"
 #include "test/GatewayProcess.h"
 #include "test/GatewayRig.h"
@@ -46,6 +48,7 @@
   CPPUNIT_TEST_SUITE(GatewayStartTest);
   CPPUNIT_TEST(settingsAreFoundByTheEnvironment);
   CPPUNIT_TEST(aStartWaitsForItsSettings);
+  CPPUNIT_TEST(anUpstreamsStartTimeDoesNotEndTheDaemon);
   CPPUNIT_TEST(anEarlyReloadSignalDoesNotEndTheDaemon);
   CPPUNIT_TEST(aMetricsPortInUseDoesNotEndTheDaemon);
   CPPUNIT_TEST(aListenPortInUseIsTakenOnceItIsFree);
@@ -79,6 +82,32 @@
     CPPUNIT_ASSERT_MESSAGE(gateway.output(), gateway.answers(kStartLimit));
   }
 
+  /// A time in Unix milliseconds, in an upstream's entry, ended each daemon that read it.
+  void anUpstreamsStartTimeDoesNotEndTheDaemon() {
+    Standin::ObjectStoreStandin store;
+    Standin::StandinServer server("127.0.0.1:0", [&](const Standin::Request& request,
+                                                     Poco::Net::HTTPServerResponse& response) {
+      store.handle(request, response);
+    });
+    Poco::JSON::Object::Ptr entry = new Poco::JSON::Object;
+    entry->set("service", "s");
+    entry->set("address", "127.0.0.1:9");
+    entry->set("zone", "domain");
+    entry->set("version", "1");
+    entry->set("slots", 4);
+    entry->set("state", "ready");
+    entry->set("cold-remaining-ms", 0);
+    entry->set("sequence", 1);
+    entry->set("born", Poco::Int64{1'772'000'000'000});
+    store.put("servers", "i-1", entry);
+    GatewayProcess gateway("127.8.0.15");
+    gateway.store = server.address();
+    gateway.start();
+    CPPUNIT_ASSERT(gateway.answers(kStartLimit));
+    std::this_thread::sleep_for(kObservation);
+    CPPUNIT_ASSERT_MESSAGE(gateway.output(), gateway.process().running());
+  }
+
   /// SIGHUP during the start ended the daemon by its default action.
   void anEarlyReloadSignalDoesNotEndTheDaemon() {
     GatewayProcess gateway("127.8.0.2");
--- a/test/NamedLimitTest.cpp
+++ b/test/NamedLimitTest.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,42 @@
   return record;
 }
 
+/// One daemon and a pool of upstreams of which one names a limit, in virtual time.
+class LimitedPool {
+ public:
+  static constexpr int kUpstreams = 12;
+
+  explicit LimitedPool(double perSecond) : perSecond_(perSecond) {
+    std::vector<UpstreamRecord> records;
+    records.reserve(kUpstreams);
+    for (int i = 0; i < kUpstreams; ++i) records.push_back(poolMember(i));
+    limited_ = {records.front().id, 0};
+    table_.replace(records, at(0));
+    table_.limits().setFleet({{1}, 0, true, Millis(0)});
+    answer(0);
+  }
+
+  /// Sends a request. \returns whether the upstream with the limit gets it.
+  bool sendsToLimited(int ms) {
+    UpstreamCriteria criteria;
+    criteria.service = ServiceName("pool");
+    criteria.requestId = std::to_string(ms);
+    const UpstreamEntry* const picked = pickUpstream(table_, criteria, at(ms));
+    if (picked == nullptr) throw std::logic_error("no upstream is eligible");
+    table_.limits().noteSent(picked->record.id, at(ms));
+    return picked->record.id == limited_.id;
+  }
+  /// The upstream with the limit answers, and names it again.
+  void answer(int ms) { table_.limits().noteAnswer(limited_, perSecond_, at(ms)); }
+
+ private:
+  static Instant at(int ms) { return Instant(std::chrono::hours(1)) + Millis(ms); }
+
+  double perSecond_;
+  UpstreamTable table_;
+  UpstreamIncarnation limited_;
+};
+
 class NamedLimitTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(NamedLimitTest);
   CPPUNIT_TEST(theAdapterReadsALimit);
@@ -100,30 +137,14 @@
   /// Only an answer tells that a limit was dropped. Requests went to other upstreams for seconds,
   /// so that the upstream stayed nearly idle.
   void aDroppedLimitIsNoticed() {
-    constexpr int kUpstreams = 12;
     constexpr int kRequestPeriodMs = 100;
     constexpr int kLengthMs = 60'000;
     constexpr int kLongestWaitMs = 3'000;
-    UpstreamTable table;
-    std::vector<UpstreamRecord> records;
-    records.reserve(kUpstreams);
-    for (int i = 0; i < kUpstreams; ++i) records.push_back(poolMember(i));
-    const auto at = [](int ms) { return Instant(std::chrono::hours(1)) + Millis(ms); };
-    table.replace(records, at(0));
-    LimitLedger& limits = table.limits();
-    limits.setFleet({{1}, 0, true, Millis(0)});
-    const UpstreamIncarnation limited{records.front().id, 0};
-    limits.noteAnswer(limited, 0.8, at(0));
+    LimitedPool pool(0.8);
     int answeredMs = 0;
     for (int ms = 0; ms < kLengthMs; ms += kRequestPeriodMs) {
-      UpstreamCriteria criteria;
-      criteria.service = ServiceName("pool");
-      criteria.requestId = std::to_string(ms);
-      const UpstreamEntry* const picked = pickUpstream(table, criteria, at(ms));
-      CPPUNIT_ASSERT(picked != nullptr);
-      limits.noteSent(picked->record.id, at(ms));
-      if (picked->record.id == limited.id) {
-        limits.noteAnswer(limited, 0.8, at(ms));
+      if (pool.sendsToLimited(ms)) {
+        pool.answer(ms);
         answeredMs = ms;
       }
       CPPUNIT_ASSERT_MESSAGE("unconfirmed since " + std::to_string(answeredMs) + " ms",
@@ -134,30 +155,15 @@
   /// An upstream with a high limit hung: all that its limit allowed went there, for as long as it
   /// didn't answer.
   void anUpstreamThatDoesNotAnswerIsSeldomAsked() {
-    constexpr int kUpstreams = 12;
     constexpr int kRequestPeriodMs = 20;
     constexpr int kLengthMs = 20'000;
-    UpstreamTable table;
-    std::vector<UpstreamRecord> records;
-    records.reserve(kUpstreams);
-    for (int i = 0; i < kUpstreams; ++i) records.push_back(poolMember(i));
-    const auto at = [](int ms) { return Instant(std::chrono::hours(1)) + Millis(ms); };
-    table.replace(records, at(0));
-    LimitLedger& limits = table.limits();
-    limits.setFleet({{1}, 0, true, Millis(0)});
-    limits.noteAnswer({records.front().id, 0}, 60, at(0));
+    LimitedPool pool(60);
     int asked = 0;
     for (int ms = 0; ms < kLengthMs; ms += kRequestPeriodMs) {
-      UpstreamCriteria criteria;
-      criteria.service = ServiceName("pool");
-      criteria.requestId = std::to_string(ms);
-      const UpstreamEntry* const picked = pickUpstream(table, criteria, at(ms));
-      CPPUNIT_ASSERT(picked != nullptr);
-      limits.noteSent(picked->record.id, at(ms));
-      if (picked->record.id == records.front().id) ++asked;
+      if (pool.sendsToLimited(ms)) ++asked;
     }
     // Its part of the requests, and one a second to learn of its limit.
-    const int part = kLengthMs / kRequestPeriodMs / kUpstreams;
+    const int part = kLengthMs / kRequestPeriodMs / LimitedPool::kUpstreams;
     CPPUNIT_ASSERT_MESSAGE(std::to_string(asked), asked <= 2 * part + kLengthMs / 1'000);
   }
 };
