Observe whether connections to upstreams come up, and tell the fleet

Logs and metrics couldn't tell a daemon that is cut off from a service that is down, nor since when: upstream.failed tells of single upstreams. PathMonitor judges new connections by service; path.lost, path.regained and, at the other daemons, fleet.paths tell when a daemon lost its way and who else did. No decision uses it yet.

--- a/Hallchute/src/Fleet/FleetReport.h
+++ b/Hallchute/src/Fleet/FleetReport.h
@@ -39,6 +39,8 @@
   /// CPU capacity of its host in thousandths of a processor; the daemon with the most becomes
   /// relay.
   std::uint32_t capacity = 0;
+  /// Services to whose upstreams it can't open connections; see PathMonitor.
+  std::vector<ServiceName> lostPaths;
   bool operator==(const FleetMember&) const = default;
 };
 
--- a/Hallchute/src/Fleet/FleetRoster.cpp
+++ b/Hallchute/src/Fleet/FleetRoster.cpp
@@ -123,8 +123,11 @@
     }
     if (confirmed && !peer.alive(now)) election_.reset();
     if (confirmed || peer.lastSeenAt == Instant{}) peer.lastSeenAt = now;
-    if (confirmed && member.incarnation == peer.report.self.incarnation)
-      peer.confirmedAliveAt = now;
+    if (!confirmed || member.incarnation != peer.report.self.incarnation) continue;
+    peer.confirmedAliveAt = now;
+    const bool reportsItself =
+        FleetPeer::isRecent(peer.reportedAt, now, FleetPeer::kLivenessTimeout);
+    if (!reportsItself) peer.report.self.lostPaths = member.lostPaths;
   }
 }
 
--- a/Hallchute/src/Fleet/FleetRoster.h
+++ b/Hallchute/src/Fleet/FleetRoster.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Hallchute/src/Core/Time.h"
@@ -35,6 +36,8 @@
 
   const FleetMember& self() const { return self_; }
   Instant started() const { return started_; }
+  /// \brief Sets the services to whose upstreams this daemon can't open connections.
+  void setLostPaths(std::vector<ServiceName> services) { self_.lostPaths = std::move(services); }
   std::map<DaemonId, FleetPeer>& peers() { return peers_; }
   const std::map<DaemonId, FleetPeer>& peers() const { return peers_; }
   /// \brief Addresses whose daemons may not have been discovered yet.
--- a/Hallchute/src/Fleet/FleetView.cpp
+++ b/Hallchute/src/Fleet/FleetView.cpp
@@ -63,6 +63,7 @@
   const bool hadReported = peer.reportedAt != Instant{};
   const bool sameIncarnation = report.self.incarnation == last.self.incarnation;
   update.newIncarnation = !hadReported || !sameIncarnation;
+  update.lostPathsChanged = report.self.lostPaths != last.self.lostPaths;
   // Not counted as new spending: totals of a daemon's first report, totals over another scope, and
   // spending while unreachable, which came out of the share reserved for that daemon. Spending
   // since a restart counts.
--- a/Hallchute/src/Fleet/FleetView.h
+++ b/Hallchute/src/Fleet/FleetView.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Hallchute/src/Core/Time.h"
@@ -29,6 +30,8 @@
   std::vector<UpstreamIncarnation> draining;
   /// The sender reported for the first time or has restarted.
   bool newIncarnation = false;
+  /// The sender lost its path to a service, or regained it.
+  bool lostPathsChanged = false;
 };
 
 /// \brief A report and its destination address. \ingroup Fleet
@@ -54,6 +57,11 @@
 
   /// \brief Adds addresses to report to until their daemons are discovered.
   void addAddresses(std::span<const std::string> addresses) { roster_.addAddresses(addresses); }
+  /// \brief Sets the services to whose upstreams this daemon can't open connections, for its
+  /// reports.
+  void setLostPaths(std::vector<ServiceName> services) {
+    roster_.setLostPaths(std::move(services));
+  }
   /// \brief Compares the host's wall clock, as time since the Unix epoch, with those of the other
   /// daemons; to be called before the first compose() and periodically.
   void noteWallClock(Millis wallClock, Instant now);
--- /dev/null
+++ b/Hallchute/src/Gateway/PathMonitor.h
@@ -0,0 +1,52 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_GATEWAY_PATHMONITOR_H
+#define HALLCHUTE_GATEWAY_PATHMONITOR_H
+
+#include <cstddef>
+#include <map>
+#include <vector>
+
+#include "Hallchute/src/Core/Id.h"
+#include "Hallchute/src/Core/Time.h"
+
+namespace Hallchute {
+
+/// \brief Decides whether this daemon can open connections to the upstreams of a service. Not
+/// thread-safe; no I/O, no clock. \ingroup Gateway
+///
+/// The path to a service is lost if connections to several of its upstreams failed and none was
+/// established since. Only new connections count: during a network partition established ones may
+/// live on. Whether the network or the service is at fault can't be told here; it shows in whether
+/// other daemons have lost their paths too. Cost: one lookup in an empty map while all connects.
+class PathMonitor {
+ public:
+  /// Distinct upstreams whose failures make the path count as lost; all if there are fewer. Two may
+  /// fail together, as when a host with both is reclaimed.
+  static constexpr std::size_t kFailuresToLose = 3;
+  /// Older failures don't count, unless the path is lost.
+  static constexpr Millis kFailureWindow{1'000};
+
+  /// \returns whether the path was lost until now.
+  bool noteConnected(const ServiceName& service);
+  /// \param upstreams how many upstreams the service has.
+  /// \returns whether the path is lost from now on and was not before.
+  bool noteConnectFailed(const ServiceName& service, const UpstreamId& upstream,
+                         std::size_t upstreams, Instant now);
+  bool lost(const ServiceName& service) const;
+  std::vector<ServiceName> lostServices() const;
+
+ private:
+  struct Path {
+    std::map<UpstreamId, Instant> failedAt;
+    bool lost = false;
+  };
+
+  /// Services with failures since a connection was last established.
+  std::map<ServiceName, Path> paths_;
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_GATEWAY_PATHMONITOR_H
--- a/Hallchute/src/Gateway/UpstreamTable.cpp
+++ b/Hallchute/src/Gateway/UpstreamTable.cpp
@@ -195,6 +195,15 @@
   return it == entries_.end() ? nullptr : &it->second;
 }
 
+std::size_t UpstreamTable::listedCount(const ServiceName& service) const {
+  const auto listed = [&](const auto& item) {
+    const UpstreamEntry& entry = item.second;
+    return entry.record.service == service && !entry.unlistedSince &&
+           entry.record.state == UpstreamState::ready;
+  };
+  return static_cast<std::size_t>(std::count_if(entries_.begin(), entries_.end(), listed));
+}
+
 UpstreamLoads UpstreamTable::ownLoads() const {
   UpstreamLoads loads;
   for (const auto& [id, entry] : entries_) {
--- a/Hallchute/src/Gateway/UpstreamTable.h
+++ b/Hallchute/src/Gateway/UpstreamTable.h
@@ -93,6 +93,8 @@
   const std::map<UpstreamId, UpstreamEntry>& entries() const { return entries_; }
   const UpstreamEntry* find(const UpstreamId& upstream) const;
   UpstreamLoads ownLoads() const;
+  /// \brief The upstreams of a service that the directory lists and that aren't draining.
+  std::size_t listedCount(const ServiceName& service) const;
   /// \brief The limits that upstreams name.
   const LimitLedger& limits() const { return limits_; }
   LimitLedger& limits() { return limits_; }
--- a/Hallchute/src/Http/TcpChannel.cpp
+++ b/Hallchute/src/Http/TcpChannel.cpp
@@ -141,6 +141,7 @@
   loop_.cancel(connectTimer_);
   connectTimer_ = 0;
   updateWatch();
+  owner_.onChannelConnected();
   if (!sendBuffer_.empty()) sendPending();
 }
 
--- a/Hallchute/src/Http/TcpChannel.h
+++ b/Hallchute/src/Http/TcpChannel.h
@@ -39,6 +39,8 @@
   virtual ~TcpChannelOwner() = default;
 
   virtual void onChannelBytes(std::string_view bytes) = 0;
+  /// \brief An outgoing connection was established.
+  virtual void onChannelConnected() {}
   /// \brief Called once, as the last callback.
   virtual void onChannelEnded(ChannelEnd end) = 0;
   /// \brief The kernel has accepted all bytes passed to send().
--- a/Hallchute/src/Node/FleetWire.h
+++ b/Hallchute/src/Node/FleetWire.h
@@ -16,7 +16,7 @@
 namespace Hallchute {
 
 inline auto wireFields(FleetMember& m) {
-  return std::tie(m.daemon, m.address, m.incarnation, m.domain, m.capacity);
+  return std::tie(m.daemon, m.address, m.incarnation, m.domain, m.capacity, m.lostPaths);
 }
 inline auto wireFields(UpstreamLoad& m) {
   return std::tie(m.requests, m.pendingPrefillTokens);
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -241,7 +241,8 @@
                     {},
                     engine_.crashes().report(forwards_, clockNow()),
                     engine_.crashes().historiesToStore(),
-                    engine_.upstreamTable().limits().report(forwards_, clockNow())};
+                    engine_.upstreamTable().limits().report(forwards_, clockNow()),
+                    engine_.paths().lostServices()};
   for (const auto& [id, entry] : engine_.upstreams().entries()) {
     if (entry.record.state != UpstreamState::draining) continue;
     local.draining.emplace_back(id, entry.leaving.value_or(entry.record.incarnation));
@@ -258,6 +259,7 @@
   const Millis hostClock(wallClockMs());
   fleet_.noteWallClock(hostClock, now);
   logClockOffset(hostClock, now);
+  fleet_.setLostPaths(local.lostPaths);
   FleetReport report;
   report.self = self_;
   report.wallClock = hostClock;
@@ -335,6 +337,11 @@
         .with("address", report.self.address)
         .with("incarnation", report.self.incarnation);
   }
+  if (update.lostPathsChanged) {
+    LogLine(LogLevel::info, "fleet.paths")
+        .with("peer", report.self.daemon.str())
+        .with("lost", static_cast<std::uint64_t>(report.self.lostPaths.size()));
+  }
   if (update.newlySpent.empty() && update.draining.empty()) return;
   trafficLoop_.post([this, update = std::move(update)] {
     for (const auto& [organisation, amount] : update.newlySpent) {
--- a/Hallchute/src/Node/GatewayNode.h
+++ b/Hallchute/src/Node/GatewayNode.h
@@ -57,6 +57,7 @@
     std::vector<CrashHistory> crashes;
     std::vector<CrashHistory> crashHistories;
     std::vector<NamedLimit> limits;
+    std::vector<ServiceName> lostPaths;
   };
 
   /// Without metrics the daemon still serves.
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -49,7 +49,7 @@
       options_(std::move(options)),
       codec_(codec),
       metrics_(metrics),
-      pool_(loop, options_.ownIp, metrics),
+      pool_(loop, options_.ownIp, *this, metrics),
       quota_(clockNow(), options_.quotas),
       usage_(options_.usageWindow) {
   loop_.every(kSweepPeriod, [this] { sweep(); });
@@ -158,6 +158,30 @@
   }
 }
 
+void TrafficEngine::upstreamConnected(const UpstreamId& upstream) {
+  const UpstreamEntry* entry = upstreams_.find(upstream);
+  if (entry == nullptr) return;
+  const ServiceName& service = entry->record.service;
+  if (!paths_.noteConnected(service)) return;
+  LogLine(LogLevel::info, "path.regained")
+      .with("service", service.str())
+      .with("upstream", upstream.str());
+}
+
+void TrafficEngine::upstreamConnectFailed(const UpstreamId& upstream) {
+  const UpstreamEntry* entry = upstreams_.find(upstream);
+  if (entry == nullptr) return;
+  const ServiceName& service = entry->record.service;
+  metrics_.add("hallchute_upstream_connects_failed_total", "service=\"" + service.str() + "\"");
+  const std::size_t listed = upstreams_.listedCount(service);
+  if (!paths_.noteConnectFailed(service, upstream, listed, clockNow())) return;
+  LogLine(LogLevel::warning, "path.lost")
+      .with("service", service.str())
+      .with("upstream", upstream.str())
+      .with("upstreams", static_cast<std::uint64_t>(listed));
+  metrics_.add("hallchute_paths_lost_total", "service=\"" + service.str() + "\"");
+}
+
 void TrafficEngine::refuse(FrontExchange& exchange, const ClientRequest& request, int status,
                            std::string_view reason, std::optional<Millis> retryAfter) {
   LogLine(LogLevel::info, "request.refused")
--- a/Hallchute/src/Traffic/TrafficEngine.h
+++ b/Hallchute/src/Traffic/TrafficEngine.h
@@ -16,6 +16,7 @@
 #include "Hallchute/src/Front/FrontHandler.h"
 #include "Hallchute/src/Gateway/AbandonedRuns.h"
 #include "Hallchute/src/Gateway/CrashLedger.h"
+#include "Hallchute/src/Gateway/PathMonitor.h"
 #include "Hallchute/src/Gateway/QuotaFleet.h"
 #include "Hallchute/src/Gateway/QuotaLedger.h"
 #include "Hallchute/src/Gateway/RetryWindow.h"
@@ -23,6 +24,7 @@
 #include "Hallchute/src/Gateway/UpstreamTable.h"
 #include "Hallchute/src/Gateway/UsageLedger.h"
 #include "Hallchute/src/Traffic/TrafficOptions.h"
+#include "Hallchute/src/Upstream/ConnectionObserver.h"
 #include "Hallchute/src/Upstream/UpstreamPool.h"
 
 namespace Hallchute {
@@ -54,7 +56,7 @@
 
 /// \brief Admits callers' requests and runs a session for each. Used on the traffic thread only.
 /// \ingroup Traffic
-class TrafficEngine final : public FrontHandler {
+class TrafficEngine final : public FrontHandler, private ConnectionObserver {
  public:
   TrafficEngine(EventLoop& loop, TrafficOptions options, const TrafficCodec& codec,
                 Metrics& metrics);
@@ -85,6 +87,7 @@
   const QuotaLedger& quota() const { return quota_; }
   const UpstreamTable& upstreams() const { return upstreams_; }
   CrashLedger& crashes() { return crashes_; }
+  const PathMonitor& paths() const { return paths_; }
 
   // For TrafficSession.
   EventLoop& loop() { return loop_; }
@@ -111,6 +114,8 @@
   void endSession(std::uint64_t session);
 
  private:
+  void upstreamConnected(const UpstreamId& upstream) override;
+  void upstreamConnectFailed(const UpstreamId& upstream) override;
   void refuse(FrontExchange& exchange, const ClientRequest& request, int status,
               std::string_view reason, std::optional<Millis> retryAfter);
   /// Logs the quota state behind a refusal, immediately before the refusal itself is logged.
@@ -135,6 +140,7 @@
   UsageLedger usage_;
   CrashLedger crashes_;
   AbandonedRuns abandoned_;
+  PathMonitor paths_;
   std::map<ServiceName, RetryWindow> retryWindows_;
   std::unordered_map<std::uint64_t, std::shared_ptr<TrafficSession>> sessions_;
   std::uint64_t nextSessionId_ = 1;
--- a/Hallchute/src/Upstream/UpstreamChannel.cpp
+++ b/Hallchute/src/Upstream/UpstreamChannel.cpp
@@ -161,9 +161,14 @@
   if (listener != nullptr) listener->upstreamFailed(failure);
 }
 
+void UpstreamChannel::onChannelConnected() {
+  if (onConnectResult) onConnectResult(true);
+}
+
 void UpstreamChannel::onChannelEnded(ChannelEnd end) {
   cancelAcknowledgementTimer();
   usable_ = false;
+  if (end == ChannelEnd::notConnected && onConnectResult) onConnectResult(false);
   if (listener_ == nullptr) {
     if (onIdleClosed) onIdleClosed();
     return;
--- a/Hallchute/src/Upstream/UpstreamChannel.h
+++ b/Hallchute/src/Upstream/UpstreamChannel.h
@@ -73,10 +73,13 @@
   bool refused() const { return channel_.refused(); }
   /// \brief Called when the peer closes the connection, or sends data, between exchanges.
   std::function<void()> onIdleClosed;
+  /// \brief Called once the connection is established, or can't be.
+  std::function<void(bool connected)> onConnectResult;
   /// \brief The timeout in the upstream's `Keep-Alive` field; zero if it sent none.
   Millis keepAliveTimeout() const { return keepAliveTimeout_; }
 
   void onChannelBytes(std::string_view bytes) override;
+  void onChannelConnected() override;
   void onChannelEnded(ChannelEnd end) override;
 
  private:
--- a/Hallchute/src/Upstream/UpstreamPool.cpp
+++ b/Hallchute/src/Upstream/UpstreamPool.cpp
@@ -8,6 +8,7 @@
 
 #include "Hallchute/src/Net/EventLoop.h"
 #include "Hallchute/src/Observability/Metrics.h"
+#include "Hallchute/src/Upstream/ConnectionObserver.h"
 #include "Hallchute/src/Upstream/UpstreamChannel.h"
 
 namespace Hallchute {
@@ -35,8 +36,9 @@
 
 }  // namespace
 
-UpstreamPool::UpstreamPool(EventLoop& loop, std::string source, Metrics& metrics)
-    : loop_(loop), source_(std::move(source)), metrics_(metrics) {}
+UpstreamPool::UpstreamPool(EventLoop& loop, std::string source, ConnectionObserver& observer,
+                           Metrics& metrics)
+    : loop_(loop), source_(std::move(source)), observer_(observer), metrics_(metrics) {}
 
 UpstreamPool::~UpstreamPool() = default;
 
@@ -61,8 +63,21 @@
   }
   if (entry.open >= maxOpen) return nullptr;
   ++entry.open;
+  return open(upstream, address);
+}
+
+std::unique_ptr<UpstreamChannel> UpstreamPool::open(const UpstreamId& upstream,
+                                                    const std::string& address) {
   metrics_.add("hallchute_upstream_connections_total", "");
-  return std::make_unique<UpstreamChannel>(loop_, address, source_, kConnectLimit);
+  auto channel = std::make_unique<UpstreamChannel>(loop_, address, source_, kConnectLimit);
+  channel->onConnectResult = [this, upstream](bool connected) {
+    if (connected) {
+      observer_.upstreamConnected(upstream);
+    } else {
+      observer_.upstreamConnectFailed(upstream);
+    }
+  };
+  return channel;
 }
 
 void UpstreamPool::release(const UpstreamId& upstream, std::unique_ptr<UpstreamChannel> channel,
--- a/Hallchute/src/Upstream/UpstreamPool.h
+++ b/Hallchute/src/Upstream/UpstreamPool.h
@@ -15,6 +15,7 @@
 
 namespace Hallchute {
 
+class ConnectionObserver;
 class EventLoop;
 class Metrics;
 class UpstreamChannel;
@@ -34,7 +35,7 @@
 /// none.
 class UpstreamPool {
  public:
-  UpstreamPool(EventLoop& loop, std::string source, Metrics& metrics);
+  UpstreamPool(EventLoop& loop, std::string source, ConnectionObserver& observer, Metrics& metrics);
   ~UpstreamPool();
   UpstreamPool(const UpstreamPool&) = delete;
   UpstreamPool& operator=(const UpstreamPool&) = delete;
@@ -61,12 +62,14 @@
     std::size_t open = 0;
   };
 
+  std::unique_ptr<UpstreamChannel> open(const UpstreamId& upstream, const std::string& address);
   void destroyDeferred(std::unique_ptr<UpstreamChannel> channel);
   void dropIdle(const UpstreamId& upstream, const UpstreamChannel* channel);
   void eraseIfEmpty(const UpstreamId& upstream);
 
   EventLoop& loop_;
   std::string source_;
+  ConnectionObserver& observer_;
   Metrics& metrics_;
   std::map<UpstreamId, Entry> entries_;
 };
