--- a/standin/ReplicaStandin.cpp
+++ b/standin/ReplicaStandin.cpp
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "standin/RawRequest.h"
+#include "standin/SourceFilter.h"
 
 namespace Standin {
 namespace {
@@ -63,6 +64,17 @@
   return namedLimits_;
 }
 
+void ReplicaStandin::cutOff(const std::set<std::string>& callers, CutKind kind) {
+  const std::lock_guard lock(mutex_);
+  if (crashed_) return;
+  dropPacketsFrom(listener_.impl()->sockfd(), callers);
+  for (const auto& [socket, caller] : connections_) {
+    if (callers.empty() || kind == CutKind::hang) dropPacketsFrom(socket, callers);
+    // Ends the thread that serves it, which closes the socket with a reset.
+    if (kind == CutKind::reset && callers.contains(caller)) ::shutdown(socket, SHUT_RD);
+  }
+}
+
 void ReplicaStandin::accept() {
   while (!crashed_) {
     if (!listener_.poll(kTurn, Poco::Net::Socket::SELECT_READ)) continue;
@@ -73,9 +85,20 @@
 }
 
 void ReplicaStandin::serve(Poco::Net::StreamSocket socket) {
+  socket.setLinger(true, 0);
+  const int descriptor = socket.impl()->sockfd();
+  {
+    const std::lock_guard lock(mutex_);
+    connections_[descriptor] = socket.peerAddress().host().toString();
+  }
+  answerRequests(socket);
+  const std::lock_guard lock(mutex_);
+  connections_.erase(descriptor);
+}
+
+void ReplicaStandin::answerRequests(Poco::Net::StreamSocket& socket) {
   std::string in;
   std::array<char, 4096> buffer;
-  socket.setLinger(true, 0);
   while (!crashed_) {
     if (!socket.poll(kTurn, Poco::Net::Socket::SELECT_READ)) continue;
     const ssize_t got = ::recv(socket.impl()->sockfd(), buffer.data(), buffer.size(), 0);
--- a/standin/ReplicaStandin.h
+++ b/standin/ReplicaStandin.h
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <map>
 #include <mutex>
 #include <set>
 #include <string>
@@ -34,6 +35,16 @@
   double perSecond = 0;
 };
 
+/// \brief What a cut does to connections between a replica and some callers.
+enum class CutKind {
+  /// Nothing gets through on any connection.
+  hang,
+  /// Established connections are reset, new ones don't come up.
+  reset,
+  /// Established connections live on, new ones don't come up.
+  newConnections,
+};
+
 /// \brief A replica of a plain service behind the gateway, on threads of this process; a crash
 /// resets its connections and closes its port as the end of a process does.
 ///
@@ -63,10 +74,13 @@
   /// \brief The requests a second to name as its limit in answers; 0 for none.
   void nameLimit(double perSecond) { limit_ = perSecond; }
   std::vector<NamedLimit> namedLimits() const;
+  /// \brief Cuts the replica off from the callers at these IP addresses; an empty set heals.
+  void cutOff(const std::set<std::string>& callers, CutKind kind);
 
  private:
   void accept();
   void serve(Poco::Net::StreamSocket socket);
+  void answerRequests(Poco::Net::StreamSocket& socket);
   void run(Poco::Net::StreamSocket& socket, const std::string& request);
   void stream(Poco::Net::StreamSocket& socket, const std::string& request) const;
   std::string answerTo(const std::string& request, double limit) const;
@@ -78,6 +92,8 @@
   mutable std::mutex mutex_;
   std::vector<Arrival> arrivals_;
   std::vector<NamedLimit> namedLimits_;
+  /// Open connections, by descriptor, with their callers' IP addresses.
+  std::map<int, std::string> connections_;
   std::multiset<std::string> running_;
   std::vector<std::string> runningAtCrash_;
   std::chrono::steady_clock::time_point crashedAt_;
--- a/test/soak/Callers.cpp
+++ b/test/soak/Callers.cpp
@@ -3,6 +3,7 @@
 
 #include "test/soak/Callers.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
 #include <random>
@@ -38,15 +39,16 @@
   while (!stopping_) {
     const std::uint64_t number = ++nextNumber_;
     const auto& daemons = fleet_.daemons();
-    const std::string& address = daemons[random() % daemons.size()].callers;
+    const std::size_t daemon = random() % daemons.size();
+    const std::string& address = daemons[daemon].callers;
     Hallchute::HttpRequest request;
     request.method = "POST";
-    request.target = "/run/work";
     request.body = bodies(number);
+    request.target = absl::StartsWith(request.body, kOnceBody) ? "/once/work" : "/run/work";
     request.headers = {{"Host", GatewayFleet::kRequestHost},
                        {"Hallchute-Attempt-Id", absl::StrCat("a", number)},
                        {"Hallchute-Deadline-Ms", "4000"}};
-    Attempt attempt{Clock::now(), request.body, 0};
+    Attempt attempt{Clock::now(), daemon, request.body, 0};
     Hallchute::HttpExchange exchange({address, "", Millis(500), Millis(4'500)});
     const auto result = exchange.run(request);
     if (const auto* answer = std::get_if<Hallchute::HttpResponse>(&result)) {
--- a/test/soak/Callers.h
+++ b/test/soak/Callers.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <mutex>
 #include <string>
@@ -19,6 +20,8 @@
 /// \brief One attempt of a caller and its answer.
 struct Attempt {
   std::chrono::steady_clock::time_point at;
+  /// The daemon that it went to, by its position in the fleet.
+  std::size_t daemon = 0;
   std::string body;
   /// 0 if the connection failed or no complete answer came.
   int status = 0;
@@ -30,6 +33,8 @@
  public:
   /// Returns the body of the next request; called with a running number from one thread.
   using BodySource = std::string (*)(std::uint64_t number);
+  /// A request whose body starts so goes to the route on which a request runs at most once.
+  static constexpr const char* kOnceBody = "once";
 
   Callers(GatewayFleet& fleet, unsigned seed) : fleet_(fleet), seed_(seed) {}
   ~Callers() { stop(); }
--- a/test/soak/GatewayFleet.cpp
+++ b/test/soak/GatewayFleet.cpp
@@ -33,12 +33,12 @@
 /// What a daemon's log has when a sanitizer or the C++ runtime found a fault in it.
 constexpr std::array kFaultTexts{"Sanitizer", "runtime error: ", "terminate called"};
 
-Poco::JSON::Object::Ptr routeJson() {
+Poco::JSON::Object::Ptr routeJson(const std::string& name, const std::string& kind) {
   Poco::JSON::Object::Ptr route = new Poco::JSON::Object;
-  route->set("name", "route");
+  route->set("name", name);
   route->set("host", GatewayFleet::kRequestHost);
-  route->set("path-prefix", "/run/");
-  route->set("kind", "safe");
+  route->set("path-prefix", "/" + name + "/");
+  route->set("kind", kind);
   route->set("service", kService);
   route->set("timeout-ms", 4'000);
   route->set("target-latency-ms", 1'000);
@@ -104,7 +104,8 @@
 
 void GatewayFleet::writeSettings() {
   Poco::JSON::Array::Ptr routes = new Poco::JSON::Array;
-  routes->add(routeJson());
+  routes->add(routeJson("run", "safe"));
+  routes->add(routeJson("once", "unsafe"));
   Poco::JSON::Object::Ptr service = new Poco::JSON::Object;
   service->set("name", kService);
   service->set("max-connections", 600);
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "test/soak/CrashSoak.h"
+#include "test/soak/CutSoak.h"
 #include "test/soak/LimitSoak.h"
 #include "test/soak/SiteSoak.h"
 #include "test/soak/SoakOptions.h"
@@ -35,10 +36,11 @@
   }
   options.work = work.path();
   if (kind == "crashes") return Soak::runCrashSoak(options) ? 0 : 1;
+  if (kind == "cuts") return Soak::runCutSoak(options) ? 0 : 1;
   if (kind == "limits") return Soak::runLimitSoak(options) ? 0 : 1;
   if (kind == "sites") return Soak::runSiteSoak(options) ? 0 : 1;
   if (kind == "stops") return Soak::runStopSoak(options) ? 0 : 1;
-  std::cerr << "usage: hallchute-gateway-soak BUILD crashes|limits|sites|stops\n";
+  std::cerr << "usage: hallchute-gateway-soak BUILD crashes|cuts|limits|sites|stops\n";
   return 2;
 }
 
