--- a/Hallchute/src/Fleet/FleetView.h
+++ b/Hallchute/src/Fleet/FleetView.h
@@ -19,6 +19,7 @@
 #include "Hallchute/src/Fleet/FleetReport.h"
 #include "Hallchute/src/Fleet/FleetRoster.h"
 #include "Hallchute/src/Fleet/FleetUsage.h"
+#include "Hallchute/src/Fleet/ForwardingPeer.h"
 #include "Hallchute/src/Gateway/LimitFleet.h"
 #include "Hallchute/src/Gateway/QuotaFleet.h"
 
@@ -87,6 +88,12 @@
   QuotaFleet quotaFleet(Instant now) const { return roster_.quotaFleet(now); }
   /// \brief The daemons among which upstreams' limits are divided.
   LimitFleet limitFleet(Instant now) const;
+  /// \brief The daemon that passes a request on; see chooseForwardingPeer().
+  std::optional<FleetMember> forwardingPeer(const ServiceName& service,
+                                            const std::string& requestId,
+                                            const std::set<DaemonId>& excluded, Instant now) const {
+    return chooseForwardingPeer(roster_, service, requestId, excluded, now);
+  }
   UpstreamLoads loadsElsewhere(Instant now) const;
   /// \brief Usage of all daemons and their earlier incarnations, without this incarnation's own.
   /// The time is ignored, as counted usage doesn't expire.
--- a/Hallchute/src/Gateway/PathMonitor.h
+++ b/Hallchute/src/Gateway/PathMonitor.h
@@ -10,6 +10,7 @@
 
 #include "Hallchute/src/Core/Id.h"
 #include "Hallchute/src/Core/Time.h"
+#include "Hallchute/src/Gateway/UpstreamTable.h"
 
 namespace Hallchute {
 
@@ -25,6 +26,12 @@
   /// Distinct upstreams whose failures make the path count as lost; all if there are fewer. Two may
   /// fail together, as when a host with both is reclaimed.
   static constexpr std::size_t kFailuresToLose = 3;
+  /// Probes at a time.
+  static constexpr std::size_t kProbes = 3;
+  /// How often upstreams are probed while nothing but single failures is known.
+  static constexpr Millis kSuspicionInterval{1'000};
+  /// How often upstreams are probed while the path is lost.
+  static constexpr Millis kProbeInterval{200};
   /// Older failures don't count, unless the path is lost.
   static constexpr Millis kFailureWindow{1'000};
 
@@ -35,6 +42,13 @@
   bool noteConnectFailed(const ServiceName& service, const UpstreamId& upstream,
                          std::size_t upstreams, Instant now);
   bool lost(const ServiceName& service) const;
+  /// \brief The upstreams to which connections should be opened now, as a request to \p suspect
+  /// failed: none while that was done lately. They are in other failure domains if there are any.
+  std::vector<UpstreamId> probesOnSuspicion(const UpstreamTable& upstreams,
+                                            const UpstreamEntry& suspect, Instant now);
+  /// \brief The upstreams of a lost path to which connections should be opened now.
+  std::vector<UpstreamId> probesOfLostPath(const UpstreamTable& upstreams,
+                                           const ServiceName& service, Instant now);
   std::vector<ServiceName> lostServices() const;
 
  private:
@@ -43,8 +57,13 @@
     bool lost = false;
   };
 
+  static bool isCandidate(const UpstreamEntry& entry, const ServiceName& service);
+
   /// Services with failures since a connection was last established.
   std::map<ServiceName, Path> paths_;
+  std::map<ServiceName, Instant> suspectedAt_;
+  /// When upstreams of lost paths were last probed.
+  std::map<UpstreamId, Instant> probedAt_;
 };
 
 }  // namespace Hallchute
--- a/Hallchute/src/Node/FleetLink.h
+++ b/Hallchute/src/Node/FleetLink.h
@@ -38,6 +38,7 @@
   FleetLink(const FleetLink&) = delete;
   FleetLink& operator=(const FleetLink&) = delete;
 
+  PeerTransport& transport() { return transport_; }
   /// \brief Sends each report to its address; streams to other addresses are closed.
   void sendReports(const std::vector<AddressedReport>& reports);
   /// \brief Requests from a peer what is newer than the versions in \p request; \p onSnapshot isn't
--- /dev/null
+++ b/Hallchute/src/Node/ForwardingLink.cpp
@@ -0,0 +1,121 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Node/ForwardingLink.h"
+
+#include <string>
+#include <utility>
+
+#include "Hallchute/src/Net/EventLoop.h"
+#include "Hallchute/src/Net/PeerSession.h"
+#include "Hallchute/src/Net/PeerTransport.h"
+#include "Hallchute/src/Node/ForwardingWire.h"
+#include "Hallchute/src/Observability/LogLine.h"
+
+namespace Hallchute {
+namespace {
+
+constexpr std::string_view kRequestPath = "/gateway/request";
+
+bool isLast(const ForwardedReply& reply) {
+  return std::holds_alternative<ForwardedReplies::Declined>(reply) ||
+         std::holds_alternative<ForwardedReplies::Done>(reply) ||
+         std::holds_alternative<ForwardedReplies::Failed>(reply);
+}
+
+}  // namespace
+
+ForwardingLink::ForwardingLink(EventLoop& traffic, EventLoop& control, PeerTransport& transport,
+                               Callbacks callbacks)
+    : traffic_(traffic),
+      control_(control),
+      transport_(transport),
+      callbacks_(std::move(callbacks)) {
+  transport_.serve(kRequestPath, [this](const PeerStreamPtr& stream) { serve(stream); });
+}
+
+std::uint64_t ForwardingLink::forward(ForwardedRequest request, std::set<DaemonId> excluded,
+                                      ForwardingListener& listener) {
+  const std::uint64_t exchange = nextExchange_++;
+  listeners_[exchange] = &listener;
+  control_.post([this, exchange, request = std::move(request), excluded = std::move(excluded)] {
+    open(exchange, request, excluded);
+  });
+  return exchange;
+}
+
+void ForwardingLink::cancel(std::uint64_t exchange) {
+  if (listeners_.erase(exchange) == 0) return;
+  control_.post([this, exchange] {
+    const auto it = streams_.find(exchange);
+    if (it == streams_.end()) return;
+    it->second->close();
+    streams_.erase(it);
+  });
+}
+
+void ForwardingLink::open(std::uint64_t exchange, const ForwardedRequest& request,
+                          const std::set<DaemonId>& excluded) {
+  const std::optional<FleetMember> peer = callbacks_.choosePeer(request, excluded);
+  const std::string message = peer ? packForwarded(request) : std::string();
+  if (!peer || message.size() > PeerSession::kMaxMessageBytes) {
+    reply(exchange, ForwardedReplies::NoPeer{});
+    return;
+  }
+  reply(exchange, ForwardedReplies::PeerChosen{peer->daemon});
+  const PeerStreamPtr stream = transport_.open(peer->address, kRequestPath, message);
+  stream->onMessage = [this, exchange](std::string_view bytes) {
+    if (std::optional<ForwardedReply> received = unpackForwardedReply(bytes)) {
+      reply(exchange, std::move(*received));
+    } else {
+      LogLine(LogLevel::warning, "forwarding.unreadable").with("bytes", bytes.size());
+    }
+  };
+  stream->onClosed = [this, exchange] {
+    streams_.erase(exchange);
+    reply(exchange, ForwardedReplies::PeerLost{});
+  };
+  streams_[exchange] = stream;
+}
+
+/// Passes a reply to the traffic thread, where cancelled exchanges have no listener any more.
+void ForwardingLink::reply(std::uint64_t exchange, ForwardedReply reply) {
+  traffic_.post([this, exchange, reply = std::move(reply)] {
+    const auto it = listeners_.find(exchange);
+    if (it != listeners_.end()) it->second->onForwardedReply(reply);
+  });
+}
+
+void ForwardingLink::serve(const PeerStreamPtr& stream) {
+  const std::uint64_t assist = nextAssist_++;
+  served_[assist] = stream;
+  stream->onMessage = [this, assist](std::string_view message) { beginAssist(assist, message); };
+  stream->onClosed = [this, assist] {
+    served_.erase(assist);
+    traffic_.post([this, assist] { callbacks_.cancelAssist(assist); });
+  };
+}
+
+void ForwardingLink::beginAssist(std::uint64_t assist, std::string_view message) {
+  std::optional<ForwardedRequest> request = unpackForwardedRequest(message);
+  if (!request) {
+    LogLine(LogLevel::warning, "forwarding.unreadable").with("bytes", message.size());
+    sendReply(assist, ForwardedReplies::Declined{"unreadable"});
+    return;
+  }
+  traffic_.post([this, assist, request = std::move(*request)] {
+    callbacks_.assist(assist, request, [this, assist](const ForwardedReply& reply) {
+      control_.post([this, assist, reply] { sendReply(assist, reply); });
+    });
+  });
+}
+
+void ForwardingLink::sendReply(std::uint64_t assist, const ForwardedReply& reply) {
+  const auto it = served_.find(assist);
+  const PeerStreamPtr stream = it == served_.end() ? nullptr : it->second.lock();
+  if (stream == nullptr) return;
+  stream->send(packForwarded(reply));
+  if (isLast(reply)) stream->finish();
+}
+
+}  // namespace Hallchute
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -84,7 +84,9 @@
       link_(controlLoop_, startup_.peerListen, startup_.storeAddress,
             {[this](const FleetReport& report) { handleReport(report); },
              [this](const SnapshotRequest& request) { return storeCopy_.snapshot(request); }},
-            metrics_) {
+            metrics_),
+      forwarding_(trafficLoop_, controlLoop_, link_.transport(), forwardingCallbacks()) {
+  engine_.setForwarder(&forwarding_);
   callerServer_.setLimits(callerLimits({}));
   readinessServer_.setLimits(pageLimits());
   serveMetrics();
@@ -170,6 +172,16 @@
   return CrashLedger::limitFor(fleet_.liveCount(now), fleet_.expectedCount(now));
 }
 
+ForwardingLink::Callbacks GatewayNode::forwardingCallbacks() {
+  return {[this](const ForwardedRequest& request, const std::set<DaemonId>& excluded) {
+            return fleet_.forwardingPeer(request.service, request.id.str(), excluded, clockNow());
+          },
+          [this](std::uint64_t assist, ForwardedRequest request, ForwardingLink::ReplySink reply) {
+            engine_.assist(assist, std::move(request), std::move(reply));
+          },
+          [this](std::uint64_t assist) { engine_.cancelAssist(assist); }};
+}
+
 DutyHolder GatewayNode::latestHolder(Instant now) const {
   DutyHolder latest = duties_ ? duties_->holder() : DutyHolder{};
   for (const FleetReport* report : fleet_.reports(now)) latest.mergeNewer(report->duties);
--- a/Hallchute/src/Node/GatewayNode.h
+++ b/Hallchute/src/Node/GatewayNode.h
@@ -15,6 +15,7 @@
 #include "Hallchute/src/Net/EventLoop.h"
 #include "Hallchute/src/Node/DutyRunner.h"
 #include "Hallchute/src/Node/FleetLink.h"
+#include "Hallchute/src/Node/ForwardingLink.h"
 #include "Hallchute/src/Node/NodePorts.h"
 #include "Hallchute/src/Node/NodeStartup.h"
 #include "Hallchute/src/Node/PageHandlers.h"
@@ -77,6 +78,7 @@
   void mergeCrashes(std::vector<CrashHistory> histories);
   void mergeLimits(std::vector<NamedLimit> limits);
   std::size_t crashLimit(Instant now) const;
+  ForwardingLink::Callbacks forwardingCallbacks();
   void updateTraffic(Instant now);
   void logClockOffset(Millis hostClock, Instant now);
   void logFleetState(const FleetTrafficView& trafficView, Instant now);
@@ -103,6 +105,7 @@
   FleetView fleet_;
   StoreCopy storeCopy_;
   FleetLink link_;
+  ForwardingLink forwarding_;
   std::vector<GatewayService> services_;
   double quotaTokens_ = 0;
   LocalReport localReport_;
--- /dev/null
+++ b/Hallchute/src/Traffic/AssistedDispatch.cpp
@@ -0,0 +1,121 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Traffic/AssistedDispatch.h"
+
+#include <utility>
+
+#include "Hallchute/src/Gateway/UpstreamPick.h"
+#include "Hallchute/src/Net/Clock.h"
+#include "Hallchute/src/Observability/LogLine.h"
+#include "Hallchute/src/Observability/Metrics.h"
+#include "Hallchute/src/Traffic/TrafficEngine.h"
+#include "Hallchute/src/Traffic/UpstreamDispatch.h"
+
+namespace Hallchute {
+namespace {
+
+constexpr int kServerError = 500;
+
+UpstreamCriteria criteriaOf(const ForwardedRequest& request, const FailureDomainName& domain) {
+  UpstreamCriteria criteria;
+  criteria.service = request.service;
+  criteria.affinity = request.affinity;
+  criteria.sharedTokens = request.sharedTokens;
+  criteria.tried.insert(request.tried.begin(), request.tried.end());
+  criteria.ownDomain = domain;
+  criteria.requestId = request.id.str();
+  return criteria;
+}
+
+DispatchResult resultOf(const UpstreamResponse& answer, int status) {
+  if (answer.notExecuted || answer.misdirected) return DispatchResult::rejected;
+  return status >= kServerError ? DispatchResult::failed : DispatchResult::answered;
+}
+
+}  // namespace
+
+AssistedDispatch::AssistedDispatch(TrafficEngine& engine, std::uint64_t id,
+                                   ForwardedRequest request, ReplySink reply)
+    : engine_(engine),
+      id_(id),
+      request_(std::move(request)),
+      reply_(std::move(reply)),
+      startedAt_(clockNow()) {}
+
+AssistedDispatch::~AssistedDispatch() = default;
+
+bool AssistedDispatch::decline(std::string_view reason) {
+  logEnd(reason);
+  reply_(ForwardedReplies::Declined{std::string(reason)});
+  return false;
+}
+
+void AssistedDispatch::logEnd(std::string_view outcome) const {
+  LogLine(LogLevel::info, "request.assisted")
+      .with("request", request_.id.str())
+      .with("service", request_.service.str())
+      .with("content", describe(request_.content))
+      .with("outcome", outcome)
+      .with("status", status_)
+      .with("upstream", dispatch_ == nullptr ? std::string() : dispatch_->upstream().id.str())
+      .with("afterMs", std::chrono::duration_cast<Millis>(clockNow() - startedAt_));
+  engine_.metrics().add(
+      "hallchute_requests_assisted_total",
+      "service=\"" + request_.service.str() + "\",outcome=\"" + std::string(outcome) + "\"");
+}
+
+bool AssistedDispatch::begin() {
+  if (engine_.refusesNewRequests() || !engine_.ready()) return decline("notServing");
+  if (engine_.paths().lost(request_.service)) return decline("pathLost");
+  const UpstreamCriteria criteria = criteriaOf(request_, engine_.options().domain);
+  const UpstreamEntry* upstream = pickUpstream(engine_.upstreamTable(), criteria, clockNow());
+  if (upstream == nullptr) return decline("noUpstream");
+  dispatch_ =
+      UpstreamDispatch::start(engine_, *upstream,
+                              {request_.head, request_.body, request_.terms, criteria,
+                               request_.content, request_.promptTokens, request_.repeatable},
+                              *this);
+  if (dispatch_ == nullptr) return decline("noConnection");
+  reply_(ForwardedReplies::Dispatched{dispatch_->upstream()});
+  return true;
+}
+
+void AssistedDispatch::cancel() {
+  if (dispatch_ == nullptr) return;
+  logEnd("cancelled");
+  dispatch_->end(DispatchResult::abandoned, false);
+  dispatch_.reset();
+}
+
+bool AssistedDispatch::upstreamHead(const HttpHead& head) {
+  answer_ = engine_.codec().readAnswer(head);
+  if (!answer_.notExecuted && !answer_.misdirected && answer_.id != request_.id) return false;
+  dispatch_->noteAnswer(answer_);
+  status_ = head.status;
+  reply_(ForwardedReplies::Head{head});
+  return true;
+}
+
+void AssistedDispatch::upstreamBody(std::string_view bytes) {
+  dispatch_->notePromptDone();
+  reply_(ForwardedReplies::Body{std::string(bytes)});
+}
+
+void AssistedDispatch::upstreamDone() {
+  logEnd("answered");
+  dispatch_->end(resultOf(answer_, status_), !answer_.misdirected);
+  reply_(ForwardedReplies::Done{});
+  engine_.endAssist(id_);
+}
+
+void AssistedDispatch::upstreamFailed(ExchangeFailure failure) {
+  logEnd("failed");
+  dispatch_->noteFailure(failure);
+  const bool sent = failure != ExchangeFailure::notSent;
+  dispatch_->end(sent ? DispatchResult::broken : DispatchResult::unreachable, false);
+  reply_(ForwardedReplies::Failed{failure});
+  engine_.endAssist(id_);
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Traffic/AssistedDispatch.h
@@ -0,0 +1,61 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_TRAFFIC_ASSISTEDDISPATCH_H
+#define HALLCHUTE_TRAFFIC_ASSISTEDDISPATCH_H
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include "Hallchute/src/Traffic/ForwardedReply.h"
+#include "Hallchute/src/Traffic/ForwardedRequest.h"
+#include "Hallchute/src/Upstream/UpstreamChannel.h"
+
+namespace Hallchute {
+
+class TrafficEngine;
+class UpstreamDispatch;
+
+/// \brief One dispatch on behalf of another daemon, which can't reach the upstreams itself.
+/// Traffic thread only. \ingroup Traffic
+///
+/// Never forwards a request further, so that requests can't travel in a circle, and never repeats
+/// it: the other daemon decides on that.
+class AssistedDispatch final : public UpstreamListener {
+ public:
+  using ReplySink = std::function<void(const ForwardedReply& reply)>;
+
+  /// \param id the number under which the engine keeps it.
+  AssistedDispatch(TrafficEngine& engine, std::uint64_t id, ForwardedRequest request,
+                   ReplySink reply);
+  ~AssistedDispatch() override;
+
+  /// \returns whether the request is being sent; otherwise it was declined.
+  bool begin();
+  /// \brief Ends the exchange with the upstream, as the other daemon wants no reply.
+  void cancel();
+
+  bool upstreamHead(const HttpHead& head) override;
+  void upstreamBody(std::string_view bytes) override;
+  void upstreamDone() override;
+  void upstreamFailed(ExchangeFailure failure) override;
+
+ private:
+  bool decline(std::string_view reason);
+  void logEnd(std::string_view outcome) const;
+
+  TrafficEngine& engine_;
+  std::uint64_t id_;
+  ForwardedRequest request_;
+  ReplySink reply_;
+  std::unique_ptr<UpstreamDispatch> dispatch_;
+  UpstreamResponse answer_;
+  int status_ = 0;
+  Instant startedAt_;
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_TRAFFIC_ASSISTEDDISPATCH_H
--- /dev/null
+++ b/Hallchute/src/Traffic/ForwardedRequest.h
@@ -0,0 +1,40 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_TRAFFIC_FORWARDEDREQUEST_H
+#define HALLCHUTE_TRAFFIC_FORWARDEDREQUEST_H
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "Hallchute/src/Gateway/RequestFingerprint.h"
+#include "Hallchute/src/Http/HttpReader.h"
+#include "Hallchute/src/Ports/TrafficCodec.h"
+
+namespace Hallchute {
+
+/// \brief A request that a daemon sends to an upstream through another daemon. \ingroup Traffic
+///
+/// The daemon that received the request keeps its deadline, quota, retries and crash history; the
+/// other one chooses an upstream and makes one dispatch.
+struct ForwardedRequest {
+  RequestId id;
+  RequestFingerprint content{};
+  ServiceName service;
+  std::string affinity;
+  std::uint64_t sharedTokens = 0;
+  std::uint64_t promptTokens = 0;
+  /// Upstreams that must not get the request again.
+  std::vector<UpstreamId> tried;
+  bool repeatable = false;
+  /// Without the caller's API key.
+  HttpHead head;
+  std::string body;
+  /// What doesn't depend on the upstream.
+  DispatchMetadata terms;
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_TRAFFIC_FORWARDEDREQUEST_H
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -13,6 +13,7 @@
 #include "Hallchute/src/Observability/LogLine.h"
 #include "Hallchute/src/Observability/Metrics.h"
 #include "Hallchute/src/Ports/TrafficCodec.h"
+#include "Hallchute/src/Traffic/AssistedDispatch.h"
 #include "Hallchute/src/Traffic/RetryAfter.h"
 #include "Hallchute/src/Traffic/TrafficSession.h"
 
@@ -174,12 +175,57 @@
   const ServiceName& service = entry->record.service;
   metrics_.add("hallchute_upstream_connects_failed_total", "service=\"" + service.str() + "\"");
   const std::size_t listed = upstreams_.listedCount(service);
+  probe(paths_.probesOnSuspicion(upstreams_, *entry, clockNow()));
   if (!paths_.noteConnectFailed(service, upstream, listed, clockNow())) return;
   LogLine(LogLevel::warning, "path.lost")
       .with("service", service.str())
       .with("upstream", upstream.str())
       .with("upstreams", static_cast<std::uint64_t>(listed));
   metrics_.add("hallchute_paths_lost_total", "service=\"" + service.str() + "\"");
+  if (probeTimer_ == 0) probeLostPaths();
+}
+
+void TrafficEngine::upstreamAcknowledgesLate(const UpstreamId& upstream) {
+  const UpstreamEntry* entry = upstreams_.find(upstream);
+  if (entry != nullptr) probe(paths_.probesOnSuspicion(upstreams_, *entry, clockNow()));
+}
+
+void TrafficEngine::probe(const std::vector<UpstreamId>& upstreams) {
+  for (const UpstreamId& upstream : upstreams) {
+    pool_.probe(upstream, upstreams_.find(upstream)->record.address);
+  }
+}
+
+void TrafficEngine::probeLostPaths() {
+  probeTimer_ = 0;
+  const std::vector<ServiceName> lost = paths_.lostServices();
+  if (lost.empty()) return;
+  for (const ServiceName& service : lost) {
+    probe(paths_.probesOfLostPath(upstreams_, service, clockNow()));
+  }
+  probeTimer_ = loop_.after(PathMonitor::kProbeInterval, [this] { probeLostPaths(); });
+}
+
+void TrafficEngine::assist(std::uint64_t assist, ForwardedRequest request,
+                           std::function<void(const ForwardedReply&)> reply) {
+  const auto assisted =
+      std::make_shared<AssistedDispatch>(*this, assist, std::move(request), std::move(reply));
+  if (assisted->begin()) assists_[assist] = assisted;
+}
+
+void TrafficEngine::cancelAssist(std::uint64_t assist) {
+  const auto it = assists_.find(assist);
+  if (it == assists_.end()) return;
+  it->second->cancel();
+  assists_.erase(it);
+}
+
+void TrafficEngine::endAssist(std::uint64_t assist) {
+  const auto it = assists_.find(assist);
+  if (it == assists_.end()) return;
+  // The dispatch itself makes this call.
+  loop_.post([ended = it->second] {});
+  assists_.erase(it);
 }
 
 void TrafficEngine::refuse(FrontExchange& exchange, const ClientRequest& request, int status,
--- a/Hallchute/src/Traffic/TrafficEngine.h
+++ b/Hallchute/src/Traffic/TrafficEngine.h
@@ -5,6 +5,7 @@
 #define HALLCHUTE_TRAFFIC_TRAFFICENGINE_H
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -23,16 +24,20 @@
 #include "Hallchute/src/Gateway/RouteTable.h"
 #include "Hallchute/src/Gateway/UpstreamTable.h"
 #include "Hallchute/src/Gateway/UsageLedger.h"
+#include "Hallchute/src/Traffic/ForwardedReply.h"
 #include "Hallchute/src/Traffic/TrafficOptions.h"
 #include "Hallchute/src/Upstream/ConnectionObserver.h"
 #include "Hallchute/src/Upstream/UpstreamPool.h"
 
 namespace Hallchute {
 
+class AssistedDispatch;
 class EventLoop;
 class Metrics;
+class RequestForwarder;
 class TrafficCodec;
 class TrafficSession;
+struct ForwardedRequest;
 struct SessionAdmission;
 struct ClientRequest;
 struct UpstreamResponse;
@@ -73,13 +78,25 @@
   void setSettingsMayBeStale(bool old) { settingsMayBeStale_ = old; }
   /// \brief Refuses all new requests from now on: they could not complete before the daemon stops.
   void refuseNewRequests() { refusingNewRequests_ = true; }
+  bool refusesNewRequests() const { return refusingNewRequests_; }
+  /// \brief Sets how requests reach upstreams that this daemon can't; null, or must outlive this.
+  void setForwarder(RequestForwarder* forwarder) { forwarder_ = forwarder; }
+  RequestForwarder* forwarder() const { return forwarder_; }
+  /// \brief Makes a dispatch for another daemon. \param assist a number for cancelAssist().
+  void assist(std::uint64_t assist, ForwardedRequest request,
+              std::function<void(const ForwardedReply&)> reply);
+  /// \brief Ends a dispatch for another daemon; does nothing if it has ended.
+  void cancelAssist(std::uint64_t assist);
+  /// \brief Called by a dispatch for another daemon when it has ended.
+  void endAssist(std::uint64_t assist);
   void setFleet(const FleetTrafficView& view);
   void noteSpentElsewhere(const OrganisationName& organisation, double amount);
   /// \brief Adds crash histories of other daemons, or of the fleet before this daemon started.
   void mergeCrashes(std::span<const CrashHistory> histories);
   /// \brief Whether requests can be served.
   bool ready() const { return routes_ != nullptr && !upstreams_.entries().empty(); }
-  std::size_t sessions() const { return sessions_.size(); }
+  /// \brief Requests in progress, those for other daemons included.
+  std::size_t sessions() const { return sessions_.size() + assists_.size(); }
   /// \brief Time since the Unix epoch on the fleet's shared clock.
   Millis wallClock(Instant now) const;
   const UsageLedger& usage() const { return usage_; }
@@ -116,6 +133,10 @@
  private:
   void upstreamConnected(const UpstreamId& upstream) override;
   void upstreamConnectFailed(const UpstreamId& upstream) override;
+  void upstreamAcknowledgesLate(const UpstreamId& upstream) override;
+  void probe(const std::vector<UpstreamId>& upstreams);
+  /// Probes the upstreams of lost paths, again and again until one is regained.
+  void probeLostPaths();
   void refuse(FrontExchange& exchange, const ClientRequest& request, int status,
               std::string_view reason, std::optional<Millis> retryAfter);
   /// Logs the quota state behind a refusal, immediately before the refusal itself is logged.
@@ -144,6 +165,9 @@
   std::map<ServiceName, RetryWindow> retryWindows_;
   std::unordered_map<std::uint64_t, std::shared_ptr<TrafficSession>> sessions_;
   std::uint64_t nextSessionId_ = 1;
+  std::unordered_map<std::uint64_t, std::shared_ptr<AssistedDispatch>> assists_;
+  RequestForwarder* forwarder_ = nullptr;
+  std::uint64_t probeTimer_ = 0;
   std::size_t daemonCount_ = 1;
   Millis clockOffset_{0};
   bool settingsMayBeStale_ = false;
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -10,13 +10,14 @@
 #include <utility>
 
 #include "Hallchute/src/Front/FrontExchange.h"
-#include "Hallchute/src/Http/HttpWriter.h"
 #include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Net/EventLoop.h"
 #include "Hallchute/src/Observability/LogLine.h"
 #include "Hallchute/src/Observability/Metrics.h"
+#include "Hallchute/src/Traffic/ForwardedRequest.h"
 #include "Hallchute/src/Traffic/RetryAfter.h"
 #include "Hallchute/src/Traffic/TrafficEngine.h"
+#include "Hallchute/src/Traffic/UpstreamDispatch.h"
 
 namespace Hallchute {
 namespace {
@@ -38,10 +39,6 @@
 constexpr Millis kPlainStartDelay{3};
 /// Maximum fraction of the remaining time to wait for an upstream that sends nothing.
 constexpr double kMaxSilentFraction = 0.4;
-/// Minimum number of shared tokens for copying their cache from another upstream; fewer are
-/// recomputed. An engine takes about 30 ms to prefill 1000 tokens. Setting up a copy takes about
-/// 5 ms and also delays work at the source.
-constexpr std::uint64_t kMinCopiedTokens = 1'000;
 constexpr int kServerError = 500;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
@@ -74,6 +71,8 @@
       return "malformed";
     case ExchangeFailure::connectionEnded:
       return "connectionEnded";
+    case ExchangeFailure::peerLost:
+      return "peerLost";
   }
   return "";
 }
@@ -149,8 +148,10 @@
     handleEvent(RelayEvents::NoUpstreamAvailable{});
     return;
   }
-  const UpstreamEntry* upstream = pickUpstream(engine_.upstreamTable(), selection_, now);
-  if (upstream == nullptr || remaining() <= Millis(0)) {
+  const bool forwards = engine_.forwarder() != nullptr && engine_.paths().lost(service_);
+  const UpstreamEntry* upstream =
+      forwards ? nullptr : pickUpstream(engine_.upstreamTable(), selection_, now);
+  if ((upstream == nullptr && !forwards) || remaining() <= Millis(0)) {
     handleEvent(RelayEvents::NoUpstreamAvailable{});
     return;
   }
@@ -162,53 +163,140 @@
     handleEvent(RelayEvents::NoUpstreamAvailable{});
     return;
   }
-  if (!dispatchTo(*upstream, action.resume)) handleEvent(RelayEvents::NotSent{});
-}
-
-std::string TrafficSession::cacheSourceFor(const UpstreamEntry& chosen) const {
-  if (selection_.affinity.empty() || selection_.sharedTokens < kMinCopiedTokens) return {};
-  const UpstreamEntry* source =
-      cacheSource(engine_.upstreamTable(), selection_, chosen, clockNow());
-  return source == nullptr ? std::string() : source->record.address;
+  if (forwards) {
+    forwardToPeer(action.resume);
+  } else if (!dispatchTo(*upstream, action.resume)) {
+    handleEvent(RelayEvents::NotSent{});
+  }
 }
 
-bool TrafficSession::dispatchTo(const UpstreamEntry& upstream, bool resume) {
-  const Instant now = clockNow();
-  const UpstreamId id = upstream.record.id;
-  selection_.tried.insert(id);
-  const ConnectionReuse care =
-      admission_.route->mayRepeat() ? ConnectionReuse::any : ConnectionReuse::safe;
-  channel_ = engine_.pool().take(id, upstream.record.address, care,
-                                 engine_.connectionShare(service_), now);
-  if (channel_ == nullptr) return false;
+DispatchMetadata TrafficSession::dispatchTerms(bool resume) const {
   DispatchMetadata terms;
   terms.remaining = remaining();
-  terms.upstream = id;
   if (admission_.organisation != nullptr) terms.organisation = admission_.organisation->name;
   terms.urgency = admission_.route->priority;
   if (admission_.organisation != nullptr && admission_.organisation->priority) {
     terms.urgency = admission_.organisation->priority;
   }
   if (resume) terms.lastEventId = lastEventId_;
-  terms.cacheSource = cacheSourceFor(upstream);
-  const HttpHead& head = exchange_->head();
-  const HttpFields fields = engine_.codec().dispatchFields(head, terms);
-  upstream_ = id;
-  upstreamIncarnation_ = upstream.record.incarnation;
-  dispatched_ = true;
-  dispatchedAt_ = now;
+  return terms;
+}
+
+bool TrafficSession::dispatchTo(const UpstreamEntry& upstream, bool resume) {
+  upstream_ = {upstream.record.id, upstream.record.incarnation};
+  selection_.tried.insert(upstream_.id);
+  noteDispatchStarted();
+  std::unique_ptr<UpstreamDispatch> dispatch = UpstreamDispatch::start(
+      engine_, upstream,
+      {exchange_->head(), exchange_->body(), dispatchTerms(resume), selection_, admission_.content,
+       admission_.request.promptTokens.value_or(0), admission_.route->mayRepeat()},
+      *this);
+  if (dispatch == nullptr) return false;
+  dispatch_ = std::move(dispatch);
   ++dispatchCount_;
-  splitter_ = {};
-  answerComplete_ = false;
-  prefillTokens_ = admission_.request.promptTokens.value_or(0);
-  engine_.upstreamTable().noteDispatched(id, prefillTokens_);
-  engine_.upstreamTable().limits().noteSent(id, now);
   restartSilenceTimer();
-  channel_->start(requestBytes(head.method, head.target, fields, exchange_->body()),
-                  head.method == "HEAD", *this);
   return true;
 }
 
+/// Sends the request through another daemon, as this one can't reach the service's upstreams.
+void TrafficSession::forwardToPeer(bool resume) {
+  ForwardedRequest request;
+  request.id = admission_.request.id;
+  request.content = admission_.content;
+  request.service = service_;
+  request.affinity = selection_.affinity;
+  request.sharedTokens = selection_.sharedTokens;
+  request.promptTokens = admission_.request.promptTokens.value_or(0);
+  request.tried.assign(selection_.tried.begin(), selection_.tried.end());
+  request.repeatable = admission_.route->mayRepeat();
+  request.terms = dispatchTerms(resume);
+  request.head = exchange_->head();
+  // Removes the API key, among others.
+  request.head.fields = engine_.codec().dispatchFields(exchange_->head(), request.terms);
+  request.body = exchange_->body();
+  noteDispatchStarted();
+  ++dispatchCount_;
+  const std::uint64_t exchange =
+      engine_.forwarder()->forward(std::move(request), excludedPeers_, *this);
+  dispatch_ = ForwardedDispatch{exchange, {}, false};
+  restartSilenceTimer();
+}
+
+void TrafficSession::noteDispatchStarted() {
+  dispatchedAt_ = clockNow();
+  splitter_ = {};
+  answerComplete_ = false;
+}
+
+UpstreamDispatch* TrafficSession::directDispatch() const {
+  const auto* direct = std::get_if<std::unique_ptr<UpstreamDispatch>>(&dispatch_);
+  return direct == nullptr ? nullptr : direct->get();
+}
+
+TrafficSession::ForwardedDispatch* TrafficSession::forwardedDispatch() {
+  return std::get_if<ForwardedDispatch>(&dispatch_);
+}
+
+void TrafficSession::onForwardedReply(const ForwardedReply& reply) {
+  std::visit([this](const auto& r) { on(r); }, reply);
+}
+
+void TrafficSession::on(const ForwardedReplies::PeerChosen& reply) {
+  forwardedDispatch()->peer = reply.daemon;
+  LogLine(LogLevel::info, "request.forwarded")
+      .with("request", selection_.requestId)
+      .with("service", service_.str())
+      .with("content", describe(admission_.content))
+      .with("peer", reply.daemon.str())
+      .with("remainingMs", remaining());
+}
+
+void TrafficSession::on(const ForwardedReplies::NoPeer&) {
+  LogLine(LogLevel::info, "request.noPeer")
+      .with("request", selection_.requestId)
+      .with("service", service_.str());
+  endDispatch(DispatchResult::unreachable, false);
+  handleEvent(RelayEvents::NoUpstreamAvailable{});
+}
+
+void TrafficSession::on(const ForwardedReplies::PeerLost&) {
+  excludedPeers_.insert(forwardedDispatch()->peer);
+  upstreamFailed(ExchangeFailure::peerLost);
+}
+
+void TrafficSession::on(const ForwardedReplies::Declined& reply) {
+  const DaemonId peer = forwardedDispatch()->peer;
+  LogLine(LogLevel::info, "request.declined")
+      .with("request", selection_.requestId)
+      .with("peer", peer.str())
+      .with("reason", reply.reason);
+  excludedPeers_.insert(peer);
+  endDispatch(DispatchResult::unreachable, false);
+  handleEvent(RelayEvents::NotSent{});
+}
+
+void TrafficSession::on(const ForwardedReplies::Dispatched& reply) {
+  forwardedDispatch()->sent = true;
+  upstream_ = reply.upstream;
+  selection_.tried.insert(upstream_.id);
+}
+
+void TrafficSession::on(const ForwardedReplies::Head& reply) {
+  upstreamHead(reply.head);
+}
+
+void TrafficSession::on(const ForwardedReplies::Body& reply) {
+  upstreamBody(reply.bytes);
+}
+
+void TrafficSession::on(const ForwardedReplies::Done&) {
+  upstreamDone();
+}
+
+void TrafficSession::on(const ForwardedReplies::Failed& reply) {
+  upstreamFailed(reply.failure);
+}
+
 void TrafficSession::restartSilenceTimer() {
   engine_.loop().cancel(std::exchange(silenceTimer_, 0));
   if (!admission_.route->mayRepeat()) return;
@@ -237,11 +325,11 @@
   if (!answer_.notExecuted && !answer_.misdirected && answer_.id != admission_.request.id) {
     LogLine(LogLevel::warning, "upstream.foreignAnswer")
         .with("request", selection_.requestId)
-        .with("upstream", upstream_.str())
+        .with("upstream", upstream_.id.str())
         .with("answersRequest", answer_.id.str());
     return false;
   }
-  if (!answer_.misdirected) engine_.noteNamedLimit(upstream_, upstreamIncarnation_, answer_);
+  if (UpstreamDispatch* direct = directDispatch()) direct->noteAnswer(answer_);
   answerHead_ = head;
   answerBody_.clear();
   const bool eventStream =
@@ -261,7 +349,7 @@
 }
 
 void TrafficSession::forwardEvents() {
-  while (dispatched_ && !relay_.ended()) {
+  while (dispatched() && !relay_.ended()) {
     std::optional<StreamEvent> event = splitter_.next();
     if (!event) return;
     recordRunStart();
@@ -280,24 +368,18 @@
 }
 
 void TrafficSession::recordRunStart() {
-  notePromptDone();
+  if (UpstreamDispatch* direct = directDispatch()) direct->notePromptDone();
   if (std::exchange(runCounted_, true)) return;
   if (!firstOutputAt_) firstOutputAt_ = clockNow();
   if (admission_.organisation != nullptr) engine_.noteRun(admission_.organisation->name);
 }
 
-void TrafficSession::notePromptDone() {
-  engine_.upstreamTable().notePromptDone(upstream_, std::exchange(prefillTokens_, 0),
-                                         upstreamIncarnation_);
-}
-
 void TrafficSession::upstreamDone() {
   if (answer_.notExecuted || answer_.misdirected) {
     LogLine(LogLevel::info, "upstream.rejected")
         .with("request", selection_.requestId)
-        .with("upstream", upstream_.str())
+        .with("upstream", upstream_.id.str())
         .with("status", answerHead_.status);
-    if (answer_.misdirected) engine_.upstreamTable().noteAddressReused(upstream_, clockNow());
     endDispatch(DispatchResult::rejected, !answer_.misdirected);
     handleEvent(RelayEvents::NotExecuted{});
     return;
@@ -343,7 +425,7 @@
   const bool sent = failure != ExchangeFailure::notSent;
   LogLine(LogLevel::info, "upstream.failed")
       .with("request", selection_.requestId)
-      .with("upstream", upstream_.str())
+      .with("upstream", upstream_.id.str())
       .with("content", describe(admission_.content))
       .with("failure", describe(failure))
       .with("sent", sent)
@@ -352,11 +434,7 @@
   if (sent) {
     engine_.metrics().add("hallchute_upstream_breaks_total", "service=\"" + service_.str() + "\"");
   }
-  if (failure == ExchangeFailure::connectionEnded) {
-    engine_.noteCrash(admission_.content, {upstream_, upstreamIncarnation_});
-    engine_.noteConnectionEnded({upstream_, upstreamIncarnation_});
-  }
-  if (channel_->refused()) engine_.noteProcessEnded({upstream_, upstreamIncarnation_});
+  if (UpstreamDispatch* direct = directDispatch()) direct->noteFailure(failure);
   endDispatch(sent ? DispatchResult::broken : DispatchResult::unreachable, false);
   if (sent) {
     handleEvent(RelayEvents::ConnectionBroken{});
@@ -366,27 +444,24 @@
 }
 
 void TrafficSession::endDispatch(DispatchResult result, bool keepChannel) {
-  if (!std::exchange(dispatched_, false)) return;
+  if (!dispatched()) return;
   recordUnansweredRun(result);
-  recordAbandonedRun(result);
-  notePromptDone();
   engine_.loop().cancel(std::exchange(silenceTimer_, 0));
-  const Instant now = clockNow();
-  engine_.upstreamTable().noteEnded(upstream_, result, now, upstreamIncarnation_);
-  engine_.metrics().time("hallchute_dispatch_ms", "service=\"" + service_.str() + "\"",
-                         now - dispatchedAt_);
-  if (keepChannel) {
-    engine_.pool().release(upstream_, std::move(channel_), now);
-  } else {
-    engine_.pool().discard(upstream_, std::move(channel_));
+  if (UpstreamDispatch* direct = directDispatch()) direct->end(result, keepChannel);
+  if (const ForwardedDispatch* forwarded = forwardedDispatch()) {
+    engine_.forwarder()->cancel(forwarded->exchange);
+    engine_.metrics().time("hallchute_forwarded_ms", "service=\"" + service_.str() + "\"",
+                           clockNow() - dispatchedAt_);
   }
+  dispatch_ = std::monostate{};
 }
 
-/// Records a run that this daemon cancels. What a cut of the network held up has not run.
-void TrafficSession::recordAbandonedRun(DispatchResult result) {
-  if (result != DispatchResult::silent && result != DispatchResult::abandoned) return;
-  if (channel_ == nullptr || !channel_->delivered()) return;
-  engine_.noteAbandoned(admission_.content, {upstream_, upstreamIncarnation_});
+/// Whether the last dispatch reached an upstream, as far as is known. During a network partition a
+/// request is not delivered; resetting the connection discards it.
+bool TrafficSession::delivered() const {
+  if (const UpstreamDispatch* direct = directDispatch()) return direct->delivered();
+  const auto* forwarded = std::get_if<ForwardedDispatch>(&dispatch_);
+  return forwarded != nullptr && forwarded->sent;
 }
 
 /// Counts a run without an answer if the upstream had enough time to start it.
@@ -395,19 +470,17 @@
   if (runCounted_ || admission_.organisation == nullptr) return;
   const bool stream = admission_.route->kind == WorkKind::stream;
   const Millis waited = std::chrono::duration_cast<Millis>(clockNow() - dispatchedAt_);
-  // During a network partition the request is not delivered; resetting the connection discards it.
-  const bool delivered = channel_ == nullptr || channel_->delivered();
+  const bool reached = delivered();
   // A stream that this side cancelled was still queued: an overloaded engine has not started it and
   // discards it when the connection closes.
   const bool notStarted = stream && result != DispatchResult::broken;
-  runCounted_ =
-      delivered && !notStarted && waited >= (stream ? kStreamStartDelay : kPlainStartDelay);
+  runCounted_ = reached && !notStarted && waited >= (stream ? kStreamStartDelay : kPlainStartDelay);
   LogLine(LogLevel::info, "upstream.unanswered")
       .with("request", selection_.requestId)
-      .with("upstream", upstream_.str())
+      .with("upstream", upstream_.id.str())
       .with("result", describe(result))
       .with("waitedMs", waited)
-      .with("delivered", delivered)
+      .with("delivered", reached)
       .with("countedAsRun", runCounted_);
   if (runCounted_) engine_.noteRun(admission_.organisation->name);
 }
@@ -475,7 +548,7 @@
       .with("service", service_.str())
       .with("outcome", outcome)
       .with("status", status)
-      .with("upstream", upstream_.str())
+      .with("upstream", upstream_.id.str())
       .with("dispatches", dispatchCount_)
       .with("settings", admission_.routes->settings().version)
       .with("organisation", admission_.organisation == nullptr
--- a/Hallchute/src/Traffic/TrafficSession.h
+++ b/Hallchute/src/Traffic/TrafficSession.h
@@ -7,8 +7,10 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <variant>
 
 #include "Hallchute/src/Gateway/RequestFingerprint.h"
 #include "Hallchute/src/Gateway/RouteTable.h"
@@ -16,12 +18,14 @@
 #include "Hallchute/src/Ports/TrafficCodec.h"
 #include "Hallchute/src/Relay/EventSplitter.h"
 #include "Hallchute/src/Relay/RelayStateMachine.h"
+#include "Hallchute/src/Traffic/RequestForwarder.h"
 #include "Hallchute/src/Upstream/UpstreamChannel.h"
 
 namespace Hallchute {
 
 class FrontExchange;
 class TrafficEngine;
+class UpstreamDispatch;
 
 /// \brief An admitted request and the settings that it was admitted under. \ingroup Traffic
 struct SessionAdmission {
@@ -39,6 +43,7 @@
 /// the resulting actions.
 /// \ingroup Traffic
 class TrafficSession final : public UpstreamListener,
+                             public ForwardingListener,
                              public std::enable_shared_from_this<TrafficSession> {
  public:
   TrafficSession(TrafficEngine& engine, std::uint64_t id, std::shared_ptr<FrontExchange> exchange,
@@ -52,8 +57,17 @@
   void upstreamBody(std::string_view bytes) override;
   void upstreamDone() override;
   void upstreamFailed(ExchangeFailure failure) override;
+  void onForwardedReply(const ForwardedReply& reply) override;
 
  private:
+  /// A dispatch through another daemon.
+  struct ForwardedDispatch {
+    std::uint64_t exchange = 0;
+    DaemonId peer;
+    /// Whether the other daemon has sent it to an upstream.
+    bool sent = false;
+  };
+
   void handleEvent(const RelayEvent& event);
   void perform(const RelayActions::Dispatch& action);
   void perform(const RelayActions::Cancel& action);
@@ -64,14 +78,29 @@
   void perform(const RelayActions::Fail& action);
   void perform(const RelayActions::AbortStream& action);
 
-  std::string cacheSourceFor(const UpstreamEntry& chosen) const;
+  void on(const ForwardedReplies::PeerChosen& reply);
+  void on(const ForwardedReplies::NoPeer& reply);
+  void on(const ForwardedReplies::PeerLost& reply);
+  void on(const ForwardedReplies::Declined& reply);
+  void on(const ForwardedReplies::Dispatched& reply);
+  void on(const ForwardedReplies::Head& reply);
+  void on(const ForwardedReplies::Body& reply);
+  void on(const ForwardedReplies::Done& reply);
+  void on(const ForwardedReplies::Failed& reply);
+
+  DispatchMetadata dispatchTerms(bool resume) const;
   bool dispatchTo(const UpstreamEntry& upstream, bool resume);
+  void forwardToPeer(bool resume);
+  void noteDispatchStarted();
+  UpstreamDispatch* directDispatch() const;
+  ForwardedDispatch* forwardedDispatch();
+  bool dispatched() const { return !std::holds_alternative<std::monostate>(dispatch_); }
+  bool delivered() const;
   void forwardEvents();
   void recordRunStart();
   void notePromptDone();
   void noteCompleted();
   void recordUnansweredRun(DispatchResult result);
-  void recordAbandonedRun(DispatchResult result);
   void endDispatch(DispatchResult result, bool keepChannel);
   void restartSilenceTimer();
   void stopTimers();
@@ -89,13 +118,12 @@
   RelayStateMachine relay_;
   Instant deadline_;
 
-  std::unique_ptr<UpstreamChannel> channel_;
-  UpstreamId upstream_;
-  std::uint64_t upstreamIncarnation_ = 0;
-  bool dispatched_ = false;
+  std::variant<std::monostate, std::unique_ptr<UpstreamDispatch>, ForwardedDispatch> dispatch_;
+  /// The upstream of the last dispatch.
+  UpstreamIncarnation upstream_;
+  /// Daemons that didn't pass the request on.
+  std::set<DaemonId> excludedPeers_;
   bool runCounted_ = false;
-  /// Prompt tokens that the upstream has yet to process before its answer starts.
-  std::uint64_t prefillTokens_ = 0;
   int dispatchCount_ = 0;
   Instant dispatchedAt_{};
   std::optional<Instant> firstOutputAt_;
--- /dev/null
+++ b/Hallchute/src/Traffic/UpstreamDispatch.cpp
@@ -0,0 +1,111 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Hallchute/src/Traffic/UpstreamDispatch.h"
+
+#include <utility>
+
+#include "Hallchute/src/Http/HttpWriter.h"
+#include "Hallchute/src/Net/Clock.h"
+#include "Hallchute/src/Observability/Metrics.h"
+#include "Hallchute/src/Traffic/TrafficEngine.h"
+
+namespace Hallchute {
+namespace {
+
+/// Minimum number of shared tokens for copying their cache from another upstream; fewer are
+/// recomputed. An engine takes about 30 ms to prefill 1000 tokens. Setting up a copy takes about
+/// 5 ms and also delays work at the source.
+constexpr std::uint64_t kMinCopiedTokens = 1'000;
+
+std::string cacheSourceAddress(TrafficEngine& engine, const UpstreamCriteria& criteria,
+                               const UpstreamEntry& chosen) {
+  if (criteria.affinity.empty() || criteria.sharedTokens < kMinCopiedTokens) return {};
+  const UpstreamEntry* source = cacheSource(engine.upstreamTable(), criteria, chosen, clockNow());
+  return source == nullptr ? std::string() : source->record.address;
+}
+
+}  // namespace
+
+std::unique_ptr<UpstreamDispatch> UpstreamDispatch::start(TrafficEngine& engine,
+                                                          const UpstreamEntry& upstream,
+                                                          DispatchRequest request,
+                                                          UpstreamListener& listener) {
+  const UpstreamRecord& record = upstream.record;
+  const ConnectionReuse reuse = request.repeatable ? ConnectionReuse::any : ConnectionReuse::safe;
+  std::unique_ptr<UpstreamChannel> channel = engine.pool().take(
+      record.id, record.address, reuse, engine.connectionShare(record.service), clockNow());
+  if (channel == nullptr) return nullptr;
+  const UpstreamIncarnation incarnation{record.id, record.incarnation};
+  std::unique_ptr<UpstreamDispatch> dispatch(
+      new UpstreamDispatch(engine, incarnation, record.service, std::move(channel), request));
+  request.terms.upstream = record.id;
+  request.terms.cacheSource = cacheSourceAddress(engine, request.criteria, upstream);
+  dispatch->send(request, listener);
+  return dispatch;
+}
+
+UpstreamDispatch::UpstreamDispatch(TrafficEngine& engine, UpstreamIncarnation upstream,
+                                   ServiceName service, std::unique_ptr<UpstreamChannel> channel,
+                                   const DispatchRequest& request)
+    : engine_(engine),
+      upstream_(std::move(upstream)),
+      service_(std::move(service)),
+      channel_(std::move(channel)),
+      content_(request.content),
+      promptTokens_(request.promptTokens),
+      startedAt_(clockNow()) {}
+
+UpstreamDispatch::~UpstreamDispatch() = default;
+
+void UpstreamDispatch::send(const DispatchRequest& request, UpstreamListener& listener) {
+  const HttpFields fields = engine_.codec().dispatchFields(request.head, request.terms);
+  engine_.upstreamTable().noteDispatched(upstream_.id, promptTokens_);
+  engine_.upstreamTable().limits().noteSent(upstream_.id, startedAt_);
+  channel_->start(requestBytes(request.head.method, request.head.target, fields, request.body),
+                  request.head.method == "HEAD", listener);
+}
+
+void UpstreamDispatch::noteAnswer(const UpstreamResponse& answer) {
+  if (answer.misdirected) {
+    engine_.upstreamTable().noteAddressReused(upstream_.id, clockNow());
+    return;
+  }
+  engine_.noteNamedLimit(upstream_.id, upstream_.incarnation, answer);
+}
+
+void UpstreamDispatch::notePromptDone() {
+  engine_.upstreamTable().notePromptDone(upstream_.id, std::exchange(promptTokens_, 0),
+                                         upstream_.incarnation);
+}
+
+void UpstreamDispatch::noteFailure(ExchangeFailure failure) {
+  if (failure == ExchangeFailure::connectionEnded) {
+    engine_.noteCrash(content_, upstream_);
+    engine_.noteConnectionEnded(upstream_);
+  }
+  if (channel_->refused()) engine_.noteProcessEnded(upstream_);
+}
+
+/// Records a run that this daemon cancels. What a cut of the network held up has not run.
+void UpstreamDispatch::noteIfAbandoned(DispatchResult result) {
+  if (result != DispatchResult::silent && result != DispatchResult::abandoned) return;
+  if (delivered()) engine_.noteAbandoned(content_, upstream_);
+}
+
+void UpstreamDispatch::end(DispatchResult result, bool keepConnection) {
+  if (channel_ == nullptr) return;
+  noteIfAbandoned(result);
+  notePromptDone();
+  const Instant now = clockNow();
+  engine_.upstreamTable().noteEnded(upstream_.id, result, now, upstream_.incarnation);
+  engine_.metrics().time("hallchute_dispatch_ms", "service=\"" + service_.str() + "\"",
+                         now - startedAt_);
+  if (keepConnection) {
+    engine_.pool().release(upstream_.id, std::move(channel_), now);
+  } else {
+    engine_.pool().discard(upstream_.id, std::move(channel_));
+  }
+}
+
+}  // namespace Hallchute
--- /dev/null
+++ b/Hallchute/src/Traffic/UpstreamDispatch.h
@@ -0,0 +1,78 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#ifndef HALLCHUTE_TRAFFIC_UPSTREAMDISPATCH_H
+#define HALLCHUTE_TRAFFIC_UPSTREAMDISPATCH_H
+
+#include <cstdint>
+#include <memory>
+#include <string_view>
+
+#include "Hallchute/src/Gateway/RequestFingerprint.h"
+#include "Hallchute/src/Gateway/UpstreamPick.h"
+#include "Hallchute/src/Gateway/UpstreamTable.h"
+#include "Hallchute/src/Ports/TrafficCodec.h"
+#include "Hallchute/src/Upstream/UpstreamChannel.h"
+
+namespace Hallchute {
+
+class TrafficEngine;
+
+/// \brief What is sent to an upstream. \ingroup Traffic
+struct DispatchRequest {
+  const HttpHead& head;
+  std::string_view body;
+  /// Completed with what depends on the upstream.
+  DispatchMetadata terms;
+  const UpstreamCriteria& criteria;
+  RequestFingerprint content{};
+  /// Tokens that the upstream processes before it responds.
+  std::uint64_t promptTokens = 0;
+  /// The request may be sent again if the upstream has closed the connection.
+  bool repeatable = false;
+};
+
+/// \brief One exchange with an upstream, and what it teaches about the upstream's load, health and
+/// limits. Traffic thread only. \ingroup Traffic
+class UpstreamDispatch {
+ public:
+  /// \brief Sends the request; \p listener receives the response.
+  /// \returns null if no connection may be opened: nothing was sent.
+  static std::unique_ptr<UpstreamDispatch> start(TrafficEngine& engine,
+                                                 const UpstreamEntry& upstream,
+                                                 DispatchRequest request,
+                                                 UpstreamListener& listener);
+  ~UpstreamDispatch();
+  UpstreamDispatch(const UpstreamDispatch&) = delete;
+  UpstreamDispatch& operator=(const UpstreamDispatch&) = delete;
+
+  const UpstreamIncarnation& upstream() const { return upstream_; }
+  /// \brief Whether the upstream's host has acknowledged the whole request.
+  bool delivered() const { return channel_ != nullptr && channel_->delivered(); }
+  /// \brief Records what the head of the response says of the upstream.
+  void noteAnswer(const UpstreamResponse& answer);
+  /// \brief Records that the upstream has processed the prompt, or won't.
+  void notePromptDone();
+  /// \brief Records a failed exchange as a crash if the upstream's process seems to have ended.
+  void noteFailure(ExchangeFailure failure);
+  /// \brief Ends the exchange. \param keepConnection whether the connection can be used again.
+  void end(DispatchResult result, bool keepConnection);
+
+ private:
+  UpstreamDispatch(TrafficEngine& engine, UpstreamIncarnation upstream, ServiceName service,
+                   std::unique_ptr<UpstreamChannel> channel, const DispatchRequest& request);
+  void send(const DispatchRequest& request, UpstreamListener& listener);
+  void noteIfAbandoned(DispatchResult result);
+
+  TrafficEngine& engine_;
+  UpstreamIncarnation upstream_;
+  ServiceName service_;
+  std::unique_ptr<UpstreamChannel> channel_;
+  RequestFingerprint content_;
+  std::uint64_t promptTokens_;
+  Instant startedAt_;
+};
+
+}  // namespace Hallchute
+
+#endif  // HALLCHUTE_TRAFFIC_UPSTREAMDISPATCH_H
--- a/Hallchute/src/Upstream/ConnectionObserver.h
+++ b/Hallchute/src/Upstream/ConnectionObserver.h
@@ -18,6 +18,8 @@
 
   virtual void upstreamConnected(const UpstreamId& upstream) = 0;
   virtual void upstreamConnectFailed(const UpstreamId& upstream) = 0;
+  /// \brief The upstream's host acknowledges a request late, or not at all.
+  virtual void upstreamAcknowledgesLate(const UpstreamId& upstream) = 0;
 };
 
 }  // namespace Hallchute
--- a/Hallchute/src/Upstream/UpstreamChannel.cpp
+++ b/Hallchute/src/Upstream/UpstreamChannel.cpp
@@ -19,6 +19,8 @@
 /// Longer than two retransmissions of a lost packet take (after 0.2 and 0.6 s): a third loss of the
 /// same packet is rarer than a network partition.
 constexpr Millis kAcknowledgementTimeout{1'500};
+/// Longer than one retransmission of a lost packet takes: a sign of a network partition.
+constexpr Millis kAcknowledgementDelay{250};
 
 /// The timeout of a `Keep-Alive: timeout=N` field, with N in seconds; zero if there is none.
 Millis keepAliveTimeoutOf(const HttpFields& fields) {
@@ -58,18 +60,28 @@
   discarding_ = false;
   sentBytesAtStart_ = channel_.sentBytes();
   channel_.send(request);
-  awaitAcknowledgement(request.size());
+  noteDelayedAcknowledgement(request.size());
+}
+
+void UpstreamChannel::noteDelayedAcknowledgement(std::size_t unacknowledgedBefore) {
+  acknowledgementTimer_ = loop_.after(kAcknowledgementDelay, [this, unacknowledgedBefore] {
+    acknowledgementTimer_ = 0;
+    const std::size_t left = channel_.unacknowledged();
+    if (left == 0) return;
+    awaitAcknowledgement(left, kAcknowledgementTimeout - kAcknowledgementDelay);
+    if (left >= unacknowledgedBefore && onAcknowledgementDelayed) onAcknowledgementDelayed();
+  });
 }
 
 /// Fails the exchange and resets the connection if the upstream's host acknowledges no data for
-/// kAcknowledgementTimeout.
-void UpstreamChannel::awaitAcknowledgement(std::size_t unacknowledgedBefore) {
-  acknowledgementTimer_ = loop_.after(kAcknowledgementTimeout, [this, unacknowledgedBefore] {
+/// \p timeout.
+void UpstreamChannel::awaitAcknowledgement(std::size_t unacknowledgedBefore, Millis timeout) {
+  acknowledgementTimer_ = loop_.after(timeout, [this, unacknowledgedBefore] {
     acknowledgementTimer_ = 0;
     const std::size_t left = channel_.unacknowledged();
     if (left == 0) return;
     if (left < unacknowledgedBefore) {
-      awaitAcknowledgement(left);
+      awaitAcknowledgement(left, kAcknowledgementTimeout);
     } else {
       const bool sent = channel_.sentBytes() > sentBytesAtStart_;
       fail(sent ? ExchangeFailure::unacknowledged : ExchangeFailure::notSent);
--- a/Hallchute/src/Upstream/UpstreamChannel.h
+++ b/Hallchute/src/Upstream/UpstreamChannel.h
@@ -25,6 +25,8 @@
   malformed,
   /// The connection ended, as when the upstream's process does.
   connectionEnded,
+  /// The daemon that passed the request on was lost.
+  peerLost,
 };
 
 /// \brief Receives the response of an upstream. \ingroup Upstream
@@ -75,6 +77,8 @@
   std::function<void()> onIdleClosed;
   /// \brief Called once the connection is established, or can't be.
   std::function<void(bool connected)> onConnectResult;
+  /// \brief Called if the upstream's host acknowledges none of a request's bytes for some time.
+  std::function<void()> onAcknowledgementDelayed;
   /// \brief The timeout in the upstream's `Keep-Alive` field; zero if it sent none.
   Millis keepAliveTimeout() const { return keepAliveTimeout_; }
 
@@ -89,7 +93,8 @@
   void forwardBody();
   void finish();
   void fail(ExchangeFailure failure);
-  void awaitAcknowledgement(std::size_t unacknowledgedBefore);
+  void noteDelayedAcknowledgement(std::size_t unacknowledgedBefore);
+  void awaitAcknowledgement(std::size_t unacknowledgedBefore, Millis timeout);
   void cancelAcknowledgementTimer();
 
   EventLoop& loop_;
--- a/Hallchute/src/Upstream/UpstreamPool.cpp
+++ b/Hallchute/src/Upstream/UpstreamPool.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Net/EventLoop.h"
 #include "Hallchute/src/Observability/Metrics.h"
 #include "Hallchute/src/Upstream/ConnectionObserver.h"
@@ -77,6 +78,9 @@
       observer_.upstreamConnectFailed(upstream);
     }
   };
+  channel->onAcknowledgementDelayed = [this, upstream] {
+    observer_.upstreamAcknowledgesLate(upstream);
+  };
   return channel;
 }
 
@@ -135,6 +139,30 @@
   eraseIfEmpty(upstream);
 }
 
+void UpstreamPool::probe(const UpstreamId& upstream, const std::string& address) {
+  if (probes_.contains(upstream)) return;
+  ++entries_[upstream].open;
+  std::unique_ptr<UpstreamChannel> channel = open(upstream, address);
+  channel->onConnectResult = [this, upstream, observe = channel->onConnectResult](bool connected) {
+    observe(connected);
+    // Copies the ID, as finishProbe() may destroy this callback, which owns it.
+    finishProbe(UpstreamId(upstream), connected);
+  };
+  probes_[upstream] = std::move(channel);
+}
+
+void UpstreamPool::finishProbe(const UpstreamId& upstream, bool connected) {
+  const auto it = probes_.find(upstream);
+  if (it == probes_.end()) return;
+  std::unique_ptr<UpstreamChannel> channel = std::move(it->second);
+  probes_.erase(it);
+  if (connected) {
+    release(upstream, std::move(channel), clockNow());
+  } else {
+    discard(upstream, std::move(channel));
+  }
+}
+
 void UpstreamPool::sweep(Instant now) {
   std::vector<std::pair<UpstreamId, std::unique_ptr<UpstreamChannel>>> expired;
   for (auto& [upstream, entry] : entries_) {
--- a/Hallchute/src/Upstream/UpstreamPool.h
+++ b/Hallchute/src/Upstream/UpstreamPool.h
@@ -49,6 +49,8 @@
   void discard(const UpstreamId& upstream, std::unique_ptr<UpstreamChannel> channel);
   /// \brief Closes the idle connections of an upstream that was removed.
   void closeIdle(const UpstreamId& upstream);
+  /// \brief Opens a connection to learn whether that is possible; it is kept for later requests.
+  void probe(const UpstreamId& upstream, const std::string& address);
   /// \brief Closes connections that have been idle for too long.
   void sweep(Instant now);
 
@@ -62,6 +64,7 @@
     std::size_t open = 0;
   };
 
+  void finishProbe(const UpstreamId& upstream, bool connected);
   std::unique_ptr<UpstreamChannel> open(const UpstreamId& upstream, const std::string& address);
   void destroyDeferred(std::unique_ptr<UpstreamChannel> channel);
   void dropIdle(const UpstreamId& upstream, const UpstreamChannel* channel);
@@ -72,6 +75,8 @@
   ConnectionObserver& observer_;
   Metrics& metrics_;
   std::map<UpstreamId, Entry> entries_;
+  /// Connections that are being opened by probe().
+  std::map<UpstreamId, std::unique_ptr<UpstreamChannel>> probes_;
 };
 
 }  // namespace Hallchute
--- /dev/null
+++ b/test/ForwardingTest.cpp
@@ -0,0 +1,281 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <Poco/Net/ServerSocket.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <optional>
+#include <thread>
+
+#include "GatewayRig.h"
+#include "Hallchute/Net"
+#include "Hallchute/src/Net/Clock.h"
+#include "Hallchute/src/Node/ForwardingLink.h"
+#include "ScriptedUpstream.h"
+
+namespace {
+
+using namespace Hallchute;
+using Then = UpstreamScript::Then;
+
+std::string closedAddress() {
+  Poco::Net::ServerSocket probe;
+  probe.bind(Poco::Net::SocketAddress("127.0.0.1", 0), true);
+  return probe.address().toString();
+}
+
+UpstreamScript fine(const std::string& body = "fine") {
+  return {
+      "HTTP/1.1 200 X\r\nHallchute-Attempt-Id: {id}\r\nHallchute-Replica-Signature: s\r\n"
+      "Content-Length: " +
+          std::to_string(body.size()) + "\r\n\r\n" + body,
+      Then::keep};
+}
+
+const UpstreamScript kRejects{
+    "HTTP/1.1 503 X\r\nHallchute-Attempt-Id: {id}\r\nHallchute-Not-Executed: 1\r\n"
+    "Content-Length: 0\r\n\r\n",
+    Then::keep};
+const UpstreamScript kFirstEvent{
+    "HTTP/1.1 200 X\r\nHallchute-Attempt-Id: {id}\r\nHallchute-Replica-Signature: s\r\n"
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "10\r\nid: 1\ndata: t1\n\n\r\n",
+    Then::hang};
+
+/// A daemon's data path with the link to its peers.
+class Node {
+ public:
+  Node()
+      : address_(closedAddress()),
+        transport_(control_, address_, "secret"),
+        thread_([this] { control_.run(); }) {
+    control_.call([this] {
+      link_.emplace(
+          rig.loop(), control_, transport_,
+          ForwardingLink::Callbacks{
+              [this](const ForwardedRequest&, const std::set<DaemonId>& excluded) {
+                return choose(excluded);
+              },
+              [this](std::uint64_t id, ForwardedRequest request, ForwardingLink::ReplySink reply) {
+                rig.engine().assist(id, std::move(request), std::move(reply));
+              },
+              [this](std::uint64_t id) { rig.engine().cancelAssist(id); }});
+    });
+    rig.loop().call([this] { rig.engine().setForwarder(&*link_); });
+  }
+  ~Node() {
+    control_.stop();
+    thread_.join();
+  }
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+  const std::string& address() const { return address_; }
+  bool pathLost() {
+    bool lost = false;
+    rig.loop().call([&] { lost = rig.engine().paths().lost(ServiceName("s")); });
+    return lost;
+  }
+  std::size_t crashes() {
+    std::size_t count = 0;
+    rig.loop().call([&] { count = rig.engine().crashes().report(false, clockNow()).size(); });
+    return count;
+  }
+
+  /// Peer addresses in order of preference.
+  std::vector<std::string> peers;
+
+ private:
+  std::optional<FleetMember> choose(const std::set<DaemonId>& excluded) const {
+    for (const std::string& peer : peers) {
+      if (!excluded.contains(DaemonId(peer))) return FleetMember(DaemonId(peer), peer, 1);
+    }
+    return std::nullopt;
+  }
+
+  std::string address_;
+  EventLoop control_;
+  PeerTransport transport_;
+  std::optional<ForwardingLink> link_;
+
+ public:
+  GatewayRig rig;
+
+ private:
+  std::thread thread_;
+};
+
+/// Takes requests of other daemons and ends before any reply.
+class DyingPeer {
+ public:
+  DyingPeer() : transport_(control_, address_, "secret"), thread_([this] { control_.run(); }) {
+    control_.call([this] {
+      transport_.serve("/gateway/request", [](const PeerStreamPtr& stream) {
+        stream->onMessage = [weak = std::weak_ptr(stream)](std::string_view) {
+          if (const PeerStreamPtr open = weak.lock()) open->close();
+        };
+      });
+    });
+  }
+  ~DyingPeer() {
+    control_.stop();
+    thread_.join();
+  }
+  DyingPeer(const DyingPeer&) = delete;
+  DyingPeer& operator=(const DyingPeer&) = delete;
+  const std::string& address() const { return address_; }
+
+ private:
+  std::string address_ = closedAddress();
+  EventLoop control_;
+  PeerTransport transport_;
+  std::thread thread_;
+};
+
+/// A daemon that can't reach two upstreams, and another that can.
+class CutPair {
+ public:
+  CutPair(WorkKind kind, const UpstreamScript& first, const UpstreamScript& second)
+      : firstUpstream({first}), secondUpstream({second}) {
+    Route route = plainRoute(kind);
+    route.resumable = kind == WorkKind::stream;
+    route.maxRuns = 3;
+    for (Node* node : {&origin, &helper}) node->rig.setSettings(settingsWith(route));
+    origin.rig.setUpstreams(
+        {upstreamAt("i-1", closedAddress()), upstreamAt("i-2", closedAddress())});
+    helper.rig.setUpstreams(
+        {upstreamAt("i-1", firstUpstream.address()), upstreamAt("i-2", secondUpstream.address())});
+    // Two refused connections show that the path is lost.
+    CPPUNIT_ASSERT(ask().find("HTTP/1.1 503") == 0);
+    CPPUNIT_ASSERT(origin.pathLost());
+    origin.peers = {helper.address()};
+  }
+
+  std::string ask(const std::string& fields = "", const std::string& until = "\r\n\r\n") {
+    RawCaller caller(origin.rig.address());
+    caller.send(requestText("POST", fields, "body"));
+    return caller.read(until);
+  }
+  std::size_t arrivals() const {
+    return firstUpstream.requests().size() + secondUpstream.requests().size();
+  }
+
+  ScriptedUpstream firstUpstream;
+  ScriptedUpstream secondUpstream;
+  DyingPeer dying;
+  Node origin;
+  Node helper;
+};
+
+class ForwardingTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ForwardingTest);
+  CPPUNIT_TEST(answersThroughAnotherDaemonByTable);
+  CPPUNIT_TEST(eventsPassBeforeTheStreamEnds);
+  CPPUNIT_TEST(aCallerWhoLeavesEndsTheRunAtTheUpstream);
+  CPPUNIT_TEST(anUpstreamLearnsNeitherTheKeyNorALaterDeadline);
+  CPPUNIT_TEST(aCrashIsRecordedOnce);
+  CPPUNIT_TEST(nobodyLeftIsRefusedAtOnce);
+  CPPUNIT_TEST(aRegainedPathIsUsedAgain);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void answersThroughAnotherDaemonByTable() {
+    struct Row {
+      const char* name;
+      WorkKind kind;
+      UpstreamScript first;
+      UpstreamScript second;
+      bool dyingPeerFirst;
+      const char* start;
+      const char* part;
+      std::size_t arrivals;
+    };
+    const UpstreamScript reset{"", Then::reset};
+    const std::vector<Row> rows{
+        {"an answer", WorkKind::once, fine(), fine(), false, "HTTP/1.1 200", "fine", 1},
+        {"rejections by both upstreams", WorkKind::once, kRejects, kRejects, false, "HTTP/1.1 503",
+         "Retry-After", 2},
+        {"lost between daemons, may not repeat", WorkKind::once, fine(), fine(), true,
+         "HTTP/1.1 502", "", 0},
+        {"lost between daemons, may repeat", WorkKind::repeatable, fine(), fine(), true,
+         "HTTP/1.1 200", "fine", 1},
+        {"broken at the upstream, may not repeat", WorkKind::once, reset, reset, false,
+         "HTTP/1.1 502", "", 1},
+        {"broken at the upstreams, may repeat", WorkKind::repeatable, reset, reset, false,
+         "HTTP/1.1 502", "", 2},
+    };
+    for (const Row& row : rows) {
+      CutPair pair(row.kind, row.first, row.second);
+      if (row.dyingPeerFirst)
+        pair.origin.peers.insert(pair.origin.peers.begin(), pair.dying.address());
+      const std::string answer = pair.ask("", "\r\n\r\nfine");
+      CPPUNIT_ASSERT_MESSAGE(row.name + (": " + answer), answer.find(row.start) == 0);
+      CPPUNIT_ASSERT_MESSAGE(row.name + (": " + answer),
+                             answer.find(row.part) != std::string::npos);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.arrivals, pair.arrivals());
+    }
+  }
+
+  void eventsPassBeforeTheStreamEnds() {
+    CutPair pair(WorkKind::stream, kFirstEvent, kFirstEvent);
+    const std::string answer = pair.ask("", "data: t1");
+    CPPUNIT_ASSERT_MESSAGE(answer, answer.find("data: t1") != std::string::npos);
+  }
+
+  void aCallerWhoLeavesEndsTheRunAtTheUpstream() {
+    CutPair pair(WorkKind::once, {"", Then::hang}, {"", Then::hang});
+    RawCaller caller(pair.origin.rig.address());
+    caller.send(requestText("GET"));
+    waitUntil([&] { return pair.arrivals() == 1; });
+    caller.close();
+    waitUntil(
+        [&] { return pair.firstUpstream.cancelled() + pair.secondUpstream.cancelled() == 1; });
+  }
+
+  void anUpstreamLearnsNeitherTheKeyNorALaterDeadline() {
+    CutPair pair(WorkKind::once, fine(), fine());
+    pair.ask("Authorization: Bearer secret-key\r\nHallchute-Deadline-Ms: 700\r\n");
+    const auto first = pair.firstUpstream.requests();
+    const std::string request = first.empty() ? pair.secondUpstream.requests().at(0) : first[0];
+    CPPUNIT_ASSERT_MESSAGE(request, request.find("secret-key") == std::string::npos);
+    const std::string field = "Hallchute-Deadline-Ms: ";
+    CPPUNIT_ASSERT(std::stoi(request.substr(request.find(field) + field.size())) <= 700);
+    CPPUNIT_ASSERT(request.find("Hallchute-Expect-Replica: i-") != std::string::npos);
+  }
+
+  void aCrashIsRecordedOnce() {
+    CutPair pair(WorkKind::once, {"", Then::reset}, {"", Then::reset});
+    pair.ask();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pair.helper.crashes() + pair.origin.crashes());
+  }
+
+  void nobodyLeftIsRefusedAtOnce() {
+    CutPair pair(WorkKind::once, fine(), fine());
+    pair.origin.peers.clear();
+    const Instant start = clockNow();
+    CPPUNIT_ASSERT(pair.ask().find("HTTP/1.1 503") == 0);
+    CPPUNIT_ASSERT(clockNow() - start < Millis(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, pair.arrivals());
+  }
+
+  void aRegainedPathIsUsedAgain() {
+    CutPair pair(WorkKind::once, fine(), fine());
+    pair.origin.rig.setUpstreams({upstreamAt("i-1", pair.firstUpstream.address())});
+    waitUntil([&] { return !pair.origin.pathLost(); });
+    pair.origin.peers.clear();
+    CPPUNIT_ASSERT(pair.ask().find("HTTP/1.1 200") == 0);
+  }
+
+ private:
+  template <typename Condition>
+  static void waitUntil(Condition condition) {
+    const Instant limit = clockNow() + std::chrono::seconds(5);
+    while (!condition() && clockNow() < limit) std::this_thread::sleep_for(Millis(5));
+    CPPUNIT_ASSERT(condition());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ForwardingTest);
+
+}  // namespace
