--- a/Hallchute/src/Ports/TrafficCodec.h
+++ b/Hallchute/src/Ports/TrafficCodec.h
@@ -64,6 +64,8 @@
   /// Rejections a second, over all daemons, with more of which the upstream fails; nothing if it
   /// names none.
   std::optional<double> rejectionLimit;
+  /// How long the upstream wants no request from this daemon; zero if it doesn't say.
+  Millis restFor{0};
 };
 
 /// \brief Reads and writes the header fields exchanged with callers and upstreams. \ingroup Ports
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -379,7 +379,8 @@
     LogLine(LogLevel::info, "upstream.rejected")
         .with("request", selection_.requestId)
         .with("upstream", upstream_.id.str())
-        .with("status", answerHead_.status);
+        .with("status", answerHead_.status)
+        .with("restMs", answer_.restFor);
     endDispatch(DispatchResult::rejected, !answer_.misdirected);
     handleEvent(RelayEvents::NotExecuted{});
     return;
--- a/standin/ReplicaStandin.cpp
+++ b/standin/ReplicaStandin.cpp
@@ -59,6 +59,11 @@
   return arrivals_;
 }
 
+std::vector<Arrival> ReplicaStandin::rejected() const {
+  const std::lock_guard lock(mutex_);
+  return rejected_;
+}
+
 std::vector<NamedLimit> ReplicaStandin::namedLimits() const {
   const std::lock_guard lock(mutex_);
   return namedLimits_;
@@ -75,6 +80,30 @@
   }
 }
 
+std::vector<AskedRest> ReplicaStandin::askedRests() const {
+  const std::lock_guard lock(mutex_);
+  return askedRests_;
+}
+
+bool ReplicaStandin::rejects(Poco::Net::StreamSocket& socket, const std::string& request,
+                             const std::string& caller) {
+  const std::chrono::milliseconds rest(restMs_);
+  if (rest.count() == 0) return false;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto now = std::chrono::steady_clock::now();
+    rejected_.push_back({now, id_, caller, bodyOf(request)});
+    askedRests_.push_back({now, caller, rest});
+  }
+  const std::string answer = absl::StrCat(
+      "HTTP/1.1 503 Service Unavailable\r\nHallchute-Attempt-Id: ",
+      fieldOf(request, "Hallchute-Attempt-Id"),
+      "\r\nHallchute-Not-Executed: 1\r\nRetry-After: ", static_cast<double>(rest.count()) / 1'000,
+      "\r\nContent-Length: 0\r\n\r\n");
+  ::send(socket.impl()->sockfd(), answer.data(), answer.size(), MSG_NOSIGNAL);
+  return true;
+}
+
 void ReplicaStandin::accept() {
   while (!crashed_) {
     if (!listener_.poll(kTurn, Poco::Net::Socket::SELECT_READ)) continue;
@@ -114,6 +143,7 @@
 void ReplicaStandin::run(Poco::Net::StreamSocket& socket, const std::string& request) {
   const std::string body = bodyOf(request);
   const std::string caller = socket.peerAddress().host().toString();
+  if (rejects(socket, request, caller)) return;
   const double limit = limit_;
   {
     const std::lock_guard lock(mutex_);
--- a/standin/ReplicaStandin.h
+++ b/standin/ReplicaStandin.h
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <mutex>
 #include <set>
@@ -35,6 +36,14 @@
   double perSecond = 0;
 };
 
+/// \brief A rejection with which a replica asked for rest.
+struct AskedRest {
+  std::chrono::steady_clock::time_point at;
+  /// Source IP of the connection.
+  std::string caller;
+  std::chrono::milliseconds rest{0};
+};
+
 /// \brief What a cut does to connections between a replica and some callers.
 enum class CutKind {
   /// Nothing gets through on any connection.
@@ -71,9 +80,14 @@
   std::chrono::steady_clock::time_point crashedAt() const;
   std::vector<std::string> runningAtCrash() const;
   std::vector<Arrival> arrivals() const;
+  /// \brief Requests that it rejected.
+  std::vector<Arrival> rejected() const;
   /// \brief The requests a second to name as its limit in answers; 0 for none.
   void nameLimit(double perSecond) { limit_ = perSecond; }
   std::vector<NamedLimit> namedLimits() const;
+  /// \brief From now on it rejects requests and asks for so much rest; zero: it serves again.
+  void askForRest(std::chrono::milliseconds rest) { restMs_ = rest.count(); }
+  std::vector<AskedRest> askedRests() const;
   /// \brief Cuts the replica off from the callers at these IP addresses; an empty set heals.
   void cutOff(const std::set<std::string>& callers, CutKind kind);
 
@@ -82,6 +96,9 @@
   void serve(Poco::Net::StreamSocket socket);
   void answerRequests(Poco::Net::StreamSocket& socket);
   void run(Poco::Net::StreamSocket& socket, const std::string& request);
+  /// \returns whether it rejected the request.
+  bool rejects(Poco::Net::StreamSocket& socket, const std::string& request,
+               const std::string& caller);
   void stream(Poco::Net::StreamSocket& socket, const std::string& request) const;
   std::string answerTo(const std::string& request, double limit) const;
 
@@ -91,7 +108,9 @@
   std::string address_;
   mutable std::mutex mutex_;
   std::vector<Arrival> arrivals_;
+  std::vector<Arrival> rejected_;
   std::vector<NamedLimit> namedLimits_;
+  std::vector<AskedRest> askedRests_;
   /// Open connections, by descriptor, with their callers' IP addresses.
   std::map<int, std::string> connections_;
   std::multiset<std::string> running_;
@@ -99,6 +118,7 @@
   std::chrono::steady_clock::time_point crashedAt_;
   std::vector<std::thread> threads_;
   std::atomic<double> limit_{0};
+  std::atomic<std::int64_t> restMs_{0};
   std::atomic<bool> crashed_{false};
   std::thread acceptor_;
 };
