Leave upstreams alone for as long as they ask to

Callers waited for rejections that were known beforehand, each of which took a part of the retry budget.

Nobody read the field; a rejection kept an upstream out of the choice for 50 ms. The class: what upstreams say in their answers, and no code asks for.

An upstream is no candidate for its process's rest, neither for requests nor as a source of caches, nor as a last resort. If all upstreams of a service rest, requests are refused at once and told when the first one takes requests again. A listing, a success or another daemon's report changes none of that; a new process of the upstream has asked for nothing.

The draw for brittle upstreams is computed only for those.

--- a/Hallchute/src/Gateway/UpstreamPick.cpp
+++ b/Hallchute/src/Gateway/UpstreamPick.cpp
@@ -59,12 +59,19 @@
   return hashFraction(entry.record.id.str(), stableHash(key));
 }
 
+/// Whether the request is among those that may go to an upstream which names a limit on rejections.
+bool drawnForAdmission(const UpstreamEntry& entry, const UpstreamCriteria& criteria) {
+  return entry.admittedFraction >= 1 ||
+         hashScore(entry, criteria.requestId) < entry.admittedFraction;
+}
+
 Tier tierOf(const UpstreamTable& table, const UpstreamEntry& entry,
             const UpstreamCriteria& criteria, Instant now) {
   if (entry.record.service != criteria.service) return Tier::ineligible;
   if (entry.record.state == UpstreamState::draining) return Tier::ineligible;
+  if (now < entry.restsUntil) return Tier::ineligible;
   if (criteria.tried.contains(entry.record.id)) return Tier::ineligible;
-  if (!table.withinLimits(entry, hashScore(entry, criteria.requestId), now))
+  if (!table.withinLimits(entry, now) || !drawnForAdmission(entry, criteria))
     return Tier::ineligible;
   if (entry.unlistedSince) {
     return now - *entry.unlistedSince <= kUsableAfterUnlisted ? Tier::unlisted : Tier::ineligible;
@@ -206,7 +213,7 @@
   for (const auto& [id, entry] : table.entries()) {
     if (id == chosen.record.id || entry.record.service != criteria.service) continue;
     // A draining upstream still serves cache exports.
-    if (entry.unlistedSince || now < entry.ejectedUntil) continue;
+    if (entry.unlistedSince || now < entry.ejectedUntil || now < entry.restsUntil) continue;
     if (table.domainUnreachable(entry.record.domain, now)) continue;
     const double score = hashScore(entry, criteria.affinity);
     const bool rankedBefore =
--- a/Hallchute/src/Gateway/UpstreamTable.cpp
+++ b/Hallchute/src/Gateway/UpstreamTable.cpp
@@ -223,15 +223,32 @@
   return it == entries_.end() ? nullptr : &it->second;
 }
 
+bool UpstreamTable::takesRequests(const UpstreamEntry& entry, const ServiceName& service) {
+  return entry.record.service == service && !entry.unlistedSince &&
+         entry.record.state == UpstreamState::ready;
+}
+
 std::size_t UpstreamTable::listedCount(const ServiceName& service) const {
-  const auto listed = [&](const auto& item) {
-    const UpstreamEntry& entry = item.second;
-    return entry.record.service == service && !entry.unlistedSince &&
-           entry.record.state == UpstreamState::ready;
-  };
+  const auto listed = [&](const auto& item) { return takesRequests(item.second, service); };
   return static_cast<std::size_t>(std::count_if(entries_.begin(), entries_.end(), listed));
 }
 
+void UpstreamTable::noteRest(const UpstreamIncarnation& upstream, Millis rest, Instant now) {
+  UpstreamEntry* const entry = findIncarnation(upstream.id, upstream.incarnation);
+  if (entry != nullptr) entry->restsUntil = std::max(entry->restsUntil, now + rest);
+}
+
+std::optional<Millis> UpstreamTable::restLeft(const ServiceName& service, Instant now) const {
+  std::optional<Millis> least;
+  for (const auto& [id, entry] : entries_) {
+    if (!takesRequests(entry, service)) continue;
+    if (entry.restsUntil <= now) return std::nullopt;
+    const Millis left = std::chrono::ceil<Millis>(entry.restsUntil - now);
+    least = std::min(least.value_or(left), left);
+  }
+  return least;
+}
+
 /// Whether an upstream may have to reject the next request: some wait there, or it rejected one.
 bool UpstreamTable::mayBeFull(const UpstreamEntry& entry, Instant now) {
   const bool rejectedLately =
@@ -239,9 +256,9 @@
   return rejectedLately || entry.load() >= entry.record.slots;
 }
 
-bool UpstreamTable::withinLimits(const UpstreamEntry& entry, double draw, Instant now) const {
+bool UpstreamTable::withinLimits(const UpstreamEntry& entry, Instant now) const {
   const UpstreamId& id = entry.record.id;
-  if (draw >= entry.admittedFraction || !limits_.maySend(id, now)) return false;
+  if (!limits_.maySend(id, now)) return false;
   return rejectionLimits_.maySend(id, now) || !mayBeFull(entry, now);
 }
 
--- a/Hallchute/src/Gateway/UpstreamTable.h
+++ b/Hallchute/src/Gateway/UpstreamTable.h
@@ -48,6 +48,8 @@
   /// Gets no requests until then unless no other upstream is available.
   Instant ejectedUntil{};
   std::uint32_t consecutiveFailures = 0;
+  /// Wants no request from this daemon until then.
+  Instant restsUntil{};
   /// When it last rejected a request of this daemon.
   Instant rejectedAt{};
   /// Fraction of the requests that may go there; below 1 only if it names a limit on rejections.
@@ -86,6 +88,10 @@
   /// \param incarnation as above.
   void noteEnded(const UpstreamId& upstream, DispatchResult result, Instant now,
                  std::optional<std::uint64_t> incarnation = {});
+  /// \brief Records that the upstream wants no request from this daemon for some time.
+  void noteRest(const UpstreamIncarnation& upstream, Millis rest, Instant now);
+  /// \brief The time until an upstream of the service takes requests again, if all rest.
+  std::optional<Millis> restLeft(const ServiceName& service, Instant now) const;
   /// \brief Records that the upstream's address now belongs to another upstream.
   void noteAddressReused(const UpstreamId& upstream, Instant now);
   /// \brief Sets the other daemons' loads, to be called once a report period.
@@ -107,8 +113,7 @@
   const LimitLedger& rejectionLimits() const { return rejectionLimits_; }
   LimitLedger& rejectionLimits() { return rejectionLimits_; }
   /// \brief Whether this daemon may send a request to an upstream within the limits that it names.
-  /// \param draw a random number in [0, 1) of the request.
-  bool withinLimits(const UpstreamEntry& entry, double draw, Instant now) const;
+  bool withinLimits(const UpstreamEntry& entry, Instant now) const;
   /// \brief Counts a request that is sent against the limits.
   void noteSent(const UpstreamId& upstream, Instant now);
 
@@ -122,6 +127,7 @@
 
   /// Null if the upstream is unknown or its current incarnation differs.
   void adjustAdmission(UpstreamEntry& entry) const;
+  static bool takesRequests(const UpstreamEntry& entry, const ServiceName& service);
   static bool mayBeFull(const UpstreamEntry& entry, Instant now);
   UpstreamEntry* findIncarnation(const UpstreamId& upstream,
                                  std::optional<std::uint64_t> incarnation);
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -520,8 +520,9 @@
   if (admission_.organisation != nullptr) {
     engine_.refundQuota(admission_.organisation->name, admission_.quotaTaken);
   }
+  const Millis rest = engine_.upstreamTable().restLeft(service_, clockNow()).value_or(Millis(0));
   HttpFields fields;
-  fields.add("Retry-After", retryAfterText(kRefusalRetryAfter));
+  fields.add("Retry-After", retryAfterText(std::max(rest, kRefusalRetryAfter)));
   exchange_->respond(kUnavailable, fields, "");
   finish("refused", kUnavailable);
 }
