--- a/Hallchute/src/Ports/TrafficCodec.h
+++ b/Hallchute/src/Ports/TrafficCodec.h
@@ -66,6 +66,8 @@
   std::optional<double> rejectionLimit;
   /// How long the upstream wants no request from this daemon; zero if it doesn't say.
   Millis restFor{0};
+  /// The upstream will end and wants no new requests.
+  bool leaving = false;
 };
 
 /// \brief Reads and writes the header fields exchanged with callers and upstreams. \ingroup Ports
--- a/test/TrafficContractTest.cpp
+++ b/test/TrafficContractTest.cpp
@@ -58,6 +58,7 @@
   CPPUNIT_TEST(aRequestThatNeverArrivedIsNoRun);
   CPPUNIT_TEST(aRequestCountsOnceAndOnlyIfItBegan);
   CPPUNIT_TEST(surplusAnswerIsNeverTakenForTheNext);
+  CPPUNIT_TEST(anUpstreamThatSaysItLeavesGetsNoMoreRequests);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -317,6 +318,29 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, upstream.requests().size());
   }
 
+  /// Guards against requests to an upstream that ends soon, when only its answers tell of it. The
+  /// store may still list it as ready, and lists it anew meanwhile.
+  void anUpstreamThatSaysItLeavesGetsNoMoreRequests() {
+    ScriptedUpstream leaves({{whole(200, "fine", kSigned + "Server-Leaving: 1\r\n"), Then::keep}});
+    ScriptedUpstream stays({{whole(200, "fine"), Then::keep}});
+    GatewayRig rig;
+    rig.setSettings(settingsWith(plainRoute(WorkKind::once)));
+    const std::vector<UpstreamRecord> records{upstreamAt("i-1", leaves.address()),
+                                              upstreamAt("i-2", stays.address())};
+    rig.setUpstreams({records[0]});
+    for (int i = 0; i < 10; ++i) {
+      RawCaller caller(rig.address());
+      // Another id draws another upstream where both are idle.
+      std::string request = requestText("GET");
+      request.replace(request.find("q1"), 2, "q" + std::to_string(i));
+      caller.send(request);
+      CPPUNIT_ASSERT(caller.read("fine").find("HTTP/1.1 200") == 0);
+      rig.setUpstreams(records);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leaves.requests().size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{9}, stays.requests().size());
+  }
+
   void callerLeavingStopsTheUpstream() {
     ScriptedUpstream upstream({{"", Then::hang}});
     GatewayRig rig;
