Take only an upstream's own word that it leaves

A 421 comes from another upstream at the same address; its Server-Leaving says nothing of the one that was asked for. Found by reading; an upstream would have been left alone though it serves elsewhere or again.

--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -330,7 +330,7 @@
     return false;
   }
   if (UpstreamDispatch* direct = directDispatch()) direct->noteAnswer(answer_);
-  if (answer_.leaving) engine_.noteLeaving(upstream_);
+  if (answer_.leaving && !answer_.misdirected) engine_.noteLeaving(upstream_);
   answerHead_ = head;
   answerBody_.clear();
   const bool eventStream =
