A path is lost only if upstreams in each failure domain can't be connected to

Where other domains are cut off and the own one is reachable over connections that are already open, three failures in the other domains counted as a lost path: requests would have been passed to daemons of the own domain, which had lost it as well, or refused. Found by reading; LostPathTest, row "two other domains are cut off", fails on the code before.

--- a/Hallchute/src/Gateway/PathMonitor.cpp
+++ b/Hallchute/src/Gateway/PathMonitor.cpp
@@ -4,6 +4,7 @@
 #include "Hallchute/src/Gateway/PathMonitor.h"
 
 #include <algorithm>
+#include <set>
 
 namespace Hallchute {
 
@@ -16,21 +17,30 @@
   return wasLost;
 }
 
-bool PathMonitor::noteConnectFailed(const ServiceName& service, const UpstreamId& upstream,
-                                    std::size_t upstreams, Instant now) {
+bool PathMonitor::failedInEachDomain(const Path& path, const UpstreamTable& upstreams,
+                                     const ServiceName& service) {
+  std::set<FailureDomainName> domains;
+  std::set<FailureDomainName> failedDomains;
+  for (const auto& [id, entry] : upstreams.entries()) {
+    if (!UpstreamTable::takesRequests(entry, service)) continue;
+    domains.insert(entry.record.domain);
+    if (path.failedAt.contains(id)) failedDomains.insert(entry.record.domain);
+  }
+  return failedDomains.size() == domains.size();
+}
+
+bool PathMonitor::noteConnectFailed(const UpstreamTable& upstreams, const UpstreamEntry& failed,
+                                    Instant now) {
+  const ServiceName& service = failed.record.service;
   Path& path = paths_[service];
-  path.failedAt[upstream] = now;
+  path.failedAt[failed.record.id] = now;
   if (path.lost) return false;
   std::erase_if(path.failedAt, [&](const auto& f) { return now - f.second > kFailureWindow; });
-  path.lost = path.failedAt.size() >= std::min(kFailuresToLose, upstreams);
+  const std::size_t needed = std::min(kFailuresToLose, upstreams.listedCount(service));
+  path.lost = path.failedAt.size() >= needed && failedInEachDomain(path, upstreams, service);
   return path.lost;
 }
 
-bool PathMonitor::isCandidate(const UpstreamEntry& entry, const ServiceName& service) {
-  return entry.record.service == service && !entry.unlistedSince &&
-         entry.record.state == UpstreamState::ready;
-}
-
 std::vector<UpstreamId> PathMonitor::probesOnSuspicion(const UpstreamTable& upstreams,
                                                        const UpstreamEntry& suspect, Instant now) {
   const ServiceName& service = suspect.record.service;
@@ -38,17 +48,19 @@
   if (lost(service) || (suspectedAt != Instant{} && now - suspectedAt < kSuspicionInterval))
     return {};
   suspectedAt = now;
-  std::vector<UpstreamId> sameDomain;
+  std::set<FailureDomainName> probedDomains{suspect.record.domain};
   std::vector<UpstreamId> probes;
+  std::vector<UpstreamId> others;
   for (const auto& [id, entry] : upstreams.entries()) {
-    if (!isCandidate(entry, service) || id == suspect.record.id) continue;
-    const bool same = entry.record.domain == suspect.record.domain;
-    (same ? sameDomain : probes).push_back(id);
+    if (!UpstreamTable::takesRequests(entry, service) || id == suspect.record.id) continue;
+    const bool firstOfDomain = probedDomains.insert(entry.record.domain).second;
+    (firstOfDomain ? probes : others).push_back(id);
   }
-  probes.insert(probes.end(), sameDomain.begin(), sameDomain.end());
   // A service with few upstreams may have lost them all.
-  probes.push_back(suspect.record.id);
-  probes.resize(std::min(probes.size(), kProbes));
+  others.push_back(suspect.record.id);
+  for (const UpstreamId& id : others) {
+    if (probes.size() < kProbes) probes.push_back(id);
+  }
   return probes;
 }
 
@@ -56,7 +68,7 @@
                                                       const ServiceName& service, Instant now) {
   std::vector<UpstreamId> probes;
   for (const auto& [id, entry] : upstreams.entries()) {
-    if (isCandidate(entry, service)) probes.push_back(id);
+    if (UpstreamTable::takesRequests(entry, service)) probes.push_back(id);
   }
   const std::size_t count = std::min(probes.size(), kProbes);
   std::partial_sort(
--- a/Hallchute/src/Gateway/PathMonitor.h
+++ b/Hallchute/src/Gateway/PathMonitor.h
@@ -17,16 +17,17 @@
 /// \brief Decides whether this daemon can open connections to the upstreams of a service. Not
 /// thread-safe; no I/O, no clock. \ingroup Gateway
 ///
-/// The path to a service is lost if connections to several of its upstreams failed and none was
-/// established since. Only new connections count: during a network partition established ones may
-/// live on. Whether the network or the service is at fault can't be told here; it shows in whether
-/// other daemons have lost their paths too. Cost: one lookup in an empty map while all connects.
+/// The path to a service is lost if connections to several of its upstreams failed, one in each
+/// failure domain at least, and none was established since. Only new connections count: during a
+/// network partition established ones may live on. Whether the network or the service is at fault
+/// can't be told here; it shows in whether other daemons have lost their paths too. Cost: one
+/// lookup in an empty map while all connects.
 class PathMonitor {
  public:
   /// Distinct upstreams whose failures make the path count as lost; all if there are fewer. Two may
   /// fail together, as when a host with both is reclaimed.
   static constexpr std::size_t kFailuresToLose = 3;
-  /// Probes at a time.
+  /// Probes at a time, at least if there are as many upstreams.
   static constexpr std::size_t kProbes = 3;
   /// How often upstreams are probed while nothing but single failures is known.
   static constexpr Millis kSuspicionInterval{1'000};
@@ -37,13 +38,12 @@
 
   /// \returns whether the path was lost until now.
   bool noteConnected(const ServiceName& service);
-  /// \param upstreams how many upstreams the service has.
   /// \returns whether the path is lost from now on and was not before.
-  bool noteConnectFailed(const ServiceName& service, const UpstreamId& upstream,
-                         std::size_t upstreams, Instant now);
+  bool noteConnectFailed(const UpstreamTable& upstreams, const UpstreamEntry& failed, Instant now);
   bool lost(const ServiceName& service) const;
   /// \brief The upstreams to which connections should be opened now, as a request to \p suspect
-  /// failed: none while that was done lately. They are in other failure domains if there are any.
+  /// failed: none while that was done lately. There is one in each other failure domain, in which
+  /// upstreams may be reachable.
   std::vector<UpstreamId> probesOnSuspicion(const UpstreamTable& upstreams,
                                             const UpstreamEntry& suspect, Instant now);
   /// \brief The upstreams of a lost path to which connections should be opened now.
@@ -57,7 +57,8 @@
     bool lost = false;
   };
 
-  static bool isCandidate(const UpstreamEntry& entry, const ServiceName& service);
+  static bool failedInEachDomain(const Path& path, const UpstreamTable& upstreams,
+                                 const ServiceName& service);
 
   /// Services with failures since a connection was last established.
   std::map<ServiceName, Path> paths_;
--- a/Hallchute/src/Gateway/UpstreamTable.h
+++ b/Hallchute/src/Gateway/UpstreamTable.h
@@ -102,6 +102,8 @@
   /// \brief Whether a failure domain appears to be unreachable as a whole.
   bool domainUnreachable(const FailureDomainName& domain, Instant now) const;
   const std::map<UpstreamId, UpstreamEntry>& entries() const { return entries_; }
+  /// \brief Whether the directory lists it as an upstream of the service that isn't draining.
+  static bool takesRequests(const UpstreamEntry& entry, const ServiceName& service);
   const UpstreamEntry* find(const UpstreamId& upstream) const;
   UpstreamLoads ownLoads() const;
   /// \brief The upstreams of a service that the directory lists and that aren't draining.
@@ -127,7 +129,6 @@
 
   /// Null if the upstream is unknown or its current incarnation differs.
   void adjustAdmission(UpstreamEntry& entry) const;
-  static bool takesRequests(const UpstreamEntry& entry, const ServiceName& service);
   static bool mayBeFull(const UpstreamEntry& entry, Instant now);
   UpstreamEntry* findIncarnation(const UpstreamId& upstream,
                                  std::optional<std::uint64_t> incarnation);
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -186,13 +186,12 @@
   if (entry == nullptr) return;
   const ServiceName& service = entry->record.service;
   metrics_.add("hallchute_upstream_connects_failed_total", "service=\"" + service.str() + "\"");
-  const std::size_t listed = upstreams_.listedCount(service);
   probe(paths_.probesOnSuspicion(upstreams_, *entry, clockNow()));
-  if (!paths_.noteConnectFailed(service, upstream, listed, clockNow())) return;
+  if (!paths_.noteConnectFailed(upstreams_, *entry, clockNow())) return;
   LogLine(LogLevel::warning, "path.lost")
       .with("service", service.str())
       .with("upstream", upstream.str())
-      .with("upstreams", static_cast<std::uint64_t>(listed));
+      .with("upstreams", static_cast<std::uint64_t>(upstreams_.listedCount(service)));
   metrics_.add("hallchute_paths_lost_total", "service=\"" + service.str() + "\"");
   if (probeTimer_ == 0) probeLostPaths();
 }
--- a/test/LostPathTest.cpp
+++ b/test/LostPathTest.cpp
@@ -93,33 +93,35 @@
   void losesAndRegainsPathsByTable() {
     struct Row {
       const char* name;
-      std::size_t upstreams;
+      int upstreams;
       std::vector<ConnectResult> results;
       bool lost;
     };
+    // Upstream n is in domain n modulo 3.
     const std::vector<Row> rows{
-        {"one upstream of many is down",
+        {"one upstream is down", 9, {{0, 1, false}, {100, 1, false}, {200, 1, false}}, false},
+        {"two domains", 9, {{0, 1, false}, {100, 2, false}, {200, 4, false}}, false},
+        {"two other domains are cut off",
          9,
-         {{0, 1, false}, {100, 1, false}, {200, 1, false}},
+         {{0, 1, false}, {10, 4, false}, {20, 7, false}, {30, 2, false}, {40, 5, false}},
          false},
-        {"two of many", 9, {{0, 1, false}, {100, 2, false}}, false},
-        {"three of many", 9, {{0, 1, false}, {100, 2, false}, {200, 3, false}}, true},
+        {"three domains", 9, {{0, 1, false}, {100, 2, false}, {200, 3, false}}, true},
         {"three, and one came up between",
          9,
          {{0, 1, false}, {100, 2, false}, {150, 4, true}, {200, 3, false}},
          false},
         {"three, far apart", 9, {{0, 1, false}, {900, 2, false}, {1'800, 3, false}}, false},
-        {"both of two", 2, {{0, 1, false}, {100, 2, false}}, true},
-        {"the only one", 1, {{0, 1, false}}, true},
-        {"all, then one comes up", 2, {{0, 1, false}, {100, 2, false}, {500, 1, true}}, false},
+        {"both of two", 2, {{0, 0, false}, {100, 1, false}}, true},
+        {"the only one", 1, {{0, 0, false}}, true},
+        {"all, then one comes up", 2, {{0, 0, false}, {100, 1, false}, {500, 1, true}}, false},
     };
     for (const Row& row : rows) {
+      const UpstreamTable table = tableOf(row.upstreams, 3);
       PathMonitor paths;
       for (const ConnectResult& result : row.results) {
         const UpstreamId upstream("u" + std::to_string(result.upstream));
         if (result.connected) paths.noteConnected(kService);
-        if (!result.connected)
-          paths.noteConnectFailed(kService, upstream, row.upstreams, at(result.ms));
+        if (!result.connected) paths.noteConnectFailed(table, *table.find(upstream), at(result.ms));
       }
       CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.lost, paths.lost(kService));
       CPPUNIT_ASSERT(!paths.lost(ServiceName("other")));
@@ -132,9 +134,10 @@
     const UpstreamEntry& suspect = *table.find(UpstreamId("u0"));
     const std::vector<UpstreamId> probes = paths.probesOnSuspicion(table, suspect, at(0));
     CPPUNIT_ASSERT_EQUAL(PathMonitor::kProbes, probes.size());
-    for (const UpstreamId& id : probes) {
-      CPPUNIT_ASSERT(table.find(id)->record.domain != suspect.record.domain);
-    }
+    std::set<FailureDomainName> domains;
+    for (const UpstreamId& id : probes) domains.insert(table.find(id)->record.domain);
+    CPPUNIT_ASSERT(domains.contains(FailureDomainName("d1")));
+    CPPUNIT_ASSERT(domains.contains(FailureDomainName("d2")));
     CPPUNIT_ASSERT(paths.probesOnSuspicion(table, suspect, at(900)).empty());
     CPPUNIT_ASSERT(!paths.probesOnSuspicion(table, suspect, at(1'100)).empty());
   }
