--- a/standin/ReplicaStandin.cpp
+++ b/standin/ReplicaStandin.cpp
@@ -8,6 +8,7 @@
 #include <absl/strings/str_cat.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -80,6 +81,10 @@
   }
 }
 
+void ReplicaStandin::fallSilent(std::chrono::milliseconds time) {
+  silentUntil_ = std::chrono::steady_clock::now() + time;
+}
+
 std::vector<AskedRest> ReplicaStandin::askedRests() const {
   const std::lock_guard lock(mutex_);
   return askedRests_;
@@ -150,7 +155,8 @@
     arrivals_.push_back({std::chrono::steady_clock::now(), id_, caller, body});
     running_.insert(body);
   }
-  const auto end = std::chrono::steady_clock::now() + workTime_;
+  const auto begin = std::max(std::chrono::steady_clock::now(), silentUntil_.load());
+  const auto end = begin + workTime_;
   while (!crashed_ && std::chrono::steady_clock::now() < end) std::this_thread::sleep_for(kSleep);
   if (absl::StartsWith(body, kCrashingBody)) crash();
   {
--- a/standin/ReplicaStandin.h
+++ b/standin/ReplicaStandin.h
@@ -88,6 +88,8 @@
   /// \brief From now on it rejects requests and asks for so much rest; zero: it serves again.
   void askForRest(std::chrono::milliseconds rest) { restMs_ = rest.count(); }
   std::vector<AskedRest> askedRests() const;
+  /// \brief It answers nothing for so long, and then goes on with all that came.
+  void fallSilent(std::chrono::milliseconds time);
   /// \brief Cuts the replica off from the callers at these IP addresses; an empty set heals.
   void cutOff(const std::set<std::string>& callers, CutKind kind);
 
@@ -119,6 +121,7 @@
   std::vector<std::thread> threads_;
   std::atomic<double> limit_{0};
   std::atomic<std::int64_t> restMs_{0};
+  std::atomic<std::chrono::steady_clock::time_point> silentUntil_{};
   std::atomic<bool> crashed_{false};
   std::thread acceptor_;
 };
--- a/test/soak/CutSoak.cpp
+++ b/test/soak/CutSoak.cpp
@@ -32,6 +32,7 @@
 constexpr Millis kPause{1'500};
 constexpr unsigned kDisturbanceTurns = 40;
 constexpr Millis kStoreOutage{1'500};
+constexpr Millis kSilence{1'000};
 /// Callers of daemons that are cut off are served at least this often, as a part of the others.
 constexpr double kServedPart = 2.0 / 3;
 /// First attempts that may fail at daemons that are cut off: a constant, and one in so many of all.
@@ -108,18 +109,23 @@
   return broken == 0;
 }
 
-/// Restarts daemons and takes the store away at random.
+/// Restarts daemons, takes the store away and lets replicas fall silent at random.
 class Disturbances {
  public:
   Disturbances(GatewayFleet& fleet, std::mt19937& random) : fleet_(fleet), random_(random) {}
   void turn(Clock::time_point now) {
     if (now >= storeBackAt_) fleet_.setStoreAway(false);
     if (random_() % kDisturbanceTurns != 0) return;
-    if (random_() % 2 == 0) {
+    const unsigned what = random_() % 3;
+    if (what == 0) {
       fleet_.setStoreAway(true);
       storeBackAt_ = now + kStoreOutage;
       return;
     }
+    if (what == 1) {
+      fleet_.replicas()[random_() % fleet_.replicas().size()]->fallSilent(kSilence);
+      return;
+    }
     const std::size_t index = random_() % fleet_.daemons().size();
     fleet_.kill(index);
     fleet_.startDaemon(index);
--- a/test/soak/CutSoak.h
+++ b/test/soak/CutSoak.h
@@ -9,7 +9,7 @@
 struct SoakOptions;
 
 /// \brief Daemons are cut off from all replicas, one or most or all of a domain at a time, while
-/// others restart and the store goes away.
+/// others restart, replicas fall silent for a second and the store goes away.
 /// \returns whether, from the contact time after each cut on, callers of the daemons that were cut
 /// off were served at least two thirds as often as those of the others, or hardly any was not;
 /// whether no request ran twice that must not, or ran though it was refused; and whether no daemon
