Count a refused connection as the end of a process again, lost path or not

What the guard was meant for (a network that refuses connections to upstreams under which runs were just cancelled) needs three such upstreams within a second each for one content, and is listed as open.

--- a/Hallchute/src/Traffic/UpstreamDispatch.cpp
+++ b/Hallchute/src/Traffic/UpstreamDispatch.cpp
@@ -88,8 +88,7 @@
     engine_.noteCrash(content_, upstream_);
     engine_.noteConnectionEnded(upstream_);
   }
-  // With the path lost, the network may refuse the connection.
-  if (channel_->refused() && !engine_.paths().lost(service_)) engine_.noteProcessEnded(upstream_);
+  if (channel_->refused()) engine_.noteProcessEnded(upstream_);
 }
 
 /// Records a run that this daemon cancels. What a cut of the network held up has not run.
