--- a/Hallchute/src/Gateway/UpstreamPick.cpp
+++ b/Hallchute/src/Gateway/UpstreamPick.cpp
@@ -69,7 +69,7 @@
             const UpstreamCriteria& criteria, Instant now) {
   if (entry.record.service != criteria.service) return Tier::ineligible;
   if (entry.record.state == UpstreamState::draining) return Tier::ineligible;
-  if (now < entry.restsUntil) return Tier::ineligible;
+  if (now < entry.backoffUntil) return Tier::ineligible;
   if (criteria.tried.contains(entry.record.id)) return Tier::ineligible;
   if (!table.withinLimits(entry, now) || !drawnForAdmission(entry, criteria))
     return Tier::ineligible;
@@ -213,7 +213,7 @@
   for (const auto& [id, entry] : table.entries()) {
     if (id == chosen.record.id || entry.record.service != criteria.service) continue;
     // A draining upstream still serves cache exports.
-    if (entry.unlistedSince || now < entry.ejectedUntil || now < entry.restsUntil) continue;
+    if (entry.unlistedSince || now < entry.ejectedUntil || now < entry.backoffUntil) continue;
     if (table.domainUnreachable(entry.record.domain, now)) continue;
     const double score = hashScore(entry, criteria.affinity);
     const bool rankedBefore =
--- a/Hallchute/src/Gateway/UpstreamPick.h
+++ b/Hallchute/src/Gateway/UpstreamPick.h
@@ -35,7 +35,7 @@
 /// free slots; both prefer the own failure domain. Ejected and unlisted upstreams are used only if
 /// no others are left, unlisted ones for a short time only; those that name a limit only within
 /// this daemon's share of it, and first if no answer has named the limit for some time; those that
-/// asked this daemon for rest never. Cost: one pass and one hash per upstream.
+/// this daemon backs off from never. Cost: one pass and one hash per upstream.
 const UpstreamEntry* pickUpstream(const UpstreamTable& table, const UpstreamCriteria& criteria,
                                   Instant now);
 
--- a/Hallchute/src/Gateway/UpstreamTable.cpp
+++ b/Hallchute/src/Gateway/UpstreamTable.cpp
@@ -26,11 +26,13 @@
 constexpr Millis kFullAfterRejection{1'000};
 /// Fraction of its slots that an upstream with a limit on rejections should have taken: requests
 /// come at random, and with more it would often be full.
-constexpr double kBrittleOccupancy = 0.8;
+constexpr double kRejectionLimitedOccupancy = 0.8;
 /// Bounds of the change of the admitted fraction in a report period.
 constexpr double kMinAdmissionChange = 0.8;
 constexpr double kMaxAdmissionChange = 1.03;
+/// Factor of the admitted fraction after a rejection, which is known before the reported loads.
 constexpr double kAdmissionAfterRejection = 0.7;
+/// Some requests go there always, so that the load shows when there is room.
 constexpr double kMinAdmittedFraction = 0.02;
 /// Time for which an upstream is kept after the directory stopped listing it.
 constexpr Millis kUnlistedRetention{10'000};
@@ -202,7 +204,7 @@
     fraction = 1;
     return;
   }
-  const double target = kBrittleOccupancy * entry.record.slots;
+  const double target = kRejectionLimitedOccupancy * entry.record.slots;
   const double change = target / std::max(1.0, static_cast<double>(entry.load()));
   fraction *= std::clamp(change, kMinAdmissionChange, kMaxAdmissionChange);
   fraction = std::clamp(fraction, kMinAdmittedFraction, 1.0);
@@ -233,17 +235,17 @@
   return static_cast<std::size_t>(std::count_if(entries_.begin(), entries_.end(), listed));
 }
 
-void UpstreamTable::noteRest(const UpstreamIncarnation& upstream, Millis rest, Instant now) {
+void UpstreamTable::noteBackoff(const UpstreamIncarnation& upstream, Millis time, Instant now) {
   UpstreamEntry* const entry = findIncarnation(upstream.id, upstream.incarnation);
-  if (entry != nullptr) entry->restsUntil = std::max(entry->restsUntil, now + rest);
+  if (entry != nullptr) entry->backoffUntil = std::max(entry->backoffUntil, now + time);
 }
 
-std::optional<Millis> UpstreamTable::restLeft(const ServiceName& service, Instant now) const {
+std::optional<Millis> UpstreamTable::backoffLeft(const ServiceName& service, Instant now) const {
   std::optional<Millis> least;
   for (const auto& [id, entry] : entries_) {
     if (!takesRequests(entry, service)) continue;
-    if (entry.restsUntil <= now) return std::nullopt;
-    const Millis left = std::chrono::ceil<Millis>(entry.restsUntil - now);
+    if (entry.backoffUntil <= now) return std::nullopt;
+    const Millis left = std::chrono::ceil<Millis>(entry.backoffUntil - now);
     least = std::min(least.value_or(left), left);
   }
   return least;
--- a/Hallchute/src/Gateway/UpstreamTable.h
+++ b/Hallchute/src/Gateway/UpstreamTable.h
@@ -48,8 +48,8 @@
   /// Gets no requests until then unless no other upstream is available.
   Instant ejectedUntil{};
   std::uint32_t consecutiveFailures = 0;
-  /// Wants no request from this daemon until then.
-  Instant restsUntil{};
+  /// This daemon sends it no requests until then, as it demanded when it rejected one.
+  Instant backoffUntil{};
   /// When it last rejected a request of this daemon.
   Instant rejectedAt{};
   /// Fraction of the requests that may go there; below 1 only if it names a limit on rejections.
@@ -88,10 +88,11 @@
   /// \param incarnation as above.
   void noteEnded(const UpstreamId& upstream, DispatchResult result, Instant now,
                  std::optional<std::uint64_t> incarnation = {});
-  /// \brief Records that the upstream wants no request from this daemon for some time.
-  void noteRest(const UpstreamIncarnation& upstream, Millis rest, Instant now);
-  /// \brief The time until an upstream of the service takes requests again, if all rest.
-  std::optional<Millis> restLeft(const ServiceName& service, Instant now) const;
+  /// \brief Records that this daemon must not send the upstream requests for some time.
+  void noteBackoff(const UpstreamIncarnation& upstream, Millis time, Instant now);
+  /// \brief The time until this daemon may send requests to an upstream of the service again;
+  /// nothing if it backs off from none, or not from all.
+  std::optional<Millis> backoffLeft(const ServiceName& service, Instant now) const;
   /// \brief Records that the upstream's address now belongs to another upstream.
   void noteAddressReused(const UpstreamId& upstream, Instant now);
   /// \brief Sets the other daemons' loads, to be called once a report period.
--- a/Hallchute/src/Ports/TrafficCodec.h
+++ b/Hallchute/src/Ports/TrafficCodec.h
@@ -64,10 +64,10 @@
   /// Rejections a second, over all daemons, with more of which the upstream fails; nothing if it
   /// names none.
   std::optional<double> rejectionLimit;
-  /// How long the upstream wants no request from this daemon; zero if it doesn't say.
-  Millis restFor{0};
+  /// How long this daemon must not send the upstream requests; zero if it doesn't say.
+  Millis retryAfter{0};
   /// The upstream will end and wants no new requests.
-  bool leaving = false;
+  bool draining = false;
 };
 
 /// \brief Reads and writes the header fields exchanged with callers and upstreams. \ingroup Ports
--- a/Hallchute/src/Traffic/AssistedDispatch.cpp
+++ b/Hallchute/src/Traffic/AssistedDispatch.cpp
@@ -92,7 +92,7 @@
   answer_ = engine_.codec().readAnswer(head);
   if (!answer_.notExecuted && !answer_.misdirected && answer_.id != request_.id) return false;
   dispatch_->noteAnswer(answer_);
-  if (answer_.leaving && !answer_.misdirected) engine_.noteLeaving(dispatch_->upstream());
+  if (answer_.draining && !answer_.misdirected) engine_.noteDrainingAnswer(dispatch_->upstream());
   status_ = head.status;
   reply_(ForwardedReplies::Head{head});
   return true;
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -99,12 +99,12 @@
   upstreams_.noteDraining(upstream.id, upstream.incarnation);
 }
 
-void TrafficEngine::noteLeaving(const UpstreamIncarnation& upstream) {
+void TrafficEngine::noteDrainingAnswer(const UpstreamIncarnation& upstream) {
   const UpstreamEntry* entry = upstreams_.find(upstream.id);
   if (entry == nullptr || entry->record.state == UpstreamState::draining) return;
   // From an earlier process under the same id.
   if (entry->record.incarnation != upstream.incarnation) return;
-  LogLine(LogLevel::info, "upstream.leaving").with("upstream", upstream.id.str());
+  LogLine(LogLevel::info, "upstream.draining").with("upstream", upstream.id.str());
   noteDraining(upstream);
   pool_.closeIdle(upstream.id);
 }
--- a/Hallchute/src/Traffic/TrafficEngine.h
+++ b/Hallchute/src/Traffic/TrafficEngine.h
@@ -74,7 +74,7 @@
   void setUpstreams(std::span<const UpstreamRecord> records);
   void noteDraining(const UpstreamIncarnation& upstream);
   /// \brief Records that an upstream says in an answer that it is leaving.
-  void noteLeaving(const UpstreamIncarnation& upstream);
+  void noteDrainingAnswer(const UpstreamIncarnation& upstream);
   /// \brief Sets whether newer settings may exist that this daemon cannot receive. While it is set,
   /// unknown routes and keys are refused with 503 instead of 404 and 401.
   void setSettingsMayBeStale(bool old) { settingsMayBeStale_ = old; }
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -330,7 +330,7 @@
     return false;
   }
   if (UpstreamDispatch* direct = directDispatch()) direct->noteAnswer(answer_);
-  if (answer_.leaving && !answer_.misdirected) engine_.noteLeaving(upstream_);
+  if (answer_.draining && !answer_.misdirected) engine_.noteDrainingAnswer(upstream_);
   answerHead_ = head;
   answerBody_.clear();
   const bool eventStream =
@@ -381,7 +381,7 @@
         .with("request", selection_.requestId)
         .with("upstream", upstream_.id.str())
         .with("status", answerHead_.status)
-        .with("restMs", answer_.restFor);
+        .with("retryAfterMs", answer_.retryAfter);
     endDispatch(DispatchResult::rejected, !answer_.misdirected);
     handleEvent(RelayEvents::NotExecuted{});
     return;
@@ -521,9 +521,10 @@
   if (admission_.organisation != nullptr) {
     engine_.refundQuota(admission_.organisation->name, admission_.quotaTaken);
   }
-  const Millis rest = engine_.upstreamTable().restLeft(service_, clockNow()).value_or(Millis(0));
+  const Millis backoff =
+      engine_.upstreamTable().backoffLeft(service_, clockNow()).value_or(Millis(0));
   HttpFields fields;
-  fields.add("Retry-After", retryAfterText(std::max(rest, kRefusalRetryAfter)));
+  fields.add("Retry-After", retryAfterText(std::max(backoff, kRefusalRetryAfter)));
   exchange_->respond(kUnavailable, fields, "");
   finish("refused", kUnavailable);
 }
--- a/Hallchute/src/Traffic/UpstreamDispatch.cpp
+++ b/Hallchute/src/Traffic/UpstreamDispatch.cpp
@@ -72,9 +72,10 @@
     return;
   }
   engine_.noteNamedLimits(upstream_, answer);
-  if (answer.restFor > Millis(0)) {
-    engine_.upstreamTable().noteRest(upstream_, answer.restFor, clockNow());
-    engine_.metrics().add("hallchute_upstream_rests_total", "service=\"" + service_.str() + "\"");
+  if (answer.retryAfter > Millis(0)) {
+    engine_.upstreamTable().noteBackoff(upstream_, answer.retryAfter, clockNow());
+    engine_.metrics().add("hallchute_upstream_backoffs_total",
+                          "service=\"" + service_.str() + "\"");
   }
 }
 
--- a/standin/ReplicaStandin.cpp
+++ b/standin/ReplicaStandin.cpp
@@ -60,9 +60,9 @@
   return arrivals_;
 }
 
-std::vector<Arrival> ReplicaStandin::rejected() const {
+std::vector<Rejection> ReplicaStandin::rejections() const {
   const std::lock_guard lock(mutex_);
-  return rejected_;
+  return rejections_;
 }
 
 std::vector<NamedLimit> ReplicaStandin::namedLimits() const {
@@ -85,26 +85,19 @@
   silentUntil_ = std::chrono::steady_clock::now() + time;
 }
 
-std::vector<AskedRest> ReplicaStandin::askedRests() const {
-  const std::lock_guard lock(mutex_);
-  return askedRests_;
-}
-
 bool ReplicaStandin::rejects(Poco::Net::StreamSocket& socket, const std::string& request,
                              const std::string& caller) {
-  const std::chrono::milliseconds rest(restMs_);
-  if (rest.count() == 0) return false;
+  const std::chrono::milliseconds retryAfter(retryAfterMs_);
+  if (retryAfter.count() == 0) return false;
   {
     const std::lock_guard lock(mutex_);
-    const auto now = std::chrono::steady_clock::now();
-    rejected_.push_back({now, id_, caller, bodyOf(request)});
-    askedRests_.push_back({now, caller, rest});
+    rejections_.push_back(
+        {{std::chrono::steady_clock::now(), id_, caller, bodyOf(request)}, retryAfter});
   }
   const std::string answer = absl::StrCat(
       "HTTP/1.1 503 Service Unavailable\r\nHallchute-Attempt-Id: ",
-      fieldOf(request, "Hallchute-Attempt-Id"),
-      "\r\nHallchute-Not-Executed: 1\r\nRetry-After: ", static_cast<double>(rest.count()) / 1'000,
-      "\r\nContent-Length: 0\r\n\r\n");
+      fieldOf(request, "Hallchute-Attempt-Id"), "\r\nHallchute-Not-Executed: 1\r\nRetry-After: ",
+      static_cast<double>(retryAfter.count()) / 1'000, "\r\nContent-Length: 0\r\n\r\n");
   ::send(socket.impl()->sockfd(), answer.data(), answer.size(), MSG_NOSIGNAL);
   return true;
 }
--- a/standin/ReplicaStandin.h
+++ b/standin/ReplicaStandin.h
@@ -36,12 +36,10 @@
   double perSecond = 0;
 };
 
-/// \brief A rejection with which a replica asked for rest.
-struct AskedRest {
-  std::chrono::steady_clock::time_point at;
-  /// Source IP of the connection.
-  std::string caller;
-  std::chrono::milliseconds rest{0};
+/// \brief A request that a replica rejected, and the Retry-After of its answer.
+struct Rejection {
+  Arrival arrival;
+  std::chrono::milliseconds retryAfter{0};
 };
 
 /// \brief What a cut does to connections between a replica and some callers.
@@ -81,13 +79,12 @@
   std::vector<std::string> runningAtCrash() const;
   std::vector<Arrival> arrivals() const;
   /// \brief Requests that it rejected.
-  std::vector<Arrival> rejected() const;
+  std::vector<Rejection> rejections() const;
   /// \brief The requests a second to name as its limit in answers; 0 for none.
   void nameLimit(double perSecond) { limit_ = perSecond; }
   std::vector<NamedLimit> namedLimits() const;
-  /// \brief From now on it rejects requests and asks for so much rest; zero: it serves again.
-  void askForRest(std::chrono::milliseconds rest) { restMs_ = rest.count(); }
-  std::vector<AskedRest> askedRests() const;
+  /// \brief From now on it rejects requests with this Retry-After; zero: it serves again.
+  void rejectWith(std::chrono::milliseconds retryAfter) { retryAfterMs_ = retryAfter.count(); }
   /// \brief It answers nothing for so long, and then goes on with all that came.
   void fallSilent(std::chrono::milliseconds time);
   /// \brief Cuts the replica off from the callers at these IP addresses; an empty set heals.
@@ -110,9 +107,8 @@
   std::string address_;
   mutable std::mutex mutex_;
   std::vector<Arrival> arrivals_;
-  std::vector<Arrival> rejected_;
+  std::vector<Rejection> rejections_;
   std::vector<NamedLimit> namedLimits_;
-  std::vector<AskedRest> askedRests_;
   /// Open connections, by descriptor, with their callers' IP addresses.
   std::map<int, std::string> connections_;
   std::multiset<std::string> running_;
@@ -120,7 +116,7 @@
   std::chrono::steady_clock::time_point crashedAt_;
   std::vector<std::thread> threads_;
   std::atomic<double> limit_{0};
-  std::atomic<std::int64_t> restMs_{0};
+  std::atomic<std::int64_t> retryAfterMs_{0};
   std::atomic<std::chrono::steady_clock::time_point> silentUntil_{};
   std::atomic<bool> crashed_{false};
   std::thread acceptor_;
--- a/test/PlacementTest.cpp
+++ b/test/PlacementTest.cpp
@@ -122,8 +122,8 @@
 
   /// The upstreams name a limit on rejections and let fewer wait some time later; they fail for
   /// some time when they have to reject more in a second.
-  void makeBrittle(double rejectionsPerSecond) {
-    brittle_ = rejectionsPerSecond;
+  void limitRejections(double rejectionsPerSecond) {
+    rejectionLimit_ = rejectionsPerSecond;
     std::vector<std::uint64_t> members(daemons_.size());
     for (std::size_t i = 0; i < members.size(); ++i) members[i] = i << 32U;
     for (std::size_t i = 0; i < members.size(); ++i) {
@@ -133,7 +133,7 @@
   PlainResult run(int ms, double requestsPerSecond, double workMs) {
     for (int now = 0; now < ms; ++now) {
       completeRequests(now);
-      if (brittle_ && now == kReportDelayMs) nameRejectionLimits(now);
+      if (rejectionLimit_ && now == kReportDelayMs) nameRejectionLimits(now);
       if (now % kReportPeriodMs == 0) daemons_.exchangeReports(now);
       dueRequests_ += requestsPerSecond / 1'000;
       for (; dueRequests_ >= 1; dueRequests_ -= 1) place(now, workMs);
@@ -155,7 +155,7 @@
     int downUntil = 0;
   };
   static constexpr int kFewerWaitMs = 3'000;
-  static constexpr std::size_t kBrittleQueueLimit = 4;
+  static constexpr std::size_t kReducedQueueLimit = 4;
   static constexpr int kDownMs = 3'000;
 
   void place(int now, double workMs) {
@@ -166,8 +166,8 @@
     const std::size_t daemon = random_.below(daemons_.size());
     criteria.ownDomain = FailureDomainName("d" + std::to_string(daemon % speeds_.size()));
     const UpstreamEntry* picked = pickUpstream(daemons_.table(daemon), criteria, at(now));
-    if (picked == nullptr && brittle_) ++result_.refused;
-    if (picked == nullptr && brittle_) return;
+    if (picked == nullptr && rejectionLimit_) ++result_.refused;
+    if (picked == nullptr && rejectionLimit_) return;
     CPPUNIT_ASSERT(picked != nullptr);
     const std::size_t u = std::stoul(picked->record.id.str().substr(1));
     daemons_.table(daemon).noteSent(picked->record.id, at(now));
@@ -188,13 +188,13 @@
     }
   }
   std::size_t queueLimit(int now) const {
-    return brittle_ && now >= kFewerWaitMs ? kBrittleQueueLimit : kQueueLimit;
+    return rejectionLimit_ && now >= kFewerWaitMs ? kReducedQueueLimit : kQueueLimit;
   }
   void noteRejection(Upstream& upstream, int now) {
-    if (!brittle_ || now < kFewerWaitMs) return;
+    if (!rejectionLimit_ || now < kFewerWaitMs) return;
     upstream.rejections.push_back(now);
     while (upstream.rejections.front() <= now - 1'000) upstream.rejections.pop_front();
-    if (static_cast<double>(upstream.rejections.size()) <= *brittle_) return;
+    if (static_cast<double>(upstream.rejections.size()) <= *rejectionLimit_) return;
     ++result_.falls;
     upstream.rejections.clear();
     upstream.downUntil = now + kDownMs;
@@ -204,7 +204,7 @@
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
       for (std::size_t u = 0; u < upstreams_.size(); ++u) {
         const UpstreamId id("u" + std::to_string(u));
-        daemons_.table(i).rejectionLimits().noteAnswer(id, *brittle_ / 2, at(now));
+        daemons_.table(i).rejectionLimits().noteAnswer(id, *rejectionLimit_ / 2, at(now));
       }
     }
   }
@@ -235,7 +235,7 @@
   PlainResult result_;
   RandomSource random_;
   double dueRequests_ = 0;
-  std::optional<double> brittle_;
+  std::optional<double> rejectionLimit_;
 };
 
 /// Results of a simulation with a model service.
@@ -358,7 +358,7 @@
   CPPUNIT_TEST_SUITE(PlacementTest);
   CPPUNIT_TEST(daemonsWithStaleLoadsSpreadTheirRequests);
   CPPUNIT_TEST(daemonsWithStaleLoadsSpreadABurstOfPrompts);
-  CPPUNIT_TEST(brittleUpstreamsAtCapacityDontFail);
+  CPPUNIT_TEST(upstreamsWithRejectionLimitsDontFail);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -399,7 +399,7 @@
 
   /// Guards against upstreams that fail as the daemons together send them more than they can
   /// reject. Callers ask for more than all upstreams can do, and fewer may wait than before.
-  void brittleUpstreamsAtCapacityDontFail() {
+  void upstreamsWithRejectionLimitsDontFail() {
     struct Row {
       std::string name;
       std::size_t daemons;
@@ -420,7 +420,7 @@
     for (const Row& row : rows) {
       const double capacity = static_cast<double>(row.upstreams) * kSlots * 1'000 / kWorkMs;
       PlainFleet fleet(row.daemons, std::vector<double>(row.upstreams, 1));
-      fleet.makeBrittle(row.rejectionsPerSecond);
+      fleet.limitRejections(row.rejectionsPerSecond);
       const PlainResult result =
           fleet.run(static_cast<int>(kSeconds) * 1'000, row.demand * capacity, kWorkMs);
       const double served = static_cast<double>(result.queueTimesMs.size()) / (capacity * kSeconds);
--- a/test/RestTest.cpp
+++ b/test/UpstreamBackoffTest.cpp
@@ -18,9 +18,9 @@
 using namespace Hallchute;
 
 /// A daemon in front of replicas that run in this process.
-class RestRig {
+class BackoffRig {
  public:
-  explicit RestRig(std::size_t replicas) {
+  explicit BackoffRig(std::size_t replicas) {
     Route route = plainRoute(WorkKind::repeatable);
     route.maxRuns = 3;
     rig.setSettings(settingsWith(route));
@@ -49,45 +49,45 @@
   int requests_ = 0;
 };
 
-class RestTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(RestTest);
-  CPPUNIT_TEST(upstreamsThatAskForRestGetIt);
+class UpstreamBackoffTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(UpstreamBackoffTest);
+  CPPUNIT_TEST(rejectedRequestsBackOffForTheNamedTime);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   /// Guards against requests that go on to reach an upstream which has rejected one and named the
   /// time for which it wants none.
-  void upstreamsThatAskForRestGetIt() {
+  void rejectedRequestsBackOffForTheNamedTime() {
     struct Row {
       const char* name;
       std::size_t replicas;
-      std::size_t resting;
+      std::size_t rejecting;
     };
     const std::vector<Row> rows{{"one of three", 3, 1}, {"most", 3, 2}, {"all", 3, 3}};
-    constexpr Millis kRest{700};
+    constexpr Millis kRetryAfter{700};
     for (const Row& row : rows) {
-      RestRig rig(row.replicas);
-      for (std::size_t i = 0; i < row.resting; ++i) rig.replica(i).askForRest(kRest);
+      BackoffRig rig(row.replicas);
+      for (std::size_t i = 0; i < row.rejecting; ++i) rig.replica(i).rejectWith(kRetryAfter);
       const Instant start = clockNow();
       int served = 0;
       std::string last;
-      // Each resting upstream is asked once; the rest has begun for all after the first requests.
+      // Each rejects one request; then all are known.
       while (clockNow() - start < Millis(500)) {
         last = rig.ask();
         if (last.find("HTTP/1.1 200") == 0) ++served;
       }
-      for (std::size_t i = 0; i < row.resting; ++i) {
-        CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::size_t{1}, rig.replica(i).rejected().size());
+      for (std::size_t i = 0; i < row.rejecting; ++i) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::size_t{1}, rig.replica(i).rejections().size());
       }
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.resting<row.replicas, served> 0);
-      if (row.resting == row.replicas) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.rejecting<row.replicas, served> 0);
+      if (row.rejecting == row.replicas) {
         const std::string field = "Retry-After: ";
         CPPUNIT_ASSERT_MESSAGE(last, last.find("HTTP/1.1 503") == 0);
         const double after = std::stod(last.substr(last.find(field) + field.size()));
         CPPUNIT_ASSERT_MESSAGE(last, after >= 0.15 && after <= 0.3);
       }
-      for (std::size_t i = 0; i < row.resting; ++i) rig.replica(i).askForRest(Millis(0));
-      std::this_thread::sleep_until(start + kRest + Millis(100));
+      for (std::size_t i = 0; i < row.rejecting; ++i) rig.replica(i).rejectWith(Millis(0));
+      std::this_thread::sleep_until(start + kRetryAfter + Millis(100));
       for (int i = 0; i < 60; ++i) rig.ask();
       for (std::size_t i = 0; i < row.replicas; ++i) {
         CPPUNIT_ASSERT_MESSAGE(row.name, !rig.replica(i).arrivals().empty());
@@ -96,6 +96,6 @@
   }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(RestTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamBackoffTest);
 
 }  // namespace
--- a/test/soak/LimitSoak.cpp
+++ b/test/soak/LimitSoak.cpp
@@ -33,13 +33,13 @@
 constexpr double kSlack = 5;
 /// From an answer that names a limit until its daemon keeps it.
 constexpr Millis kTold{500};
-/// The last replica asks for this much rest, in the middle of the run.
-constexpr Millis kRest{2'000};
-constexpr double kRestFrom = 0.3;
-constexpr double kRestTo = 0.7;
-/// From an answer that asks for rest until its daemon keeps it, and what may come later.
-constexpr Millis kRestNoticed{500};
-constexpr std::ptrdiff_t kMostInRest = 2;
+/// The last replica rejects all requests with this Retry-After, in the middle of the run.
+constexpr Millis kRetryAfter{2'000};
+constexpr double kRejectsFrom = 0.3;
+constexpr double kRejectsTo = 0.7;
+/// From a rejection until its daemon backs off, and what may come later.
+constexpr Millis kBackoffNoticed{500};
+constexpr std::ptrdiff_t kMostInBackoff = 2;
 constexpr unsigned kDisturbanceTurns = 30;
 constexpr Millis kSuspension{2'000};
 /// Share of the requests that must be served: the others meet daemons that are down or suspended.
@@ -147,24 +147,25 @@
          mine >= kUsedAfterLimit * others;
 }
 
-/// Whether each daemon left the replica alone for as long as it was asked to, but for requests that
-/// were under way.
-bool restWasKept(const GatewayFleet& fleet, const ReplicaStandin& replica) {
+/// Whether each daemon sent the replica no requests for the Retry-After of its rejections, but for
+/// those that were under way.
+bool backedOff(const GatewayFleet& fleet, const ReplicaStandin& replica) {
   std::vector<Standin::Arrival> all = replica.arrivals();
-  const std::vector<Standin::Arrival> rejected = replica.rejected();
-  all.insert(all.end(), rejected.begin(), rejected.end());
+  const std::vector<Standin::Rejection> rejections = replica.rejections();
+  for (const Standin::Rejection& rejection : rejections) all.push_back(rejection.arrival);
   std::ptrdiff_t most = 0;
-  for (const Standin::AskedRest& asked : replica.askedRests()) {
-    const Clock::time_point end = asked.at + asked.rest;
-    if (!fleet.inContact(asked.caller, end)) continue;
+  for (const Standin::Rejection& rejection : rejections) {
+    const Standin::Arrival& rejected = rejection.arrival;
+    const Clock::time_point end = rejected.at + rejection.retryAfter;
+    if (!fleet.inContact(rejected.caller, end)) continue;
     most = std::max(most, std::count_if(all.begin(), all.end(), [&](const auto& arrival) {
-                      return arrival.caller == asked.caller && arrival.at < end &&
-                             arrival.at > asked.at + kRestNoticed;
+                      return arrival.caller == rejected.caller && arrival.at < end &&
+                             arrival.at > rejected.at + kBackoffNoticed;
                     }));
   }
-  std::cout << replica.id() << " asked for rest " << replica.askedRests().size()
-            << " times and got at most " << most << " requests in one\n";
-  return most <= kMostInRest;
+  std::cout << replica.id() << " rejected " << rejections.size() << " requests and got at most "
+            << most << " in a Retry-After\n";
+  return most <= kMostInBackoff;
 }
 
 }  // namespace
@@ -185,8 +186,8 @@
   while (Clock::now() < end) {
     const auto now = Clock::now();
     const double progress = std::chrono::duration<double>(now - start) / length;
-    const bool rests = progress >= kRestFrom && progress < kRestTo;
-    fleet.replicas().back()->askForRest(rests ? kRest : Millis(0));
+    const bool rejects = progress >= kRejectsFrom && progress < kRejectsTo;
+    fleet.replicas().back()->rejectWith(rejects ? kRetryAfter : Millis(0));
     for (std::size_t i = 0; i < kLimited; ++i) {
       const PlannedPhase& next = kPlan[i][phases[i].size()];
       if (progress < next.at) continue;
@@ -213,7 +214,7 @@
   callers.stop();
   bool kept = fleet.noneEndedByItself();
   for (std::size_t i = 0; i < kLimited; ++i) kept = checkReplica(fleet, i, phases[i], end) && kept;
-  kept = restWasKept(fleet, *fleet.replicas().back()) && kept;
+  kept = backedOff(fleet, *fleet.replicas().back()) && kept;
   const std::vector<Attempt> attempts = callers.attempts();
   const auto served = std::count_if(attempts.begin(), attempts.end(),
                                     [](const Attempt& attempt) { return attempt.status == 200; });
