One type for a forwarded request, one class for each way of a dispatch, one for the probes

A forwarded request stood twice, in Traffic and on the wire, with a copy between them and the criteria taken apart and put together again: the types are packed as they are, and the criteria travel whole. TrafficSession held the course of a request and the messages of another daemon: PeerDispatch takes the latter, as UpstreamDispatch takes a direct one. TrafficEngine held the probes: PathProber.

Mended on the way, found by reading: - A reply of another daemon that can't be read left the request waiting for its deadline; it now counts as lost between daemons, and the stream is closed. - A request too large for the link was refused with no word in the log (request.notForwarded, reason tooLarge). - upstream.limit had lost ownShare, the figure by which an operator sees why a daemon doesn't send. - Sessions that are left when the daemon ends would have used the link after its end, with the exchange now cancelled by a destructor: the engine knows of no link from then on. New: NamedLimitTest::anUpstreamThatCanRejectFewIsNotOverrun, real sockets; fails if the field isn't read.

--- a/Hallchute/src/Gateway/PathMonitor.h
+++ b/Hallchute/src/Gateway/PathMonitor.h
@@ -27,7 +27,7 @@
   /// Distinct upstreams whose failures make the path count as lost; all if there are fewer. Two may
   /// fail together, as when a host with both is reclaimed.
   static constexpr std::size_t kFailuresToLose = 3;
-  /// Probes at a time, at least if there are as many upstreams.
+  /// Upstreams probed at a time, if there are as many; more where there are more failure domains.
   static constexpr std::size_t kProbes = 3;
   /// How often upstreams are probed while nothing but single failures is known.
   static constexpr Millis kSuspicionInterval{1'000};
--- a/Hallchute/src/Node/ForwardingLink.cpp
+++ b/Hallchute/src/Node/ForwardingLink.cpp
@@ -57,32 +57,41 @@
 void ForwardingLink::open(std::uint64_t exchange, const ForwardedRequest& request,
                           const std::set<DaemonId>& excluded) {
   const std::optional<FleetMember> peer = callbacks_.choosePeer(request, excluded);
-  const std::string message = peer ? packForwarded(request) : std::string();
-  if (!peer || message.size() > PeerSession::kMaxMessageBytes) {
-    reply(exchange, ForwardedReplies::NoPeer{});
+  if (!peer) {
+    notify(exchange, [](ForwardingListener& l) { l.onNotForwarded("noPeer"); });
     return;
   }
-  reply(exchange, ForwardedReplies::PeerChosen{peer->daemon});
+  const std::string message = packForwarded(request);
+  if (message.size() > PeerSession::kMaxMessageBytes) {
+    notify(exchange, [](ForwardingListener& l) { l.onNotForwarded("tooLarge"); });
+    return;
+  }
+  notify(exchange, [daemon = peer->daemon](ForwardingListener& l) { l.onPeerChosen(daemon); });
   const PeerStreamPtr stream = transport_.open(peer->address, kRequestPath, message);
-  stream->onMessage = [this, exchange](std::string_view bytes) {
-    if (std::optional<ForwardedReply> received = unpackForwardedReply(bytes)) {
-      reply(exchange, std::move(*received));
-    } else {
-      LogLine(LogLevel::warning, "forwarding.unreadable").with("bytes", bytes.size());
-    }
-  };
+  stream->onMessage = [this, exchange](std::string_view bytes) { receive(exchange, bytes); };
   stream->onClosed = [this, exchange] {
     streams_.erase(exchange);
-    reply(exchange, ForwardedReplies::PeerLost{});
+    notify(exchange, [](ForwardingListener& l) { l.onPeerLost(); });
   };
   streams_[exchange] = stream;
 }
 
-/// Passes a reply to the traffic thread, where cancelled exchanges have no listener any more.
-void ForwardingLink::reply(std::uint64_t exchange, ForwardedReply reply) {
-  traffic_.post([this, exchange, reply = std::move(reply)] {
+void ForwardingLink::receive(std::uint64_t exchange, std::string_view bytes) {
+  std::optional<ForwardedReply> reply = unpackForwardedReply(bytes);
+  if (reply) {
+    notify(exchange,
+           [reply = std::move(*reply)](ForwardingListener& l) { l.onForwardedReply(reply); });
+    return;
+  }
+  LogLine(LogLevel::warning, "forwarding.unreadable").with("bytes", bytes.size());
+  // What follows can't be trusted either.
+  notify(exchange, [](ForwardingListener& l) { l.onPeerLost(); });
+}
+
+void ForwardingLink::notify(std::uint64_t exchange, std::function<void(ForwardingListener&)> call) {
+  traffic_.post([this, exchange, call = std::move(call)] {
     const auto it = listeners_.find(exchange);
-    if (it != listeners_.end()) it->second->onForwardedReply(reply);
+    if (it != listeners_.end()) call(*it->second);
   });
 }
 
--- a/Hallchute/src/Node/ForwardingLink.h
+++ b/Hallchute/src/Node/ForwardingLink.h
@@ -7,8 +7,10 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
+#include <string_view>
 
 #include "Hallchute/src/Fleet/FleetReport.h"
 #include "Hallchute/src/Net/PeerStream.h"
@@ -47,7 +49,9 @@
  private:
   void open(std::uint64_t exchange, const ForwardedRequest& request,
             const std::set<DaemonId>& excluded);
-  void reply(std::uint64_t exchange, ForwardedReply reply);
+  void receive(std::uint64_t exchange, std::string_view bytes);
+  /// Calls the listener of an exchange on the traffic thread, unless it was cancelled.
+  void notify(std::uint64_t exchange, std::function<void(ForwardingListener&)> call);
   void serve(const PeerStreamPtr& stream);
   void beginAssist(std::uint64_t assist, std::string_view message);
   void sendReply(std::uint64_t assist, const ForwardedReply& reply);
--- a/Hallchute/src/Node/ForwardingWire.h
+++ b/Hallchute/src/Node/ForwardingWire.h
@@ -18,9 +18,8 @@
 
 std::string packForwarded(const ForwardedRequest& request);
 std::optional<ForwardedRequest> unpackForwardedRequest(std::string_view bytes);
-/// \brief Packs a reply that isn't local.
 std::string packForwarded(const ForwardedReply& reply);
-/// \returns nothing if \p bytes hold no reply that a daemon may send.
+/// \returns nothing if \p bytes hold no reply.
 std::optional<ForwardedReply> unpackForwardedReply(std::string_view bytes);
 
 }  // namespace Hallchute
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -107,6 +107,8 @@
   storeCopy_.stop();
   controlLoop_.stop();
   if (controlThread_.joinable()) controlThread_.join();
+  // Sessions that are left end after it.
+  engine_.setForwarder(nullptr);
 }
 
 void GatewayNode::serveMetrics() {
@@ -175,7 +177,9 @@
 
 ForwardingLink::Callbacks GatewayNode::forwardingCallbacks() {
   return {[this](const ForwardedRequest& request, const std::set<DaemonId>& excluded) {
-            return fleet_.forwardingPeer(request.service, request.id.str(), excluded, clockNow());
+            const UpstreamCriteria& criteria = request.criteria;
+            return fleet_.forwardingPeer(criteria.service, criteria.requestId, excluded,
+                                         clockNow());
           },
           [this](std::uint64_t assist, ForwardedRequest request, ForwardingLink::ReplySink reply) {
             engine_.assist(assist, std::move(request), std::move(reply));
--- a/Hallchute/src/Traffic/AssistedDispatch.cpp
+++ b/Hallchute/src/Traffic/AssistedDispatch.cpp
@@ -17,17 +17,6 @@
 
 constexpr int kServerError = 500;
 
-UpstreamCriteria criteriaOf(const ForwardedRequest& request, const FailureDomainName& domain) {
-  UpstreamCriteria criteria;
-  criteria.service = request.service;
-  criteria.affinity = request.affinity;
-  criteria.sharedTokens = request.sharedTokens;
-  criteria.tried.insert(request.tried.begin(), request.tried.end());
-  criteria.ownDomain = domain;
-  criteria.requestId = request.id.str();
-  return criteria;
-}
-
 DispatchResult resultOf(const UpstreamResponse& answer, int status) {
   if (answer.notExecuted || answer.misdirected) return DispatchResult::rejected;
   return status >= kServerError ? DispatchResult::failed : DispatchResult::answered;
@@ -41,7 +30,9 @@
       id_(id),
       request_(std::move(request)),
       reply_(std::move(reply)),
-      startedAt_(clockNow()) {}
+      startedAt_(clockNow()) {
+  request_.criteria.ownDomain = engine_.options().domain;
+}
 
 AssistedDispatch::~AssistedDispatch() = default;
 
@@ -53,22 +44,22 @@
 
 void AssistedDispatch::logEnd(std::string_view outcome) const {
   LogLine(LogLevel::info, "request.assisted")
-      .with("request", request_.id.str())
-      .with("service", request_.service.str())
+      .with("request", request_.criteria.requestId)
+      .with("service", request_.criteria.service.str())
       .with("content", describe(request_.content))
       .with("outcome", outcome)
       .with("status", status_)
       .with("upstream", dispatch_ == nullptr ? std::string() : dispatch_->upstream().id.str())
       .with("afterMs", std::chrono::duration_cast<Millis>(clockNow() - startedAt_));
-  engine_.metrics().add(
-      "hallchute_requests_assisted_total",
-      "service=\"" + request_.service.str() + "\",outcome=\"" + std::string(outcome) + "\"");
+  engine_.metrics().add("hallchute_requests_assisted_total",
+                        "service=\"" + request_.criteria.service.str() + "\",outcome=\"" +
+                            std::string(outcome) + "\"");
 }
 
 bool AssistedDispatch::begin() {
   if (engine_.refusesNewRequests() || !engine_.ready()) return decline("notServing");
-  if (engine_.paths().lost(request_.service)) return decline("pathLost");
-  const UpstreamCriteria criteria = criteriaOf(request_, engine_.options().domain);
+  if (engine_.paths().lost(request_.criteria.service)) return decline("pathLost");
+  const UpstreamCriteria& criteria = request_.criteria;
   const UpstreamEntry* upstream = pickUpstream(engine_.upstreamTable(), criteria, clockNow());
   if (upstream == nullptr) return decline("noUpstream");
   dispatch_ =
@@ -90,7 +81,9 @@
 
 bool AssistedDispatch::upstreamHead(const HttpHead& head) {
   answer_ = engine_.codec().readAnswer(head);
-  if (!answer_.notExecuted && !answer_.misdirected && answer_.id != request_.id) return false;
+  if (!answer_.notExecuted && !answer_.misdirected &&
+      answer_.id.str() != request_.criteria.requestId)
+    return false;
   dispatch_->noteAnswer(answer_);
   if (answer_.draining && !answer_.misdirected) engine_.noteDrainingAnswer(dispatch_->upstream());
   status_ = head.status;
--- a/Hallchute/src/Traffic/ForwardedReply.h
+++ b/Hallchute/src/Traffic/ForwardedReply.h
@@ -13,18 +13,10 @@
 
 namespace Hallchute {
 
-/// \brief What happens to a forwarded request. \ingroup Traffic
+/// \brief What a daemon reports of a request that another one forwarded to it. \ingroup Traffic
 namespace ForwardedReplies {
 
-/// The request goes to this daemon. Local.
-struct PeerChosen {
-  DaemonId daemon;
-};
-/// No other daemon can reach the service: the request was not sent. Local.
-struct NoPeer {};
-/// The stream to the other daemon ended before its last reply: the request may have run. Local.
-struct PeerLost {};
-/// The other daemon did not send the request to an upstream.
+/// The request was not sent to an upstream.
 struct Declined {
   std::string reason;
 };
@@ -51,8 +43,7 @@
 
 /// \ingroup Traffic
 using ForwardedReply =
-    std::variant<ForwardedReplies::PeerChosen, ForwardedReplies::NoPeer, ForwardedReplies::PeerLost,
-                 ForwardedReplies::Declined, ForwardedReplies::Dispatched, ForwardedReplies::Head,
+    std::variant<ForwardedReplies::Declined, ForwardedReplies::Dispatched, ForwardedReplies::Head,
                  ForwardedReplies::Body, ForwardedReplies::Done, ForwardedReplies::Failed>;
 
 }  // namespace Hallchute
--- a/Hallchute/src/Traffic/ForwardedRequest.h
+++ b/Hallchute/src/Traffic/ForwardedRequest.h
@@ -6,9 +6,9 @@
 
 #include <cstdint>
 #include <string>
-#include <vector>
 
 #include "Hallchute/src/Gateway/RequestFingerprint.h"
+#include "Hallchute/src/Gateway/UpstreamPick.h"
 #include "Hallchute/src/Http/HttpReader.h"
 #include "Hallchute/src/Ports/TrafficCodec.h"
 
@@ -16,17 +16,13 @@
 
 /// \brief A request that a daemon sends to an upstream through another daemon. \ingroup Traffic
 ///
-/// The daemon that received the request keeps its deadline, quota, retries and crash history; the
-/// other one chooses an upstream and makes one dispatch.
+/// The daemon that received the request keeps its deadline, quota, retries and usage; the other one
+/// chooses an upstream and makes one dispatch.
 struct ForwardedRequest {
-  RequestId id;
+  /// The receiver replaces the failure domain by its own.
+  UpstreamCriteria criteria;
   RequestFingerprint content{};
-  ServiceName service;
-  std::string affinity;
-  std::uint64_t sharedTokens = 0;
   std::uint64_t promptTokens = 0;
-  /// Upstreams that must not get the request again.
-  std::vector<UpstreamId> tried;
   bool repeatable = false;
   /// Without the caller's API key.
   HttpHead head;
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -23,6 +23,8 @@
 constexpr Millis kSweepPeriod{500};
 constexpr double kPercent = 100;
 constexpr double kSecondsPerMinute = 60;
+/// Part of the rejections that an upstream can bear which daemons may cause: the loads that they
+/// know of are late.
 constexpr double kRiskedRejectionFraction = 0.5;
 /// Retry-After of a daemon that has no settings yet, or possibly stale ones: about the duration of
 /// a start.
@@ -51,7 +53,8 @@
       options_(std::move(options)),
       codec_(codec),
       metrics_(metrics),
-      pool_(loop, options_.ownIp, *this, metrics),
+      prober_(loop, upstreams_, pool_, metrics),
+      pool_(loop, options_.ownIp, prober_, metrics),
       quota_(clockNow(), options_.quotas),
       usage_(options_.usageWindow) {
   loop_.every(kSweepPeriod, [this] { sweep(); });
@@ -171,52 +174,6 @@
   }
 }
 
-void TrafficEngine::upstreamConnected(const UpstreamId& upstream) {
-  const UpstreamEntry* entry = upstreams_.find(upstream);
-  if (entry == nullptr) return;
-  const ServiceName& service = entry->record.service;
-  if (!paths_.noteConnected(service)) return;
-  LogLine(LogLevel::info, "path.regained")
-      .with("service", service.str())
-      .with("upstream", upstream.str());
-}
-
-void TrafficEngine::upstreamConnectFailed(const UpstreamId& upstream) {
-  const UpstreamEntry* entry = upstreams_.find(upstream);
-  if (entry == nullptr) return;
-  const ServiceName& service = entry->record.service;
-  metrics_.add("hallchute_upstream_connects_failed_total", "service=\"" + service.str() + "\"");
-  probe(paths_.probesOnSuspicion(upstreams_, *entry, clockNow()));
-  if (!paths_.noteConnectFailed(upstreams_, *entry, clockNow())) return;
-  LogLine(LogLevel::warning, "path.lost")
-      .with("service", service.str())
-      .with("upstream", upstream.str())
-      .with("upstreams", static_cast<std::uint64_t>(upstreams_.listedCount(service)));
-  metrics_.add("hallchute_paths_lost_total", "service=\"" + service.str() + "\"");
-  if (probeTimer_ == 0) probeLostPaths();
-}
-
-void TrafficEngine::upstreamAcknowledgesLate(const UpstreamId& upstream) {
-  const UpstreamEntry* entry = upstreams_.find(upstream);
-  if (entry != nullptr) probe(paths_.probesOnSuspicion(upstreams_, *entry, clockNow()));
-}
-
-void TrafficEngine::probe(const std::vector<UpstreamId>& upstreams) {
-  for (const UpstreamId& upstream : upstreams) {
-    pool_.probe(upstream, upstreams_.find(upstream)->record.address);
-  }
-}
-
-void TrafficEngine::probeLostPaths() {
-  probeTimer_ = 0;
-  const std::vector<ServiceName> lost = paths_.lostServices();
-  if (lost.empty()) return;
-  for (const ServiceName& service : lost) {
-    probe(paths_.probesOfLostPath(upstreams_, service, clockNow()));
-  }
-  probeTimer_ = loop_.after(PathMonitor::kProbeInterval, [this] { probeLostPaths(); });
-}
-
 void TrafficEngine::assist(std::uint64_t assist, ForwardedRequest request,
                            std::function<void(const ForwardedReply&)> reply) {
   const auto assisted =
@@ -354,23 +311,25 @@
                                     const UpstreamResponse& answer) {
   const Instant now = clockNow();
   if (upstreams_.limits().noteAnswer(upstream, answer.requestLimit, now)) {
-    logNamedLimit("requests", upstream, answer.id, answer.requestLimit);
+    logNamedLimit("requests", upstream, answer.id, answer.requestLimit, upstreams_.limits());
   }
-  // The fleet may risk half of the rejections: what it knows of loads is late.
   std::optional<double> risked = answer.rejectionLimit;
   if (risked) *risked *= kRiskedRejectionFraction;
   if (upstreams_.rejectionLimits().noteAnswer(upstream, risked, now)) {
-    logNamedLimit("rejections", upstream, answer.id, answer.rejectionLimit);
+    logNamedLimit("rejections", upstream, answer.id, answer.rejectionLimit,
+                  upstreams_.rejectionLimits());
   }
 }
 
 void TrafficEngine::logNamedLimit(std::string_view kind, const UpstreamIncarnation& upstream,
-                                  const RequestId& request, std::optional<double> perSecond) {
+                                  const RequestId& request, std::optional<double> perSecond,
+                                  const LimitLedger& ledger) {
   LogLine(LogLevel::info, "upstream.limit")
       .with("upstream", upstream.id.str())
       .with("request", request.str())
       .with("of", kind)
       .with("limited", perSecond.has_value())
+      .with("ownShare", ledger.share(upstream.id, clockNow()).value_or(0))
       .with("perMinute", static_cast<std::uint64_t>(perSecond.value_or(0) * kSecondsPerMinute));
   metrics_.add(
       "hallchute_upstream_limit_changes_total",
--- a/Hallchute/src/Traffic/TrafficEngine.h
+++ b/Hallchute/src/Traffic/TrafficEngine.h
@@ -17,7 +17,6 @@
 #include "Hallchute/src/Front/FrontHandler.h"
 #include "Hallchute/src/Gateway/AbandonedRuns.h"
 #include "Hallchute/src/Gateway/CrashLedger.h"
-#include "Hallchute/src/Gateway/PathMonitor.h"
 #include "Hallchute/src/Gateway/QuotaFleet.h"
 #include "Hallchute/src/Gateway/QuotaLedger.h"
 #include "Hallchute/src/Gateway/RetryWindow.h"
@@ -25,8 +24,8 @@
 #include "Hallchute/src/Gateway/UpstreamTable.h"
 #include "Hallchute/src/Gateway/UsageLedger.h"
 #include "Hallchute/src/Traffic/ForwardedReply.h"
+#include "Hallchute/src/Traffic/PathProber.h"
 #include "Hallchute/src/Traffic/TrafficOptions.h"
-#include "Hallchute/src/Upstream/ConnectionObserver.h"
 #include "Hallchute/src/Upstream/UpstreamPool.h"
 
 namespace Hallchute {
@@ -61,7 +60,7 @@
 
 /// \brief Admits callers' requests and runs a session for each. Used on the traffic thread only.
 /// \ingroup Traffic
-class TrafficEngine final : public FrontHandler, private ConnectionObserver {
+class TrafficEngine final : public FrontHandler {
  public:
   TrafficEngine(EventLoop& loop, TrafficOptions options, const TrafficCodec& codec,
                 Metrics& metrics);
@@ -106,7 +105,7 @@
   const QuotaLedger& quota() const { return quota_; }
   const UpstreamTable& upstreams() const { return upstreams_; }
   CrashLedger& crashes() { return crashes_; }
-  const PathMonitor& paths() const { return paths_; }
+  const PathMonitor& paths() const { return prober_.paths(); }
 
   // For TrafficSession.
   EventLoop& loop() { return loop_; }
@@ -132,18 +131,13 @@
   void endSession(std::uint64_t session);
 
  private:
-  void upstreamConnected(const UpstreamId& upstream) override;
-  void upstreamConnectFailed(const UpstreamId& upstream) override;
-  void upstreamAcknowledgesLate(const UpstreamId& upstream) override;
-  void probe(const std::vector<UpstreamId>& upstreams);
-  /// Probes the upstreams of lost paths, again and again until one is regained.
-  void probeLostPaths();
   void refuse(FrontExchange& exchange, const ClientRequest& request, int status,
               std::string_view reason, std::optional<Millis> retryAfter);
   /// Logs the quota state behind a refusal, immediately before the refusal itself is logged.
   void logQuotaShortage(const SessionAdmission& admission, const QuotaShortage& shortage);
   void logNamedLimit(std::string_view kind, const UpstreamIncarnation& upstream,
-                     const RequestId& request, std::optional<double> perSecond);
+                     const RequestId& request, std::optional<double> perSecond,
+                     const LimitLedger& ledger);
   void logQuarantine(const CrashHistory& history);
   void noteAbandonedCrashes(const std::vector<RequestFingerprint>& contents,
                             const UpstreamIncarnation& upstream);
@@ -157,20 +151,19 @@
   TrafficOptions options_;
   const TrafficCodec& codec_;
   Metrics& metrics_;
-  UpstreamPool pool_;
   UpstreamTable upstreams_;
+  PathProber prober_;
+  UpstreamPool pool_;
   std::shared_ptr<const RouteTable> routes_;
   QuotaLedger quota_;
   UsageLedger usage_;
   CrashLedger crashes_;
   AbandonedRuns abandoned_;
-  PathMonitor paths_;
   std::map<ServiceName, RetryWindow> retryWindows_;
   std::unordered_map<std::uint64_t, std::shared_ptr<TrafficSession>> sessions_;
   std::uint64_t nextSessionId_ = 1;
   std::unordered_map<std::uint64_t, std::shared_ptr<AssistedDispatch>> assists_;
   RequestForwarder* forwarder_ = nullptr;
-  std::uint64_t probeTimer_ = 0;
   std::size_t daemonCount_ = 1;
   Millis clockOffset_{0};
   bool settingsMayBeStale_ = false;
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -14,7 +14,6 @@
 #include "Hallchute/src/Net/EventLoop.h"
 #include "Hallchute/src/Observability/LogLine.h"
 #include "Hallchute/src/Observability/Metrics.h"
-#include "Hallchute/src/Traffic/ForwardedRequest.h"
 #include "Hallchute/src/Traffic/RetryAfter.h"
 #include "Hallchute/src/Traffic/TrafficEngine.h"
 #include "Hallchute/src/Traffic/UpstreamDispatch.h"
@@ -201,13 +200,9 @@
 /// Sends the request through another daemon, as this one can't reach the service's upstreams.
 void TrafficSession::forwardToPeer(bool resume) {
   ForwardedRequest request;
-  request.id = admission_.request.id;
+  request.criteria = selection_;
   request.content = admission_.content;
-  request.service = service_;
-  request.affinity = selection_.affinity;
-  request.sharedTokens = selection_.sharedTokens;
   request.promptTokens = admission_.request.promptTokens.value_or(0);
-  request.tried.assign(selection_.tried.begin(), selection_.tried.end());
   request.repeatable = admission_.route->mayRepeat();
   request.terms = dispatchTerms(resume);
   request.head = exchange_->head();
@@ -216,9 +211,7 @@
   request.body = exchange_->body();
   noteDispatchStarted();
   ++dispatchCount_;
-  const std::uint64_t exchange =
-      engine_.forwarder()->forward(std::move(request), excludedPeers_, *this);
-  dispatch_ = ForwardedDispatch{exchange, {}, false};
+  dispatch_ = std::make_unique<PeerDispatch>(engine_, std::move(request), excludedPeers_, *this);
   restartSilenceTimer();
 }
 
@@ -233,68 +226,24 @@
   return direct == nullptr ? nullptr : direct->get();
 }
 
-TrafficSession::ForwardedDispatch* TrafficSession::forwardedDispatch() {
-  return std::get_if<ForwardedDispatch>(&dispatch_);
+PeerDispatch* TrafficSession::peerDispatch() const {
+  const auto* peer = std::get_if<std::unique_ptr<PeerDispatch>>(&dispatch_);
+  return peer == nullptr ? nullptr : peer->get();
 }
 
-void TrafficSession::onForwardedReply(const ForwardedReply& reply) {
-  std::visit([this](const auto& r) { on(r); }, reply);
-}
-
-void TrafficSession::on(const ForwardedReplies::PeerChosen& reply) {
-  forwardedDispatch()->peer = reply.daemon;
-  LogLine(LogLevel::info, "request.forwarded")
-      .with("request", selection_.requestId)
-      .with("service", service_.str())
-      .with("content", describe(admission_.content))
-      .with("peer", reply.daemon.str())
-      .with("remainingMs", remaining());
-}
-
-void TrafficSession::on(const ForwardedReplies::NoPeer&) {
-  LogLine(LogLevel::info, "request.noPeer")
-      .with("request", selection_.requestId)
-      .with("service", service_.str());
-  endDispatch(DispatchResult::unreachable, false);
-  handleEvent(RelayEvents::NoUpstreamAvailable{});
-}
-
-void TrafficSession::on(const ForwardedReplies::PeerLost&) {
-  excludedPeers_.insert(forwardedDispatch()->peer);
-  upstreamFailed(ExchangeFailure::peerLost);
-}
-
-void TrafficSession::on(const ForwardedReplies::Declined& reply) {
-  const DaemonId peer = forwardedDispatch()->peer;
-  LogLine(LogLevel::info, "request.declined")
-      .with("request", selection_.requestId)
-      .with("peer", peer.str())
-      .with("reason", reply.reason);
-  excludedPeers_.insert(peer);
-  endDispatch(DispatchResult::unreachable, false);
-  handleEvent(RelayEvents::NotSent{});
-}
-
-void TrafficSession::on(const ForwardedReplies::Dispatched& reply) {
-  forwardedDispatch()->sent = true;
-  upstream_ = reply.upstream;
+void TrafficSession::peerDispatched(const UpstreamIncarnation& upstream) {
+  upstream_ = upstream;
   selection_.tried.insert(upstream_.id);
 }
 
-void TrafficSession::on(const ForwardedReplies::Head& reply) {
-  upstreamHead(reply.head);
-}
-
-void TrafficSession::on(const ForwardedReplies::Body& reply) {
-  upstreamBody(reply.bytes);
-}
-
-void TrafficSession::on(const ForwardedReplies::Done&) {
-  upstreamDone();
-}
-
-void TrafficSession::on(const ForwardedReplies::Failed& reply) {
-  upstreamFailed(reply.failure);
+void TrafficSession::peerDeclined(const DaemonId& peer) {
+  if (!peer.empty()) excludedPeers_.insert(peer);
+  endDispatch(DispatchResult::unreachable, false);
+  if (peer.empty()) {
+    handleEvent(RelayEvents::NoUpstreamAvailable{});
+  } else {
+    handleEvent(RelayEvents::NotSent{});
+  }
 }
 
 void TrafficSession::restartSilenceTimer() {
@@ -437,6 +386,7 @@
     engine_.metrics().add("hallchute_upstream_breaks_total", "service=\"" + service_.str() + "\"");
   }
   if (UpstreamDispatch* direct = directDispatch()) direct->noteFailure(failure);
+  if (failure == ExchangeFailure::peerLost) excludedPeers_.insert(peerDispatch()->peer());
   endDispatch(sent ? DispatchResult::broken : DispatchResult::unreachable, false);
   if (sent) {
     handleEvent(RelayEvents::ConnectionBroken{});
@@ -450,11 +400,6 @@
   recordUnansweredRun(result);
   engine_.loop().cancel(std::exchange(silenceTimer_, 0));
   if (UpstreamDispatch* direct = directDispatch()) direct->end(result, keepChannel);
-  if (const ForwardedDispatch* forwarded = forwardedDispatch()) {
-    engine_.forwarder()->cancel(forwarded->exchange);
-    engine_.metrics().time("hallchute_forwarded_ms", "service=\"" + service_.str() + "\"",
-                           clockNow() - dispatchedAt_);
-  }
   dispatch_ = std::monostate{};
 }
 
@@ -462,8 +407,8 @@
 /// request is not delivered; resetting the connection discards it.
 bool TrafficSession::delivered() const {
   if (const UpstreamDispatch* direct = directDispatch()) return direct->delivered();
-  const auto* forwarded = std::get_if<ForwardedDispatch>(&dispatch_);
-  return forwarded != nullptr && forwarded->sent;
+  const PeerDispatch* peer = peerDispatch();
+  return peer != nullptr && peer->sent();
 }
 
 /// Counts a run without an answer if the upstream had enough time to start it.
--- a/Hallchute/src/Traffic/TrafficSession.h
+++ b/Hallchute/src/Traffic/TrafficSession.h
@@ -18,7 +18,7 @@
 #include "Hallchute/src/Ports/TrafficCodec.h"
 #include "Hallchute/src/Relay/EventSplitter.h"
 #include "Hallchute/src/Relay/RelayStateMachine.h"
-#include "Hallchute/src/Traffic/RequestForwarder.h"
+#include "Hallchute/src/Traffic/PeerDispatch.h"
 #include "Hallchute/src/Upstream/UpstreamChannel.h"
 
 namespace Hallchute {
@@ -42,8 +42,7 @@
 /// \brief Runs one admitted request: passes its events to the relay's state machine and performs
 /// the resulting actions.
 /// \ingroup Traffic
-class TrafficSession final : public UpstreamListener,
-                             public ForwardingListener,
+class TrafficSession final : public PeerDispatchListener,
                              public std::enable_shared_from_this<TrafficSession> {
  public:
   TrafficSession(TrafficEngine& engine, std::uint64_t id, std::shared_ptr<FrontExchange> exchange,
@@ -57,17 +56,10 @@
   void upstreamBody(std::string_view bytes) override;
   void upstreamDone() override;
   void upstreamFailed(ExchangeFailure failure) override;
-  void onForwardedReply(const ForwardedReply& reply) override;
+  void peerDispatched(const UpstreamIncarnation& upstream) override;
+  void peerDeclined(const DaemonId& peer) override;
 
  private:
-  /// A dispatch through another daemon.
-  struct ForwardedDispatch {
-    std::uint64_t exchange = 0;
-    DaemonId peer;
-    /// Whether the other daemon has sent it to an upstream.
-    bool sent = false;
-  };
-
   void handleEvent(const RelayEvent& event);
   void perform(const RelayActions::Dispatch& action);
   void perform(const RelayActions::Cancel& action);
@@ -78,22 +70,12 @@
   void perform(const RelayActions::Fail& action);
   void perform(const RelayActions::AbortStream& action);
 
-  void on(const ForwardedReplies::PeerChosen& reply);
-  void on(const ForwardedReplies::NoPeer& reply);
-  void on(const ForwardedReplies::PeerLost& reply);
-  void on(const ForwardedReplies::Declined& reply);
-  void on(const ForwardedReplies::Dispatched& reply);
-  void on(const ForwardedReplies::Head& reply);
-  void on(const ForwardedReplies::Body& reply);
-  void on(const ForwardedReplies::Done& reply);
-  void on(const ForwardedReplies::Failed& reply);
-
   DispatchMetadata dispatchTerms(bool resume) const;
   bool dispatchTo(const UpstreamEntry& upstream, bool resume);
   void forwardToPeer(bool resume);
   void noteDispatchStarted();
   UpstreamDispatch* directDispatch() const;
-  ForwardedDispatch* forwardedDispatch();
+  PeerDispatch* peerDispatch() const;
   bool dispatched() const { return !std::holds_alternative<std::monostate>(dispatch_); }
   bool delivered() const;
   void forwardEvents();
@@ -118,7 +100,8 @@
   RelayStateMachine relay_;
   Instant deadline_;
 
-  std::variant<std::monostate, std::unique_ptr<UpstreamDispatch>, ForwardedDispatch> dispatch_;
+  std::variant<std::monostate, std::unique_ptr<UpstreamDispatch>, std::unique_ptr<PeerDispatch>>
+      dispatch_;
   /// The upstream of the last dispatch.
   UpstreamIncarnation upstream_;
   /// Daemons that didn't pass the request on.
--- a/Hallchute/src/Upstream/UpstreamChannel.cpp
+++ b/Hallchute/src/Upstream/UpstreamChannel.cpp
@@ -60,10 +60,11 @@
   discarding_ = false;
   sentBytesAtStart_ = channel_.sentBytes();
   channel_.send(request);
-  noteDelayedAcknowledgement(request.size());
+  watchAcknowledgement(request.size());
 }
 
-void UpstreamChannel::noteDelayedAcknowledgement(std::size_t unacknowledgedBefore) {
+/// Reports a late acknowledgement and then waits for the rest of the timeout.
+void UpstreamChannel::watchAcknowledgement(std::size_t unacknowledgedBefore) {
   acknowledgementTimer_ = loop_.after(kAcknowledgementDelay, [this, unacknowledgedBefore] {
     acknowledgementTimer_ = 0;
     const std::size_t left = channel_.unacknowledged();
--- a/Hallchute/src/Upstream/UpstreamChannel.h
+++ b/Hallchute/src/Upstream/UpstreamChannel.h
@@ -93,7 +93,7 @@
   void forwardBody();
   void finish();
   void fail(ExchangeFailure failure);
-  void noteDelayedAcknowledgement(std::size_t unacknowledgedBefore);
+  void watchAcknowledgement(std::size_t unacknowledgedBefore);
   void awaitAcknowledgement(std::size_t unacknowledgedBefore, Millis timeout);
   void cancelAcknowledgementTimer();
 
--- a/test/NamedLimitTest.cpp
+++ b/test/NamedLimitTest.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <chrono>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -88,6 +89,7 @@
   CPPUNIT_TEST(requestsBeyondALimitGoElsewhere);
   CPPUNIT_TEST(requestsBeyondAllLimitsAreRefusedAtOnce);
   CPPUNIT_TEST(aDroppedLimitIsNoticed);
+  CPPUNIT_TEST(anUpstreamThatCanRejectFewIsNotOverrun);
   CPPUNIT_TEST(anUpstreamThatDoesNotAnswerIsSeldomAsked);
   CPPUNIT_TEST_SUITE_END();
 
@@ -111,6 +113,28 @@
     CPPUNIT_ASSERT(!PlatformCodec().readAnswer(HttpHead{}).requestLimit);
   }
 
+  /// A full upstream was sent whatever came, and failed as it can reject only some requests a
+  /// second; others are refused without reaching it.
+  void anUpstreamThatCanRejectFewIsNotOverrun() {
+    constexpr std::size_t kRejectionsPerSecond = 4;
+    ScriptedUpstream full(
+        {{"HTTP/1.1 503 X\r\nHallchute-Attempt-Id: {id}\r\n"
+          "Hallchute-Not-Executed: 1\r\nServer-Brittle: " +
+              std::to_string(kRejectionsPerSecond) + "\r\nContent-Length: 0\r\n\r\n",
+          UpstreamScript::Then::keep}});
+    GatewayRig rig;
+    setFleetOfOne(rig);
+    rig.setSettings(settingsWith(plainRoute(WorkKind::once)));
+    rig.setUpstreams({upstreamAt("i-1", full.address())});
+    const auto start = std::chrono::steady_clock::now();
+    int asked = 0;
+    for (; std::chrono::steady_clock::now() - start < std::chrono::seconds(1); ++asked) {
+      CPPUNIT_ASSERT(ask(rig).find("HTTP/1.1 503") == 0);
+    }
+    CPPUNIT_ASSERT(asked > 10 * static_cast<int>(kRejectionsPerSecond));
+    CPPUNIT_ASSERT(full.requests().size() <= kRejectionsPerSecond);
+  }
+
   void requestsBeyondALimitGoElsewhere() {
     GatewayRig rig;
     rig.setSettings(settingsWith(plainRoute(WorkKind::once)));
