Log the software version of upstreams, and where streams go on

Records of upstreams keep their version, requests the event and the attempt that callers go on after; request.end names the version, stream.resumed each continuation. Nothing decides by them yet.

--- a/Hallchute/src/Core/Id.h
+++ b/Hallchute/src/Core/Id.h
@@ -31,6 +31,7 @@
 using HostId = Id<struct HostTag>;
 using UpstreamId = Id<struct UpstreamTag>;
 using ServiceName = Id<struct ServiceTag>;
+using SoftwareVersion = Id<struct SoftwareVersionTag>;
 using FailureDomainName = Id<struct FailureDomainTag>;
 using OrganisationName = Id<struct OrganisationTag>;
 using WorkClassName = Id<struct WorkClassTag>;
--- a/Hallchute/src/Gateway/UpstreamRecord.h
+++ b/Hallchute/src/Gateway/UpstreamRecord.h
@@ -46,6 +46,8 @@
   /// Start time in ms since the Unix epoch; 0 if not reported. A different value denotes a new
   /// process, which shares no state with the previous one.
   std::uint64_t incarnation = 0;
+  /// Version of the software that this process runs. Versions have no order.
+  SoftwareVersion version{};
   bool operator==(const UpstreamRecord&) const = default;
 };
 
--- a/Hallchute/src/Node/FleetWire.h
+++ b/Hallchute/src/Node/FleetWire.h
@@ -46,7 +46,7 @@
 }
 inline auto wireFields(UpstreamRecord& m) {
   return std::tie(m.id, m.service, m.address, m.domain, m.slots, m.state, m.reclaimable,
-                  m.warmupRemaining, m.incarnation);
+                  m.warmupRemaining, m.incarnation, m.version);
 }
 inline auto wireFields(FleetSnapshot& m) {
   return std::tie(m.settingsVersion, m.settingsText, m.upstreamsVersion, m.upstreams);
--- a/Hallchute/src/Node/ForwardingWire.cpp
+++ b/Hallchute/src/Node/ForwardingWire.cpp
@@ -65,7 +65,7 @@
   return std::tie(m.reason);
 }
 inline auto wireFields(Dispatched& m) {
-  return std::tie(m.upstream);
+  return std::tie(m.upstream, m.version);
 }
 inline auto wireFields(Head& m) {
   return std::tie(m.head);
--- a/Hallchute/src/Ports/TrafficCodec.h
+++ b/Hallchute/src/Ports/TrafficCodec.h
@@ -33,6 +33,13 @@
   /// Length of the prompt; nothing if the request does not state it.
   std::optional<std::uint64_t> promptTokens;
   std::uint64_t maxOutputTokens = 0;
+  /// The last event that the caller has of a stream that broke off; empty in a new request.
+  std::string lastEventId{};
+  /// The attempt in which the caller got the first event of that stream; empty if it doesn't say.
+  RequestId resumes{};
+
+  /// \brief Whether the caller goes on with a stream that began in an earlier attempt.
+  bool resumesStream() const { return !lastEventId.empty() || !resumes.empty(); }
 };
 
 /// \brief Metadata sent to an upstream along with the request. \ingroup Ports
--- a/Hallchute/src/Traffic/AssistedDispatch.cpp
+++ b/Hallchute/src/Traffic/AssistedDispatch.cpp
@@ -68,7 +68,7 @@
                                request_.content, request_.promptTokens, request_.repeatable},
                               *this);
   if (dispatch_ == nullptr) return decline("noConnection");
-  reply_(ForwardedReplies::Dispatched{dispatch_->upstream()});
+  reply_(ForwardedReplies::Dispatched{dispatch_->upstream(), upstream->record.version});
   return true;
 }
 
--- a/Hallchute/src/Traffic/ForwardedReply.h
+++ b/Hallchute/src/Traffic/ForwardedReply.h
@@ -23,6 +23,7 @@
 /// The request is being sent to this upstream.
 struct Dispatched {
   UpstreamIncarnation upstream;
+  SoftwareVersion version;
 };
 /// The head of the upstream's response.
 struct Head {
--- a/Hallchute/src/Traffic/PeerDispatch.cpp
+++ b/Hallchute/src/Traffic/PeerDispatch.cpp
@@ -65,7 +65,7 @@
 
 void PeerDispatch::on(const ForwardedReplies::Dispatched& reply) {
   sent_ = true;
-  listener_.peerDispatched(reply.upstream);
+  listener_.peerDispatched(reply.upstream, reply.version);
 }
 
 void PeerDispatch::on(const ForwardedReplies::Head& reply) {
--- a/Hallchute/src/Traffic/PeerDispatch.h
+++ b/Hallchute/src/Traffic/PeerDispatch.h
@@ -20,8 +20,9 @@
 /// \ingroup Traffic
 class PeerDispatchListener : public UpstreamListener {
  public:
-  /// \brief The other daemon is sending the request to \p upstream.
-  virtual void peerDispatched(const UpstreamIncarnation& upstream) = 0;
+  /// \brief The other daemon is sending the request to \p upstream, which runs \p version.
+  virtual void peerDispatched(const UpstreamIncarnation& upstream,
+                              const SoftwareVersion& version) = 0;
   /// \brief The request was not sent: \p peer declined it, or is empty as no daemon is left.
   virtual void peerDeclined(const DaemonId& peer) = 0;
 };
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -182,8 +182,7 @@
 }
 
 bool TrafficSession::dispatchTo(const UpstreamEntry& upstream, bool resume) {
-  upstream_ = {upstream.record.id, upstream.record.incarnation};
-  selection_.tried.insert(upstream_.id);
+  noteUpstream({upstream.record.id, upstream.record.incarnation}, upstream.record.version);
   noteDispatchStarted();
   std::unique_ptr<UpstreamDispatch> dispatch = UpstreamDispatch::start(
       engine_, upstream,
@@ -231,9 +230,23 @@
   return peer == nullptr ? nullptr : peer->get();
 }
 
-void TrafficSession::peerDispatched(const UpstreamIncarnation& upstream) {
+void TrafficSession::peerDispatched(const UpstreamIncarnation& upstream,
+                                    const SoftwareVersion& version) {
+  noteUpstream(upstream, version);
+}
+
+void TrafficSession::noteUpstream(const UpstreamIncarnation& upstream,
+                                  const SoftwareVersion& version) {
   upstream_ = upstream;
+  upstreamVersion_ = version;
   selection_.tried.insert(upstream_.id);
+  if (!relay_.started() && !admission_.request.resumesStream()) return;
+  LogLine(LogLevel::info, "stream.resumed")
+      .with("request", selection_.requestId)
+      .with("resumes", admission_.request.resumes.str())
+      .with("afterEvent", relay_.started() ? lastEventId_ : admission_.request.lastEventId)
+      .with("upstream", upstream_.id.str())
+      .with("version", upstreamVersion_.str());
 }
 
 void TrafficSession::peerDeclined(const DaemonId& peer) {
@@ -498,6 +511,7 @@
       .with("outcome", outcome)
       .with("status", status)
       .with("upstream", upstream_.id.str())
+      .with("version", upstreamVersion_.str())
       .with("dispatches", dispatchCount_)
       .with("settings", admission_.routes->settings().version)
       .with("organisation", admission_.organisation == nullptr
--- a/Hallchute/src/Traffic/TrafficSession.h
+++ b/Hallchute/src/Traffic/TrafficSession.h
@@ -56,7 +56,7 @@
   void upstreamBody(std::string_view bytes) override;
   void upstreamDone() override;
   void upstreamFailed(ExchangeFailure failure) override;
-  void peerDispatched(const UpstreamIncarnation& upstream) override;
+  void peerDispatched(const UpstreamIncarnation& upstream, const SoftwareVersion& version) override;
   void peerDeclined(const DaemonId& peer) override;
 
  private:
@@ -74,6 +74,7 @@
   bool dispatchTo(const UpstreamEntry& upstream, bool resume);
   void forwardToPeer(bool resume);
   void noteDispatchStarted();
+  void noteUpstream(const UpstreamIncarnation& upstream, const SoftwareVersion& version);
   UpstreamDispatch* directDispatch() const;
   PeerDispatch* peerDispatch() const;
   bool dispatched() const { return !std::holds_alternative<std::monostate>(dispatch_); }
@@ -104,6 +105,7 @@
       dispatch_;
   /// The upstream of the last dispatch.
   UpstreamIncarnation upstream_;
+  SoftwareVersion upstreamVersion_;
   /// Daemons that didn't pass the request on.
   std::set<DaemonId> excludedPeers_;
   bool runCounted_ = false;
