--- a/standin/ReplicaStandin.cpp
+++ b/standin/ReplicaStandin.cpp
@@ -24,8 +24,9 @@
 
 }  // namespace
 
-ReplicaStandin::ReplicaStandin(std::string id, std::chrono::milliseconds workTime)
-    : id_(std::move(id)), workTime_(workTime) {
+ReplicaStandin::ReplicaStandin(std::string id, std::chrono::milliseconds workTime,
+                               std::string version)
+    : id_(std::move(id)), workTime_(workTime), version_(std::move(version)) {
   listener_.bind(Poco::Net::SocketAddress("127.0.0.1", 0), true);
   listener_.listen();
   address_ = listener_.address().toString();
@@ -176,7 +177,7 @@
       "\r\nHallchute-Replica-Signature: ", id_,
       "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
   for (int i = from + 1; i <= last && !crashed_; ++i) {
-    const std::string event = absl::StrCat("id: ", i, "\ndata: part\n\n");
+    const std::string event = absl::StrCat("id: ", i, "\ndata: ", version_, "\n\n");
     absl::StrAppend(&text, absl::Hex(event.size()), "\r\n", event, "\r\n",
                     i == last ? "0\r\n\r\n" : "");
     if (::send(socket.impl()->sockfd(), text.data(), text.size(), MSG_NOSIGNAL) < 0) return;
--- a/standin/ReplicaStandin.h
+++ b/standin/ReplicaStandin.h
@@ -56,7 +56,8 @@
 /// resets its connections and closes its port as the end of a process does.
 ///
 /// A request under `/stream/` is answered by as many events as the body says, with rising ids from
-/// the one after `Last-Event-Id`. A request whose body starts with `crash` crashes it some time
+/// the one after `Last-Event-Id`; their data is the version of the replica's software. A request
+/// whose body starts with `crash` crashes it some time
 /// after the request began to run.
 class ReplicaStandin {
  public:
@@ -64,14 +65,16 @@
   /// Between the events of a stream.
   static constexpr std::chrono::milliseconds kEventGap{20};
 
-  /// \param workTime how long a request runs.
-  ReplicaStandin(std::string id, std::chrono::milliseconds workTime);
+  /// \param workTime how long a request runs. \param version of its software.
+  ReplicaStandin(std::string id, std::chrono::milliseconds workTime, std::string version = "1");
   ~ReplicaStandin();
   ReplicaStandin(const ReplicaStandin&) = delete;
   ReplicaStandin& operator=(const ReplicaStandin&) = delete;
 
   const std::string& id() const { return id_; }
   std::string address() const { return address_; }
+  const std::string& version() const { return version_; }
+  std::chrono::steady_clock::time_point startedAt() const { return startedAt_; }
   void crash();
   bool crashed() const { return crashed_; }
   /// \brief When it crashed, and the bodies of the requests that ran at that moment.
@@ -103,6 +106,8 @@
 
   std::string id_;
   std::chrono::milliseconds workTime_;
+  std::string version_;
+  std::chrono::steady_clock::time_point startedAt_ = std::chrono::steady_clock::now();
   Poco::Net::ServerSocket listener_;
   std::string address_;
   mutable std::mutex mutex_;
--- a/test/soak/GatewayFleet.cpp
+++ b/test/soak/GatewayFleet.cpp
@@ -106,6 +106,10 @@
   Poco::JSON::Array::Ptr routes = new Poco::JSON::Array;
   routes->add(routeJson("run", "safe"));
   routes->add(routeJson("once", "unsafe"));
+  Poco::JSON::Object::Ptr stream = routeJson("stream", "streaming");
+  stream->set("resumable", true);
+  stream->set("gap-aim-ms", 500);
+  routes->add(stream);
   Poco::JSON::Object::Ptr service = new Poco::JSON::Object;
   service->set("name", kService);
   service->set("max-connections", 600);
@@ -216,14 +220,14 @@
   noteDisturbed(index);
 }
 
-Standin::ReplicaStandin& GatewayFleet::addReplica(Millis workTime) {
+Standin::ReplicaStandin& GatewayFleet::addReplica(Millis workTime, const std::string& version) {
   const std::string id = absl::StrCat("replica-", replicas_.size());
-  replicas_.push_back(std::make_unique<Standin::ReplicaStandin>(id, workTime));
+  replicas_.push_back(std::make_unique<Standin::ReplicaStandin>(id, workTime, version));
   Poco::JSON::Object::Ptr entry = new Poco::JSON::Object;
   entry->set("service", kService);
   entry->set("address", replicas_.back()->address());
   entry->set("zone", absl::StrCat("domain-", replicas_.size() % kDomains));
-  entry->set("version", "1");
+  entry->set("version", version);
   entry->set("slots", 64);
   entry->set("state", "ready");
   entry->set("cold-remaining-ms", 0);
--- /dev/null
+++ b/test/soak/VersionSoak.cpp
@@ -0,0 +1,205 @@
+// This file is part of hallchute, a serving system for language models.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "test/soak/VersionSoak.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <iostream>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "test/soak/GatewayFleet.h"
+#include "test/soak/SoakOptions.h"
+#include "test/soak/StreamCallers.h"
+
+namespace Soak {
+namespace {
+
+using Standin::CutKind;
+using Standin::ReplicaStandin;
+
+constexpr int kStreams = 24;
+constexpr int kReplicas = 3;
+constexpr Millis kWorkTime{30};
+constexpr Millis kTurn{100};
+/// A release adds a replica each time, then takes those of another version away.
+constexpr Millis kReleaseStep{600};
+constexpr std::size_t kMaxReplicas = 8;
+constexpr unsigned kDisturbanceTurns = 8;
+constexpr Millis kStoreOutage{1'500};
+constexpr Millis kCutTime{2'000};
+/// From the end of an entry to the end of its replica.
+constexpr Millis kDrainTime{1'500};
+constexpr Millis kEntryLapse{1'000};
+constexpr int kAllowedMixed = 2;
+constexpr std::size_t kFewestResumed = 12;
+constexpr double kResumedPart = 0.5;
+/// A replica serves as the daemons see it from so long after its start to so long before its end.
+constexpr Millis kListingLag{1'000};
+
+/// Releases versions one after another and disturbs daemons, replicas and the store at random.
+class Operator {
+ public:
+  Operator(GatewayFleet& fleet, unsigned seed) : fleet_(fleet), random_(seed) {
+    for (int i = 0; i < kReplicas; ++i) fleet_.addReplica(kWorkTime, version(0));
+  }
+
+  void turn(Clock::time_point now) {
+    if (now >= storeBackAt_) fleet_.setStoreAway(false);
+    if (isCut_ && now >= healsAt_) cut({}, now);
+    endReplicas(now);
+    if (now >= nextRelease_) release(now);
+    if (random_() % kDisturbanceTurns == 0) disturb(now);
+  }
+
+ private:
+  static std::string version(unsigned number) { return absl::StrCat("v", number); }
+
+  std::vector<ReplicaStandin*> serving() const {
+    std::vector<ReplicaStandin*> replicas;
+    for (const auto& replica : fleet_.replicas()) {
+      if (!replica->crashed() && !leaving_.contains(replica->id())) replicas.push_back(&*replica);
+    }
+    return replicas;
+  }
+  /// Adds a replica of one of three versions, or lets one leave; a version may keep one only, and
+  /// may come back.
+  void release(Clock::time_point now) {
+    nextRelease_ = now + kReleaseStep;
+    const std::vector<ReplicaStandin*> replicas = serving();
+    if (replicas.size() < kMaxReplicas) {
+      fleet_.addReplica(kWorkTime, version(random_() % 3));
+      return;
+    }
+    const ReplicaStandin& replica = *replicas[random_() % replicas.size()];
+    fleet_.unlist(replica);
+    leaving_[replica.id()] = now;
+  }
+  void endReplicas(Clock::time_point now) {
+    for (const auto& replica : fleet_.replicas()) {
+      const auto left = leaving_.find(replica->id());
+      if (left != leaving_.end() && now >= left->second + kDrainTime) replica->crash();
+      const bool lapses = replica->crashed() && left == leaving_.end();
+      if (lapses && now >= replica->crashedAt() + kEntryLapse) {
+        fleet_.unlist(*replica);
+        leaving_[replica->id()] = now;
+      }
+    }
+  }
+  void disturb(Clock::time_point now) {
+    const std::size_t index = random_() % fleet_.daemons().size();
+    switch (random_() % 5) {
+      case 0:
+        fleet_.setStoreAway(true);
+        storeBackAt_ = now + kStoreOutage;
+        return;
+      case 1:
+        if (!isCut_) cut({fleet_.daemons()[index].ip}, now);
+        return;
+      case 2:
+        if (serving().size() > kReplicas) serving()[random_() % serving().size()]->crash();
+        return;
+      default:
+        fleet_.kill(index);
+        fleet_.startDaemon(index);
+    }
+  }
+  void cut(const std::set<std::string>& daemons, Clock::time_point now) {
+    const CutKind kind = random_() % 2 == 0 ? CutKind::hang : CutKind::reset;
+    for (const auto& replica : fleet_.replicas()) replica->cutOff(daemons, kind);
+    isCut_ = !daemons.empty();
+    healsAt_ = now + kCutTime;
+  }
+
+  GatewayFleet& fleet_;
+  std::mt19937 random_;
+  std::map<std::string, Clock::time_point> leaving_;
+  Clock::time_point nextRelease_{};
+  Clock::time_point storeBackAt_{};
+  Clock::time_point healsAt_{};
+  bool isCut_ = false;
+};
+
+std::size_t replicasServing(const GatewayFleet& fleet, const std::string& version,
+                            Clock::time_point at) {
+  const auto serves = [&](const auto& replica) {
+    return replica->version() == version && at >= replica->startedAt() + kListingLag &&
+           (!replica->crashed() || at < replica->crashedAt() - kDrainTime - kListingLag);
+  };
+  return static_cast<std::size_t>(
+      std::count_if(fleet.replicas().begin(), fleet.replicas().end(), serves));
+}
+
+bool keepsVersions(const std::vector<CallerStream>& streams) {
+  int mixed = 0;
+  int broken = 0;
+  for (const CallerStream& stream : streams) {
+    const std::set<std::string> versions(stream.versions.begin(), stream.versions.end());
+    if (versions.size() > 1) ++mixed;
+    if (stream.broken) ++broken;
+  }
+  std::cout << streams.size() << " streams, " << mixed << " of several versions, " << broken
+            << " broken\n";
+  return mixed <= kAllowedMixed && broken == 0;
+}
+
+struct Share {
+  std::size_t all = 0;
+  std::size_t brought = 0;
+
+  void add(const StreamAttempt& attempt) {
+    ++all;
+    if (attempt.brought) ++brought;
+  }
+  double value() const { return static_cast<double>(brought) / static_cast<double>(all); }
+};
+
+bool resumesStreams(const GatewayFleet& fleet, const std::vector<CallerStream>& streams,
+                    const std::vector<std::string>& ips) {
+  Share begun;
+  Share resumed;
+  for (const CallerStream& stream : streams) {
+    for (const StreamAttempt& attempt : stream.attempts) {
+      if (!fleet.inContact(ips[attempt.daemon], attempt.at)) continue;
+      if (attempt.resumedVersion.empty()) {
+        begun.add(attempt);
+      } else if (replicasServing(fleet, attempt.resumedVersion, attempt.at) >= 2) {
+        resumed.add(attempt);
+      }
+    }
+  }
+  std::cout << "at daemons in contact " << begun.brought << " of " << begun.all << " began, "
+            << resumed.brought << " of " << resumed.all << " went on\n";
+  if (begun.all == 0) return false;
+  return resumed.all < kFewestResumed || resumed.value() >= kResumedPart * begun.value();
+}
+
+}  // namespace
+
+bool runVersionSoak(const SoakOptions& options) {
+  GatewayFleet fleet(options.binaries, options.work, options.daemons);
+  Operator op(fleet, options.seed);
+  fleet.start();
+  std::vector<std::string> ips;
+  for (const GatewayProcess& daemon : fleet.daemons()) ips.push_back(daemon.ip);
+  StreamCallers callers(fleet, options.seed);
+  callers.add(kStreams);
+  const auto end = Clock::now() + std::chrono::seconds(options.seconds);
+  for (auto now = Clock::now(); now < end; now = Clock::now()) {
+    op.turn(now);
+    std::this_thread::sleep_for(kTurn);
+  }
+  callers.stop();
+  const std::vector<CallerStream> streams = callers.streams();
+  bool kept = fleet.noneEndedByItself();
+  kept = keepsVersions(streams) && kept;
+  return resumesStreams(fleet, streams, ips) && kept;
+}
+
+}  // namespace Soak
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -18,6 +18,7 @@
 #include "test/soak/SiteSoak.h"
 #include "test/soak/SoakOptions.h"
 #include "test/soak/StopSoak.h"
+#include "test/soak/VersionSoak.h"
 
 ABSL_FLAG(int, daemons, 7, "gateway processes");
 ABSL_FLAG(int, seconds, 20, "length of the run");
@@ -40,7 +41,8 @@
   if (kind == "limits") return Soak::runLimitSoak(options) ? 0 : 1;
   if (kind == "sites") return Soak::runSiteSoak(options) ? 0 : 1;
   if (kind == "stops") return Soak::runStopSoak(options) ? 0 : 1;
-  std::cerr << "usage: hallchute-gateway-soak BUILD crashes|cuts|limits|sites|stops\n";
+  if (kind == "versions") return Soak::runVersionSoak(options) ? 0 : 1;
+  std::cerr << "usage: hallchute-gateway-soak BUILD crashes|cuts|limits|sites|stops|versions\n";
   return 2;
 }
 
