Continue a stream only at the software version that began it

Callers got streams whose events come from two software versions, when an upstream ended and when their daemon did (ORDER).

Cause: an upstream's version was checked and dropped, so that any upstream of the service was a candidate for the rest of a stream; and nothing of a stream outlived its daemon, as Resumes wasn't read.

Fix: UpstreamCriteria names the version that a continuation needs, here and through another daemon. StreamOrigins knows the version of each stream by the id of the attempt that brought its first event: a daemon records what begins at it and, unless the service has had one version alone for a minute, tells others within 20 ms: all in a small fleet, four by a hash of the id in a larger one, which any daemon can ask without knowing the first one. Without a record the only version of the last minute is it, while the copy of the directory is current; otherwise the stream is refused, and the caller finds another daemon. A process that another one replaced under its id takes its streams' version back.

--- a/Hallchute/src/Fleet/FleetView.h
+++ b/Hallchute/src/Fleet/FleetView.h
@@ -20,6 +20,7 @@
 #include "Hallchute/src/Fleet/FleetRoster.h"
 #include "Hallchute/src/Fleet/FleetUsage.h"
 #include "Hallchute/src/Fleet/ForwardingPeer.h"
+#include "Hallchute/src/Fleet/OriginHolders.h"
 #include "Hallchute/src/Gateway/LimitFleet.h"
 #include "Hallchute/src/Gateway/QuotaFleet.h"
 
@@ -94,6 +95,13 @@
                                             const std::set<DaemonId>& excluded, Instant now) const {
     return chooseForwardingPeer(roster_, service, requestId, excluded, now);
   }
+  /// \brief The daemons to tell of a stream's origin, and to ask for it; see originHolders().
+  std::vector<FleetMember> originHolders(StreamKey stream, Instant now) const {
+    return Hallchute::originHolders(roster_, stream, kOriginHolders, now);
+  }
+  std::vector<FleetMember> originHoldersToAsk(StreamKey stream, Instant now) const {
+    return Hallchute::originHolders(roster_, stream, kOriginHoldersAsked, now);
+  }
   UpstreamLoads loadsElsewhere(Instant now) const;
   /// \brief Usage of all daemons and their earlier incarnations, without this incarnation's own.
   /// The time is ignored, as counted usage doesn't expire.
--- a/Hallchute/src/Gateway/UpstreamPick.cpp
+++ b/Hallchute/src/Gateway/UpstreamPick.cpp
@@ -71,6 +71,8 @@
   if (entry.record.state == UpstreamState::draining) return Tier::ineligible;
   if (now < entry.backoffUntil) return Tier::ineligible;
   if (criteria.tried.contains(entry.record.id)) return Tier::ineligible;
+  if (criteria.version && !table.runsVersion(entry, *criteria.version, now))
+    return Tier::ineligible;
   if (!table.withinLimits(entry, now) || !drawnForAdmission(entry, criteria))
     return Tier::ineligible;
   if (entry.unlistedSince) {
--- a/Hallchute/src/Gateway/UpstreamPick.h
+++ b/Hallchute/src/Gateway/UpstreamPick.h
@@ -5,6 +5,7 @@
 #define HALLCHUTE_GATEWAY_UPSTREAMPICK_H
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -24,6 +25,9 @@
   FailureDomainName ownDomain;
   /// Breaks ties, so that daemons don't all choose the same upstream.
   std::string requestId;
+  /// The only software version that may run the request, as it continues a stream; empty if it
+  /// can't be told, so that none may. Nothing: any version.
+  std::optional<SoftwareVersion> version{};
 };
 
 /// \brief Selects the upstream for a request; null if none is eligible. \ingroup Gateway
--- a/Hallchute/src/Gateway/UpstreamTable.cpp
+++ b/Hallchute/src/Gateway/UpstreamTable.cpp
@@ -34,6 +34,8 @@
 constexpr double kAdmissionAfterRejection = 0.7;
 /// Some requests go there always, so that the load shows when there is room.
 constexpr double kMinAdmittedFraction = 0.02;
+/// Time in which a process that has replaced another one under its id is listed.
+constexpr Millis kRestartListingTime{5'000};
 /// Time for which an upstream is kept after the directory stopped listing it.
 constexpr Millis kUnlistedRetention{10'000};
 
@@ -155,11 +157,15 @@
       entry.ejectedUntil = std::max(entry.ejectedUntil, now + kRejectedEjection);
       return;
     case DispatchResult::unreachable:
+      entry.mayHaveEndedAt = now;
       entry.ejectedUntil = std::max(entry.ejectedUntil, now + kUnreachableEjection);
       noteFailure(entry, now);
       noteUnreachable(entry, now);
       return;
     case DispatchResult::broken:
+      entry.mayHaveEndedAt = now;
+      noteFailure(entry, now);
+      return;
     case DispatchResult::silent:
     case DispatchResult::failed:
       noteFailure(entry, now);
@@ -264,6 +270,15 @@
   return rejectionLimits_.maySend(id, now) || !mayBeFull(entry, now);
 }
 
+/// A process that reports its start may be replaced by one of another version under the same id,
+/// and the listing shows it late.
+bool UpstreamTable::runsVersion(const UpstreamEntry& entry, const SoftwareVersion& version,
+                                Instant now) const {
+  if (version.empty() || entry.record.version != version) return false;
+  const bool keepsId = entry.record.incarnation != 0;
+  return !keepsId || !entry.mayHaveEndedAt || now - *entry.mayHaveEndedAt >= kRestartListingTime;
+}
+
 void UpstreamTable::noteSent(const UpstreamId& upstream, Instant now) {
   limits_.noteSent(upstream, now);
   const UpstreamEntry* entry = find(upstream);
--- a/Hallchute/src/Gateway/UpstreamTable.h
+++ b/Hallchute/src/Gateway/UpstreamTable.h
@@ -52,6 +52,8 @@
   Instant backoffUntil{};
   /// When it last rejected a request of this daemon.
   Instant rejectedAt{};
+  /// When a request or a connection last failed in a way that the end of its process explains.
+  std::optional<Instant> mayHaveEndedAt;
   /// Fraction of the requests that may go there; below 1 only if it names a limit on rejections.
   double admittedFraction = 1;
   /// The last incarnation that the directory or a peer reported as draining.
@@ -117,6 +119,8 @@
   LimitLedger& rejectionLimits() { return rejectionLimits_; }
   /// \brief Whether this daemon may send a request to an upstream within the limits that it names.
   bool withinLimits(const UpstreamEntry& entry, Instant now) const;
+  /// \brief Whether the upstream certainly runs that version of its software.
+  bool runsVersion(const UpstreamEntry& entry, const SoftwareVersion& version, Instant now) const;
   /// \brief Counts a request that is sent against the limits.
   void noteSent(const UpstreamId& upstream, Instant now);
 
--- a/Hallchute/src/Node/ForwardingWire.cpp
+++ b/Hallchute/src/Node/ForwardingWire.cpp
@@ -14,7 +14,8 @@
   return std::tie(m.name, m.value);
 }
 inline auto wireFields(UpstreamCriteria& m) {
-  return std::tie(m.service, m.affinity, m.sharedTokens, m.tried, m.ownDomain, m.requestId);
+  return std::tie(m.service, m.affinity, m.sharedTokens, m.tried, m.ownDomain, m.requestId,
+                  m.version);
 }
 inline auto wireFields(DispatchMetadata& m) {
   return std::tie(m.remaining, m.upstream, m.organisation, m.urgency, m.lastEventId, m.cacheSource);
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -85,8 +85,10 @@
             {[this](const FleetReport& report) { handleReport(report); },
              [this](const SnapshotRequest& request) { return storeCopy_.snapshot(request); }},
             metrics_),
-      forwarding_(trafficLoop_, controlLoop_, link_.transport(), forwardingCallbacks()) {
+      forwarding_(trafficLoop_, controlLoop_, link_.transport(), forwardingCallbacks()),
+      origins_(trafficLoop_, controlLoop_, link_.transport(), originCallbacks()) {
   engine_.setForwarder(&forwarding_);
+  engine_.setOriginExchange(&origins_);
   callerServer_.setLimits(callerLimits({}));
   readinessServer_.setLimits(pageLimits());
   serveMetrics();
@@ -97,7 +99,8 @@
                     fleet_.quotaFleet(clockNow()),
                     fleet_.clock().offset(),
                     CrashLedger::kMaxCrashes,
-                    {}});
+                    {},
+                    false});
   startDuties();
 }
 
@@ -109,6 +112,7 @@
   if (controlThread_.joinable()) controlThread_.join();
   // Sessions that are left end after it.
   engine_.setForwarder(nullptr);
+  engine_.setOriginExchange(nullptr);
 }
 
 void GatewayNode::serveMetrics() {
@@ -187,6 +191,28 @@
           [this](std::uint64_t assist) { engine_.cancelAssist(assist); }};
 }
 
+OriginLink::Callbacks GatewayNode::originCallbacks() {
+  return {[this](StreamKey stream) { return fleet_.originHolders(stream, clockNow()); },
+          [this](StreamKey stream) { return fleet_.originHoldersToAsk(stream, clockNow()); },
+          [this](std::span<const StreamOrigin> origins) {
+            engine_.origins().merge(origins, clockNow());
+          },
+          [this](StreamKey stream, const ServiceName& service) {
+            return engine_.origins().reply(stream, service, clockNow());
+          }};
+}
+
+/// Whether the upstreams' software versions in this daemon's copy can be taken for all that the
+/// fleet uses: the store answers, and no daemon reports a newer copy.
+bool GatewayNode::directoryCurrent(Instant now) const {
+  if (!fleet_.discoveryComplete(now) || storeCopy_.age(now) >= startup_.bounds.contact)
+    return false;
+  const std::uint64_t own = storeCopy_.state().upstreamsVersion;
+  const std::vector<const FleetReport*> reports = fleet_.reports(now);
+  return std::none_of(reports.begin(), reports.end(),
+                      [&](const FleetReport* report) { return report->upstreamsVersion > own; });
+}
+
 DutyHolder GatewayNode::latestHolder(Instant now) const {
   DutyHolder latest = duties_ ? duties_->holder() : DutyHolder{};
   for (const FleetReport* report : fleet_.reports(now)) latest.mergeNewer(report->duties);
@@ -303,7 +329,8 @@
 void GatewayNode::updateTraffic(Instant now) {
   FleetTrafficView trafficView{fleet_.expectedCount(now), fleet_.loadsElsewhere(now),
                                fleet_.quotaFleet(now),    fleet_.clock().offset(),
-                               crashLimit(now),           fleet_.limitFleet(now)};
+                               crashLimit(now),           fleet_.limitFleet(now),
+                               directoryCurrent(now)};
   // The others no longer count on a daemon that is leaving.
   if (leaving_) trafficView.limitFleet.active = false;
   logFleetState(trafficView, now);
--- a/Hallchute/src/Node/GatewayNode.h
+++ b/Hallchute/src/Node/GatewayNode.h
@@ -18,6 +18,7 @@
 #include "Hallchute/src/Node/ForwardingLink.h"
 #include "Hallchute/src/Node/NodePorts.h"
 #include "Hallchute/src/Node/NodeStartup.h"
+#include "Hallchute/src/Node/OriginLink.h"
 #include "Hallchute/src/Node/PageHandlers.h"
 #include "Hallchute/src/Node/StoreCopy.h"
 #include "Hallchute/src/Observability/Metrics.h"
@@ -80,6 +81,8 @@
   void mergeLimits(const FleetReport& report);
   std::size_t crashLimit(Instant now) const;
   ForwardingLink::Callbacks forwardingCallbacks();
+  OriginLink::Callbacks originCallbacks();
+  bool directoryCurrent(Instant now) const;
   void updateTraffic(Instant now);
   void logClockOffset(Millis hostClock, Instant now);
   void logFleetState(const FleetTrafficView& trafficView, Instant now);
@@ -107,6 +110,7 @@
   StoreCopy storeCopy_;
   FleetLink link_;
   ForwardingLink forwarding_;
+  OriginLink origins_;
   std::vector<GatewayService> services_;
   double quotaTokens_ = 0;
   LocalReport localReport_;
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -14,6 +14,7 @@
 #include "Hallchute/src/Observability/Metrics.h"
 #include "Hallchute/src/Ports/TrafficCodec.h"
 #include "Hallchute/src/Traffic/AssistedDispatch.h"
+#include "Hallchute/src/Traffic/OriginExchange.h"
 #include "Hallchute/src/Traffic/RetryAfter.h"
 #include "Hallchute/src/Traffic/TrafficSession.h"
 
@@ -21,6 +22,11 @@
 namespace {
 
 constexpr Millis kSweepPeriod{500};
+/// Streams that begin within this time are reported together; a caller that returns sooner may find
+/// that nobody knows its stream.
+constexpr Millis kStreamReportDelay{20};
+/// How far a host's wall clock may be off when an upstream's start is compared with it.
+constexpr Millis kClockTolerance{1'000};
 constexpr double kPercent = 100;
 constexpr double kSecondsPerMinute = 60;
 /// Part of the rejections that an upstream can bear which daemons may cause: the loads that they
@@ -67,6 +73,7 @@
   pool_.sweep(now);
   upstreams_.sweep(now);
   crashes_.sweep(now);
+  origins_.sweep(now);
 }
 
 void TrafficEngine::setSettings(std::shared_ptr<const RouteTable> routes) {
@@ -88,6 +95,8 @@
     const std::uint64_t before = known->record.incarnation;
     if (record.incarnation != before) noteProcessEnded({record.id, before});
   }
+  noteReplacedProcesses(records, now);
+  origins_.noteListed(records, now);
   for (const UpstreamId& removed : upstreams_.replace(records, now)) {
     const UpstreamEntry* entry = upstreams_.find(removed);
     const bool restarted = entry != nullptr && !entry->unlistedSince;
@@ -98,6 +107,34 @@
   }
 }
 
+/// The listing shows a new process late: streams that began in between were taken for those of the
+/// process before, whose version may differ.
+void TrafficEngine::noteReplacedProcesses(std::span<const UpstreamRecord> records, Instant now) {
+  for (const UpstreamRecord& record : records) {
+    const UpstreamEntry* known = upstreams_.find(record.id);
+    if (known == nullptr || record.incarnation <= known->record.incarnation) continue;
+    if (known->record.version == record.version) continue;
+    const Millis age = wallClock(now) - Millis(record.incarnation) + kClockTolerance;
+    reportStreams(origins_.noteReplaced(record.id, now - age));
+  }
+}
+
+void TrafficEngine::noteStreamBegan(const StreamOrigin& origin, const UpstreamId& upstream) {
+  if (origins_.noteBegan(origin, upstream, clockNow())) reportStreams({origin});
+}
+
+void TrafficEngine::reportStreams(std::vector<StreamOrigin> origins) {
+  if (origins.empty() || originExchange_ == nullptr) return;
+  const bool scheduled = !unreportedOrigins_.empty();
+  unreportedOrigins_.insert(unreportedOrigins_.end(), origins.begin(), origins.end());
+  if (scheduled) return;
+  loop_.after(kStreamReportDelay, [this] {
+    metrics_.add("hallchute_streams_reported_total", "", unreportedOrigins_.size());
+    if (originExchange_ != nullptr) originExchange_->tell(std::move(unreportedOrigins_));
+    unreportedOrigins_.clear();
+  });
+}
+
 void TrafficEngine::noteDraining(const UpstreamIncarnation& upstream) {
   upstreams_.noteDraining(upstream.id, upstream.incarnation);
 }
@@ -120,6 +157,8 @@
   crashes_.setLimit(view.crashLimit);
   upstreams_.limits().setFleet(view.limitFleet);
   upstreams_.rejectionLimits().setFleet(view.limitFleet);
+  origins_.setDirectoryCurrent(view.directoryCurrent);
+  reportStreams(origins_.takeUnreported(clockNow()));
 }
 
 void TrafficEngine::noteSpentElsewhere(const OrganisationName& organisation, double amount) {
--- a/Hallchute/src/Traffic/TrafficEngine.h
+++ b/Hallchute/src/Traffic/TrafficEngine.h
@@ -21,6 +21,7 @@
 #include "Hallchute/src/Gateway/QuotaLedger.h"
 #include "Hallchute/src/Gateway/RetryWindow.h"
 #include "Hallchute/src/Gateway/RouteTable.h"
+#include "Hallchute/src/Gateway/StreamOrigins.h"
 #include "Hallchute/src/Gateway/UpstreamTable.h"
 #include "Hallchute/src/Gateway/UsageLedger.h"
 #include "Hallchute/src/Traffic/ForwardedReply.h"
@@ -33,6 +34,7 @@
 class AssistedDispatch;
 class EventLoop;
 class Metrics;
+class OriginExchange;
 class RequestForwarder;
 class TrafficCodec;
 class TrafficSession;
@@ -56,6 +58,8 @@
   std::size_t crashLimit = CrashLedger::kMaxCrashes;
   /// The daemons that divide the limits which upstreams name.
   LimitFleet limitFleet{};
+  /// No daemon is known to have a newer listing of the upstreams, and the store answers.
+  bool directoryCurrent = true;
 };
 
 /// \brief Admits callers' requests and runs a session for each. Used on the traffic thread only.
@@ -83,6 +87,9 @@
   /// \brief Sets how requests reach upstreams that this daemon can't; null, or must outlive this.
   void setForwarder(RequestForwarder* forwarder) { forwarder_ = forwarder; }
   RequestForwarder* forwarder() const { return forwarder_; }
+  /// \brief Sets how daemons tell each other of streams; null, or must outlive this.
+  void setOriginExchange(OriginExchange* exchange) { originExchange_ = exchange; }
+  OriginExchange* originExchange() const { return originExchange_; }
   /// \brief Makes a dispatch for another daemon. \param assist a number for cancelAssist().
   void assist(std::uint64_t assist, ForwardedRequest request,
               std::function<void(const ForwardedReply&)> reply);
@@ -105,6 +112,7 @@
   const QuotaLedger& quota() const { return quota_; }
   const UpstreamTable& upstreams() const { return upstreams_; }
   CrashLedger& crashes() { return crashes_; }
+  StreamOrigins& origins() { return origins_; }
   const PathMonitor& paths() const { return prober_.paths(); }
 
   // For TrafficSession.
@@ -119,6 +127,8 @@
   bool takeRetry(const ServiceName& service, Instant now);
   void refundQuota(const OrganisationName& organisation, double amount);
   void noteRun(const OrganisationName& organisation);
+  /// \brief Records that a stream began at an upstream, and reports it if callers need that.
+  void noteStreamBegan(const StreamOrigin& origin, const UpstreamId& upstream);
   /// \brief Records the limits that an answer names, or that it names none.
   void noteNamedLimits(const UpstreamIncarnation& upstream, const UpstreamResponse& answer);
   void noteCrash(RequestFingerprint content, const UpstreamIncarnation& upstream);
@@ -146,6 +156,8 @@
   bool authorise(FrontExchange& exchange, const ClientRequest& request, const Route& route,
                  const GatewayOrganisation*& organisation);
   void sweep();
+  void noteReplacedProcesses(std::span<const UpstreamRecord> records, Instant now);
+  void reportStreams(std::vector<StreamOrigin> origins);
 
   EventLoop& loop_;
   TrafficOptions options_;
@@ -163,6 +175,10 @@
   std::unordered_map<std::uint64_t, std::shared_ptr<TrafficSession>> sessions_;
   std::uint64_t nextSessionId_ = 1;
   std::unordered_map<std::uint64_t, std::shared_ptr<AssistedDispatch>> assists_;
+  StreamOrigins origins_;
+  /// Origins to report once the delay of a batch has passed.
+  std::vector<StreamOrigin> unreportedOrigins_;
+  OriginExchange* originExchange_ = nullptr;
   RequestForwarder* forwarder_ = nullptr;
   std::size_t daemonCount_ = 1;
   Millis clockOffset_{0};
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -14,6 +14,7 @@
 #include "Hallchute/src/Net/EventLoop.h"
 #include "Hallchute/src/Observability/LogLine.h"
 #include "Hallchute/src/Observability/Metrics.h"
+#include "Hallchute/src/Traffic/OriginExchange.h"
 #include "Hallchute/src/Traffic/RetryAfter.h"
 #include "Hallchute/src/Traffic/TrafficEngine.h"
 #include "Hallchute/src/Traffic/UpstreamDispatch.h"
@@ -76,6 +77,11 @@
   return "";
 }
 
+/// A stream is continued at the service that began it, where a route has several.
+const std::string& targetKey(const ClientRequest& request) {
+  return request.resumes.empty() ? request.id.str() : request.resumes.str();
+}
+
 Millis timeLimitOf(const Route& route, const ClientRequest& request) {
   return std::min(route.timeLimit, request.deadline.value_or(route.timeLimit));
 }
@@ -88,7 +94,7 @@
       id_(id),
       exchange_(std::move(exchange)),
       admission_(std::move(admission)),
-      service_(RouteTable::pickTarget(*admission_.route, admission_.request.id.str())),
+      service_(RouteTable::pickTarget(*admission_.route, targetKey(admission_.request))),
       relay_(
           {admission_.route->mayRepeat(), admission_.route->resumable, admission_.route->maxRuns}),
       deadline_(exchange_->receivedAt() + timeLimitOf(*admission_.route, admission_.request)) {
@@ -114,9 +120,74 @@
     deadlineTimer_ = 0;
     handleEvent(RelayEvents::DeadlineExceeded{});
   });
+  if (admission_.route->resumable && admission_.request.resumesStream()) {
+    resolveOrigin();
+  } else {
+    handleEvent(RelayEvents::Begin{});
+  }
+}
+
+StreamKey TrafficSession::streamKey() const {
+  return StreamOrigins::keyOf(RequestId(targetKey(admission_.request)));
+}
+
+void TrafficSession::resolveOrigin() {
+  if (const StreamOrigin* origin = engine_.origins().find(streamKey())) {
+    adoptOrigin(StreamOriginReply{*origin, true}, "own");
+    return;
+  }
+  if (engine_.originExchange() == nullptr) {
+    adoptOrigin(engine_.origins().reply(streamKey(), service_, clockNow()), "own");
+    return;
+  }
+  const auto onReply = [weak = weak_from_this()](const std::optional<StreamOriginReply>& reply) {
+    const auto session = weak.lock();
+    if (session == nullptr || session->relay_.ended()) return;
+    if (reply) {
+      session->adoptOrigin(reply, "peers");
+      return;
+    }
+    TrafficEngine& engine = session->engine_;
+    session->adoptOrigin(
+        engine.origins().reply(session->streamKey(), session->service_, clockNow()), "own");
+  };
+  engine_.originExchange()->ask(streamKey(), service_, onReply);
+}
+
+/// Without an origin the stream is refused: another daemon may know it.
+void TrafficSession::adoptOrigin(const std::optional<StreamOriginReply>& reply,
+                                 std::string_view source) {
+  const bool known = reply && reply->origin.service == service_ && !reply->origin.version.empty();
+  LogLine(LogLevel::info, "stream.origin")
+      .with("request", selection_.requestId)
+      .with("resumes", admission_.request.resumes.str())
+      .with("service", service_.str())
+      .with("version", known ? reply->origin.version.str() : std::string())
+      .with("recorded", reply && reply->recorded)
+      .with("source", source);
+  engine_.metrics().add("hallchute_streams_resumed_total",
+                        known ? "origin=\"known\"" : "origin=\"unknown\"");
+  if (!known) {
+    handleEvent(RelayEvents::NoUpstreamAvailable{});
+    return;
+  }
+  selection_.version = reply->origin.version;
+  lastEventId_ = admission_.request.lastEventId;
+  engine_.origins().merge({&reply->origin, 1}, clockNow());
   handleEvent(RelayEvents::Begin{});
 }
 
+/// From the first event on, only the same version may continue the stream.
+void TrafficSession::noteStreamStarted() {
+  if (!admission_.route->resumable || selection_.version) return;
+  const UpstreamEntry* entry = engine_.upstreamTable().find(upstream_.id);
+  const bool replaced = entry != nullptr && entry->record.incarnation > upstream_.incarnation &&
+                        entry->record.version != upstreamVersion_;
+  const StreamOrigin origin{streamKey(), service_, replaced ? SoftwareVersion() : upstreamVersion_};
+  selection_.version = origin.version;
+  engine_.noteStreamBegan(origin, upstream_.id);
+}
+
 Millis TrafficSession::remaining() const {
   const auto left = std::chrono::duration_cast<Millis>(deadline_ - clockNow());
   return std::max(Millis(0), left);
@@ -139,6 +210,11 @@
 
 void TrafficSession::perform(const RelayActions::Dispatch& action) {
   const Instant now = clockNow();
+  if (selection_.version) {
+    // A listing may have shown since that the process was replaced.
+    const StreamOrigin* origin = engine_.origins().find(streamKey());
+    if (origin != nullptr) selection_.version = origin->version;
+  }
   if (engine_.crashes().quarantined(admission_.content) != nullptr) {
     LogLine(LogLevel::info, "request.retryDenied")
         .with("request", selection_.requestId)
@@ -458,6 +534,7 @@
 }
 
 void TrafficSession::perform(const RelayActions::ForwardEvent& action) {
+  noteStreamStarted();
   if (action.first) exchange_->startStream(answerHead_.status, forwardedFields(answerHead_));
   if (!event_.id.empty()) lastEventId_ = event_.id;
   exchange_->sendStreamData(event_.bytes);
--- a/Hallchute/src/Traffic/TrafficSession.h
+++ b/Hallchute/src/Traffic/TrafficSession.h
@@ -14,6 +14,7 @@
 
 #include "Hallchute/src/Gateway/RequestFingerprint.h"
 #include "Hallchute/src/Gateway/RouteTable.h"
+#include "Hallchute/src/Gateway/StreamOrigin.h"
 #include "Hallchute/src/Gateway/UpstreamPick.h"
 #include "Hallchute/src/Ports/TrafficCodec.h"
 #include "Hallchute/src/Relay/EventSplitter.h"
@@ -60,6 +61,11 @@
   void peerDeclined(const DaemonId& peer) override;
 
  private:
+  /// Finds the software version that began the stream, if the caller continues one.
+  void resolveOrigin();
+  void adoptOrigin(const std::optional<StreamOriginReply>& reply, std::string_view source);
+  StreamKey streamKey() const;
+  void noteStreamStarted();
   void handleEvent(const RelayEvent& event);
   void perform(const RelayActions::Dispatch& action);
   void perform(const RelayActions::Cancel& action);
--- a/test/GatewayRig.cpp
+++ b/test/GatewayRig.cpp
@@ -100,6 +100,7 @@
   record.address = address;
   record.domain = FailureDomainName("d1");
   record.slots = 8;
+  record.version = SoftwareVersion("v1");
   return record;
 }
 
--- a/test/ResumedStreamTest.cpp
+++ b/test/ResumedStreamTest.cpp
@@ -135,6 +135,8 @@
     VersionRig rig({beginsAndBreaks("v1")});
     CPPUNIT_ASSERT(holds(rig.ask("a1"), "v1"));
     rig.list({goesOn("v2", "d1"), goesOn("v3", "d2")});
+    // An upstream that is no longer listed remains a last resort unless it leaves.
+    rig.rig.loop().call([&] { rig.rig.engine().noteDraining(UpstreamId("i-1")); });
     const std::string answer = rig.ask("a2", resumes("a1"));
     CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 503"));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, rig.arrivals());
--- a/test/SimulatedFleet.h
+++ b/test/SimulatedFleet.h
@@ -45,6 +45,8 @@
                const std::function<void(int daemon, const FleetReport& report)>& onReport);
   /// \brief Whether the fleet has just been split: daemons don't know of it yet.
   bool partitionStarting(int ms) const;
+  /// \brief Whether a message between two daemons arrives.
+  bool reaches(int from, int to, int ms) const;
 
   static Instant at(int ms) { return Instant(std::chrono::hours(1)) + Millis(ms); }
 
@@ -57,7 +59,6 @@
 
   static std::string addressOf(int daemon);
   FleetMember memberOf(int daemon, int ms) const;
-  bool reaches(int from, int to, int ms) const;
 
   Partition partition_;
   std::vector<std::unique_ptr<FleetView>> views_;
