Keep the services' software versions in the duties' record

After a restart of all daemons no memory of versions is left, so that for a minute no version could be concluded and callers that take up streams of a service with a single version would be refused.

--- a/Hallchute/src/Duty/DutyRecord.h
+++ b/Hallchute/src/Duty/DutyRecord.h
@@ -10,6 +10,7 @@
 #include "Hallchute/src/Fleet/FleetReport.h"
 #include "Hallchute/src/Gateway/CrashHistory.h"
 #include "Hallchute/src/Gateway/UsageLedger.h"
+#include "Hallchute/src/Gateway/VersionHistory.h"
 
 namespace Hallchute {
 
@@ -37,6 +38,8 @@
   /// Contents under which upstreams crashed, so that a restart of all daemons doesn't let them
   /// crash further ones.
   std::vector<CrashHistory> crashHistories{};
+  /// Software versions that the services had lately, in order; see VersionHistory.
+  std::vector<ServiceVersion> versions{};
 };
 
 /// \brief A record with its revision in the store. \ingroup Duty
--- a/Hallchute/src/Duty/DutyStateMachine.cpp
+++ b/Hallchute/src/Duty/DutyStateMachine.cpp
@@ -257,12 +257,14 @@
   }
   DutyRecord updated = record;
   updated.crashHistories = historiesToStore(facts, now);
+  if (!facts.versions.empty()) updated.versions = facts.versions;
   const bool urgent =
       finaliseWindows(facts, updated) || quarantinedIn(updated) != quarantinedIn(record);
   if (!urgent && now - checkpointedAt_ < kCheckpointInterval) return DutySteps::Nothing{};
   updated.openUsage = openWindowUsage(facts, updated);
-  const bool changed =
-      updated.openUsage != record.openUsage || updated.crashHistories != record.crashHistories;
+  const bool changed = updated.openUsage != record.openUsage ||
+                       updated.crashHistories != record.crashHistories ||
+                       updated.versions != record.versions;
   if (!urgent && !changed) return DutySteps::Nothing{};
   // A holder that has just taken over may not have discovered all daemons yet.
   const bool settled = now - acquiredAt_ >= policy_.lease;
--- a/Hallchute/src/Duty/DutyStateMachine.h
+++ b/Hallchute/src/Duty/DutyStateMachine.h
@@ -43,6 +43,8 @@
   UsageByWindow usage;
   /// Contents under which upstreams crashed, in order of their fingerprints.
   std::vector<CrashHistory> crashHistories;
+  /// Software versions that the services had lately, in order.
+  std::vector<ServiceVersion> versions;
   /// Time since the Unix epoch, used only to number the windows.
   Millis wallClock{0};
 };
--- a/Hallchute/src/Node/DutyRunner.cpp
+++ b/Hallchute/src/Node/DutyRunner.cpp
@@ -104,6 +104,7 @@
   if (stored.ok()) {
     callbacks_.onEarlierSize(stored->record.daemons);
     callbacks_.onQuarantine(stored->record.crashHistories);
+    callbacks_.onEarlierVersions(stored->record.versions);
   }
   const bool answered = stored.ok() || absl::IsNotFound(stored.status());
   LogLine(LogLevel::info, "fleet.earlierSize")
--- a/Hallchute/src/Node/DutyRunner.h
+++ b/Hallchute/src/Node/DutyRunner.h
@@ -50,6 +50,8 @@
     std::function<void(std::size_t)> onEarlierSize;
     /// Reports the requests in quarantine that the store records.
     std::function<void(std::vector<CrashHistory>)> onQuarantine;
+    /// Reports the software versions that services had before this daemon started.
+    std::function<void(std::vector<ServiceVersion>)> onEarlierVersions;
   };
 
   DutyRunner(DutyPort& port, DutyRunnerOptions options, FleetMember self, Callbacks callbacks,
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -147,7 +147,10 @@
       *ports_.duties, options, self_,
       DutyRunner::Callbacks{
           [this] { return dutyInput(); }, [this](std::size_t daemons) { noteEarlierSize(daemons); },
-          [this](std::vector<CrashHistory> histories) { mergeCrashes(std::move(histories)); }},
+          [this](std::vector<CrashHistory> histories) { mergeCrashes(std::move(histories)); },
+          [this](std::vector<ServiceVersion> versions) {
+            noteEarlierVersions(std::move(versions));
+          }},
       metrics_);
 }
 
@@ -163,6 +166,12 @@
   trafficLoop_.post([this, histories = std::move(histories)] { engine_.mergeCrashes(histories); });
 }
 
+void GatewayNode::noteEarlierVersions(std::vector<ServiceVersion> versions) {
+  trafficLoop_.post([this, versions = std::move(versions)] {
+    engine_.origins().noteEarlier(versions, clockNow());
+  });
+}
+
 void GatewayNode::mergeLimits(const FleetReport& report) {
   if (report.limits.empty() && report.rejectionLimits.empty()) return;
   trafficLoop_.post([this, limits = report.limits, rejections = report.rejectionLimits] {
@@ -235,6 +244,7 @@
     facts.usage = fleet_.usageElsewhere(now);
     addUsage(facts.usage, localReport_.usage);
     facts.crashHistories = localReport_.crashHistories;
+    facts.versions = localReport_.versions;
     facts.live = fleet_.liveOthers(now);
     if (!leaving_) facts.live[self_.daemon] = self_.incarnation;
     UpstreamLoads loads = fleet_.loadsElsewhere(now);
@@ -286,7 +296,8 @@
                     engine_.crashes().historiesToStore(),
                     engine_.upstreamTable().limits().report(forwards_, clockNow()),
                     engine_.upstreamTable().rejectionLimits().report(forwards_, clockNow()),
-                    engine_.paths().lostServices()};
+                    engine_.paths().lostServices(),
+                    engine_.origins().recentVersions(clockNow())};
   for (const auto& [id, entry] : engine_.upstreams().entries()) {
     if (entry.record.state != UpstreamState::draining) continue;
     local.draining.emplace_back(id, entry.leaving.value_or(entry.record.incarnation));
--- a/Hallchute/src/Node/GatewayNode.h
+++ b/Hallchute/src/Node/GatewayNode.h
@@ -61,6 +61,7 @@
     std::vector<NamedLimit> limits;
     std::vector<NamedLimit> rejectionLimits;
     std::vector<ServiceName> lostPaths;
+    std::vector<ServiceVersion> versions;
   };
 
   /// Without metrics the daemon still serves.
@@ -78,6 +79,7 @@
   void sendFleetReport(const LocalReport& local);
   void noteEarlierSize(std::size_t daemons);
   void mergeCrashes(std::vector<CrashHistory> histories);
+  void noteEarlierVersions(std::vector<ServiceVersion> versions);
   void mergeLimits(const FleetReport& report);
   std::size_t crashLimit(Instant now) const;
   ForwardingLink::Callbacks forwardingCallbacks();
--- a/test/DutyRunnerTest.cpp
+++ b/test/DutyRunnerTest.cpp
@@ -75,7 +75,8 @@
                              runner_.load() == nullptr ? DutyHolder{} : runner_.load()->holder();
                          return input;
                        },
-                       [](std::size_t) {}, [](const std::vector<CrashHistory>&) {}},
+                       [](std::size_t) {}, [](const std::vector<CrashHistory>&) {},
+                       [](const std::vector<ServiceVersion>&) {}},
                       metrics);
     runner_ = &runner;
     runner.start();
--- a/test/ResumedStreamTest.cpp
+++ b/test/ResumedStreamTest.cpp
@@ -8,7 +8,12 @@
 #include <vector>
 
 #include "GatewayRig.h"
+#include "Hallchute/src/Duty/DutyStateMachine.h"
 #include "ScriptedUpstream.h"
+#include "platform/ObjectStore.h"
+#include "platform/PlatformDuties.h"
+#include "standin/ObjectStoreStandin.h"
+#include "standin/StandinServer.h"
 
 namespace {
 
@@ -100,6 +105,7 @@
   CPPUNIT_TEST(goesOnAtItsVersionWhenTheCallerReturns);
   CPPUNIT_TEST(isRefusedIfItsVersionIsGone);
   CPPUNIT_TEST(isRefusedIfNobodyKnowsItsVersion);
+  CPPUNIT_TEST(theRecordKeepsTheVersions);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -148,6 +154,35 @@
     CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 503"));
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, rig.arrivals());
   }
+
+  /// Guards against refusing all streams after a restart of all daemons, when no memory is left.
+  void theRecordKeepsTheVersions() {
+    DutyStateMachine machine({Millis(3'000), Millis(5'000), Millis(10'000)}, DaemonId("a"), 1);
+    machine.noteRead({{}, 1}, Instant(Millis(1'000)));
+    DutyFacts facts;
+    facts.live[DaemonId("a")] = 1;
+    facts.wallClock = Millis(1'000'000);
+    facts.versions = {{ServiceName("s"), SoftwareVersion("v1")},
+                      {ServiceName("s"), SoftwareVersion("v2")}};
+    CPPUNIT_ASSERT(
+        std::holds_alternative<DutySteps::Write>(machine.next(facts, Instant(Millis(1'000)))));
+    machine.noteOutcome(DutyOutcome::done, 2, Instant(Millis(1'000)));
+    const DutyStep step = machine.next(facts, Instant(Millis(3'000)));
+    const auto* write = std::get_if<DutySteps::Write>(&step);
+    CPPUNIT_ASSERT(write != nullptr);
+
+    Standin::ObjectStoreStandin standin;
+    Standin::StandinServer server("127.0.0.1:0", [&](const Standin::Request& request,
+                                                     Poco::Net::HTTPServerResponse& response) {
+      standin.handle(request, response);
+    });
+    const ObjectStore store(server.address(), "127.0.0.1");
+    PlatformDuties duties(store, server.address(), "127.0.0.1");
+    CPPUNIT_ASSERT(duties.create(write->record).ok());
+    const auto stored = duties.read(ReadConsistency::latest);
+    CPPUNIT_ASSERT(stored.ok());
+    CPPUNIT_ASSERT(stored->record.versions == facts.versions);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ResumedStreamTest);
