Log the shared prompt parts of requests whose upstream failed

On-call engineers couldn't see what the requests that ended with an upstream had in common, nor which had brought an event before: upstream.failed names the parts but the last and whether the run had begun.

--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -61,6 +61,16 @@
   return tokens;
 }
 
+/// The ids of the shared prompt parts, for logs.
+std::string sharedPartIds(const ClientRequest& request) {
+  std::string ids;
+  for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i) {
+    if (!ids.empty()) ids += ",";
+    ids += request.prompt[i].id;
+  }
+  return ids;
+}
+
 std::string_view describe(ExchangeFailure failure) {
   switch (failure) {
     case ExchangeFailure::notSent:
@@ -467,6 +477,8 @@
       .with("request", selection_.requestId)
       .with("upstream", upstream_.id.str())
       .with("content", describe(admission_.content))
+      .with("parts", sharedPartIds(admission_.request))
+      .with("began", runCounted_)
       .with("failure", describe(failure))
       .with("sent", sent)
       .with("started", relay_.started())
