--- a/standin/ReplicaStandin.cpp
+++ b/standin/ReplicaStandin.cpp
@@ -152,7 +152,9 @@
   const auto begin = std::max(std::chrono::steady_clock::now(), silentUntil_.load());
   const auto end = begin + workTime_;
   while (!crashed_ && std::chrono::steady_clock::now() < end) std::this_thread::sleep_for(kSleep);
-  if (absl::StartsWith(body, kCrashingBody)) crash();
+  const bool badPart =
+      absl::StrContains(fieldOf(request, "Hallchute-Prompt-Prefix"), kCrashingPart);
+  if (absl::StartsWith(body, kCrashingBody) || badPart) crash();
   {
     const std::lock_guard lock(mutex_);
     running_.erase(running_.find(body));
--- a/standin/ReplicaStandin.h
+++ b/standin/ReplicaStandin.h
@@ -58,10 +58,12 @@
 /// A request under `/stream/` is answered by as many events as the body says, with rising ids from
 /// the one after `Last-Event-Id`; their data is the version of the replica's software. A request
 /// whose body starts with `crash` crashes it some time
-/// after the request began to run.
+/// after the request began to run, and so does one that names a crashing part of its prompt.
 class ReplicaStandin {
  public:
   static constexpr const char* kCrashingBody = "crash";
+  /// How the names of such parts start.
+  static constexpr const char* kCrashingPart = "promptcrash";
   /// Between the events of a stream.
   static constexpr std::chrono::milliseconds kEventGap{20};
 
--- a/test/CrashQuarantineTest.cpp
+++ b/test/CrashQuarantineTest.cpp
@@ -63,11 +63,21 @@
     }
     rig_.setUpstreams(records_);
   }
-  std::string ask(const std::string& body) {
+  std::string ask(const std::string& body, const std::string& fields = "") {
     RawCaller caller(rig_.address());
-    caller.send(requestText("POST", "", body));
+    caller.send(requestText("POST", fields, body));
     return caller.read("\r\n\r\n");
   }
+  /// From now on all upstreams are new ones that follow these scripts.
+  void replace(const std::vector<UpstreamScript>& scripts) {
+    for (std::size_t i = 0; i < upstreams_.size(); ++i) {
+      replaced_.push_back(std::move(upstreams_[i]));
+      upstreams_[i] = std::make_unique<ScriptedUpstream>(scripts);
+      records_[i].id = UpstreamId("u" + std::to_string(replaced_.size()) + "-new");
+      records_[i].address = upstreams_[i]->address();
+    }
+    rig_.setUpstreams(records_);
+  }
   /// Sends a request whose caller leaves. The upstream that it reached ends just after that and
   /// starts again.
   void askAndLeave(const std::string& body) {
@@ -102,6 +112,7 @@
   std::vector<UpstreamScript> scripts_;
   std::vector<UpstreamRecord> records_;
   std::vector<std::unique_ptr<ScriptedUpstream>> upstreams_;
+  std::vector<std::unique_ptr<ScriptedUpstream>> replaced_;
   int ended_ = 0;
   GatewayRig rig_;
 };
@@ -109,6 +120,7 @@
 class CrashQuarantineTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CrashQuarantineTest);
   CPPUNIT_TEST(aRequestThatCrashedThreeUpstreamsIsRefused);
+  CPPUNIT_TEST(aPromptPartThatCrashesUpstreamsIsRefused);
   CPPUNIT_TEST(crashesAfterTheCallerLeftCount);
   CPPUNIT_TEST(abandonedRunsCountOnlyWithProof);
   CPPUNIT_TEST(signsOfAnEnd);
@@ -118,7 +130,29 @@
   CPPUNIT_TEST(aHolderRecordsTheQuarantineAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
+  static std::string prompt(const std::string& part) {
+    return "Hallchute-Prompt-Prefix: aa:10," + part + ":10,ff:10\r\n";
+  }
+
  public:
+  /// No two requests are alike; those with other parts share their first one, with which answers
+  /// began, and their last one, which is nobody's fault.
+  void aPromptPartThatCrashesUpstreamsIsRefused() {
+    Pool pool(WorkKind::repeatable, 9, {kAnswer});
+    CPPUNIT_ASSERT(pool.ask("sound", prompt("bb")).starts_with("HTTP/1.1 200"));
+    pool.replace({kCrash});
+    for (int i = 0; i < kMaxAttempts; ++i) {
+      pool.ask("one " + std::to_string(i), prompt("c1"));
+      pool.ask("two " + std::to_string(i), prompt("c2"));
+    }
+    // Five crashes and three requests more for each of the two parts.
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(pool.runs()), pool.runs() <= 16);
+    pool.replace({kAnswer});
+    CPPUNIT_ASSERT(pool.ask("sound again", prompt("bb")).starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT(pool.ask("another part", prompt("dd")).starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT(pool.ask("bad again", prompt("c1")).starts_with("HTTP/1.1 503"));
+  }
+
   void aRequestThatCrashedThreeUpstreamsIsRefused() {
     struct Row {
       const char* label;
--- a/test/soak/Callers.cpp
+++ b/test/soak/Callers.cpp
@@ -48,6 +48,11 @@
     request.headers = {{"Host", GatewayFleet::kRequestHost},
                        {"Hallchute-Attempt-Id", absl::StrCat("a", number)},
                        {"Hallchute-Deadline-Ms", "4000"}};
+    if (absl::StartsWith(request.body, kPromptBody)) {
+      const std::string part = request.body.substr(0, request.body.find('-'));
+      request.headers.emplace_back("Hallchute-Prompt-Prefix",
+                                   absl::StrCat("shared:10,", part, ":10,last:10"));
+    }
     Attempt attempt{Clock::now(), daemon, request.body, 0};
     Hallchute::HttpExchange exchange({address, "", Millis(500), Millis(4'500)});
     const auto result = exchange.run(request);
--- a/test/soak/Callers.h
+++ b/test/soak/Callers.h
@@ -35,6 +35,9 @@
   using BodySource = std::string (*)(std::uint64_t number);
   /// A request whose body starts so goes to the route on which a request runs at most once.
   static constexpr const char* kOnceBody = "once";
+  /// A request whose body starts so has a prompt with a part named as the body up to its dash,
+  /// after one that all such prompts share.
+  static constexpr const char* kPromptBody = "prompt";
 
   Callers(GatewayFleet& fleet, unsigned seed) : fleet_(fleet), seed_(seed) {}
   ~Callers() { stop(); }
--- a/test/soak/CrashSoak.cpp
+++ b/test/soak/CrashSoak.cpp
@@ -36,6 +36,7 @@
 constexpr Millis kSuspension{2'500};
 constexpr std::size_t kAllowedRetries = 3;
 constexpr std::size_t kAllowedCrashes = 3;
+constexpr std::size_t kAllowedPartCrashes = 5;
 constexpr std::uint64_t kCrashingContents = 2;
 constexpr std::uint64_t kRecurringContents = 5;
 /// Share of the other requests that must be served in the last seconds, when no replica crashes
@@ -52,14 +53,31 @@
   return crashingContent(Hallchute::stableHash(std::to_string(number)) % kCrashingContents);
 }
 
-/// Two thirds of the other requests are unique, the others recur.
+std::string crashingPart(std::uint64_t index) {
+  return absl::StrCat(ReplicaStandin::kCrashingPart, index);
+}
+
+/// No two of these requests are alike; they share one of two parts of their prompts.
+std::string crashingPartBody(std::uint64_t number) {
+  const std::uint64_t part = Hallchute::stableHash(std::to_string(number)) % kCrashingContents;
+  return absl::StrCat(crashingPart(part), "-", number);
+}
+
+/// Two thirds of the other requests are unique, half of them with a prompt; the others recur.
 std::string otherBody(std::uint64_t number) {
-  return number % 3 == 0 ? absl::StrCat("recurring", number / 3 % kRecurringContents)
-                         : absl::StrCat("unique", number);
+  if (number % 3 == 0) return absl::StrCat("recurring", number / 3 % kRecurringContents);
+  if (number % 3 == 1) return absl::StrCat(Callers::kPromptBody, number % 5, "-", number);
+  return absl::StrCat("unique", number);
+}
+
+/// What requests that crash replicas have in common: the body, or the prompt's part.
+std::string kindOf(const std::string& body) {
+  return body.substr(0, body.find('-'));
 }
 
 bool isCrashing(const std::string& body) {
-  return body.rfind(ReplicaStandin::kCrashingBody, 0) == 0;
+  return body.rfind(ReplicaStandin::kCrashingBody, 0) == 0 ||
+         body.rfind(ReplicaStandin::kCrashingPart, 0) == 0;
 }
 
 /// Restarts crashed replicas, crashes others at random, and kills and suspends daemons.
@@ -114,12 +132,13 @@
   std::size_t suspended_ = 0;
 };
 
-/// The times at which replicas crashed while they ran \p body, in order.
-std::vector<Clock::time_point> crashesUnder(const GatewayFleet& fleet, const std::string& body) {
+/// The times at which replicas crashed while they ran requests of \p kind, in order.
+std::vector<Clock::time_point> crashesUnder(const GatewayFleet& fleet, const std::string& kind) {
   std::vector<Clock::time_point> crashes;
   for (const auto& replica : fleet.replicas()) {
     const std::vector<std::string> running = replica->runningAtCrash();
-    if (std::find(running.begin(), running.end(), body) != running.end()) {
+    const auto ofKind = [&](const std::string& body) { return kindOf(body) == kind; };
+    if (std::any_of(running.begin(), running.end(), ofKind)) {
       crashes.push_back(replica->crashedAt());
     }
   }
@@ -127,12 +146,12 @@
   return crashes;
 }
 
-/// Whether all attempts of \p body since \p from were refused; there must be some.
-bool refusedSince(const std::vector<Attempt>& attempts, const std::string& body,
+/// Whether all attempts of \p kind since \p from were refused; there must be some.
+bool refusedSince(const std::vector<Attempt>& attempts, const std::string& kind,
                   Clock::time_point from) {
   std::size_t refused = 0;
   for (const Attempt& attempt : attempts) {
-    if (attempt.body != body || attempt.at < from) continue;
+    if (kindOf(attempt.body) != kind || attempt.at < from) continue;
     if (attempt.status != 503) return false;
     ++refused;
   }
@@ -142,22 +161,22 @@
 /// A daemon also counts a crash if the request had been sent and was not yet running, so that two
 /// crashes may put it in quarantine; it must then be refused to the end.
 bool checkCrashing(const GatewayFleet& fleet, const std::vector<Standin::Arrival>& arrivals,
-                   const std::vector<Attempt>& attempts, const std::string& body,
-                   Clock::time_point calmFrom) {
-  const std::vector<Clock::time_point> crashes = crashesUnder(fleet, body);
-  if (crashes.size() < kAllowedCrashes) {
-    const bool refused = refusedSince(attempts, body, calmFrom);
-    std::cout << body << ": " << crashes.size() << " replicas crashed under it, "
+                   const std::vector<Attempt>& attempts, const std::string& kind,
+                   std::size_t allowedCrashes, Clock::time_point calmFrom) {
+  const std::vector<Clock::time_point> crashes = crashesUnder(fleet, kind);
+  if (crashes.size() < allowedCrashes) {
+    const bool refused = refusedSince(attempts, kind, calmFrom);
+    std::cout << kind << ": " << crashes.size() << " replicas crashed under it, "
               << (refused ? "then it was refused\n" : "and it was not refused\n");
     return refused;
   }
-  const Clock::time_point bound = crashes[kAllowedCrashes - 1] + GatewayFleet::kContact;
+  const Clock::time_point bound = crashes[allowedCrashes - 1] + GatewayFleet::kContact;
   std::size_t late = 0;
   for (const Standin::Arrival& arrival : arrivals) {
-    if (arrival.body != body || arrival.at < bound) continue;
+    if (kindOf(arrival.body) != kind || arrival.at < bound) continue;
     if (fleet.inContact(arrival.caller, arrival.at)) ++late;
   }
-  std::cout << body << ": " << crashes.size() << " replicas crashed under it; it reached replicas "
+  std::cout << kind << ": " << crashes.size() << " replicas crashed under it; it reached replicas "
             << late << " times later than the bound\n";
   return late <= kAllowedRetries;
 }
@@ -202,6 +221,7 @@
   Callers callers(fleet, options.seed);
   callers.add(6, Millis(100), otherBody);
   callers.add(2, Millis(300), crashingBody);
+  callers.add(2, Millis(300), crashingPartBody);
   Operator op(fleet, options.seed);
   while (Clock::now() < end) {
     op.turn(Clock::now() >= end - kCalmEnd - kSuspension - kRestartTime);
@@ -212,7 +232,11 @@
   const std::vector<Attempt> attempts = callers.attempts();
   bool kept = fleet.noneEndedByItself();
   for (std::uint64_t i = 0; i < kCrashingContents; ++i) {
-    kept = checkCrashing(fleet, arrivals, attempts, crashingContent(i), end - kCalmEnd) && kept;
+    const auto check = [&](const std::string& kind, std::size_t allowed) {
+      return checkCrashing(fleet, arrivals, attempts, kind, allowed, end - kCalmEnd);
+    };
+    kept = check(crashingContent(i), kAllowedCrashes) && kept;
+    kept = check(crashingPart(i), kAllowedPartCrashes) && kept;
   }
   return checkOthers(fleet, attempts, end - kCalmEnd) && kept;
 }
