--- a/standin/ReplicaStandin.cpp
+++ b/standin/ReplicaStandin.cpp
@@ -3,6 +3,7 @@
 
 #include "standin/ReplicaStandin.h"
 
+#include <Poco/Net/NetException.h>
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -115,16 +116,23 @@
 void ReplicaStandin::serve(Poco::Net::StreamSocket socket) {
   socket.setLinger(true, 0);
   const int descriptor = socket.impl()->sockfd();
+  std::string caller;
+  try {
+    caller = socket.peerAddress().host().toString();
+  } catch (const Poco::Net::NetException&) {
+    // The caller has reset the connection.
+    return;
+  }
   {
     const std::lock_guard lock(mutex_);
-    connections_[descriptor] = socket.peerAddress().host().toString();
+    connections_[descriptor] = caller;
   }
-  answerRequests(socket);
+  answerRequests(socket, caller);
   const std::lock_guard lock(mutex_);
   connections_.erase(descriptor);
 }
 
-void ReplicaStandin::answerRequests(Poco::Net::StreamSocket& socket) {
+void ReplicaStandin::answerRequests(Poco::Net::StreamSocket& socket, const std::string& caller) {
   std::string in;
   std::array<char, 4096> buffer;
   while (!crashed_) {
@@ -134,14 +142,14 @@
     in.append(buffer.data(), static_cast<std::size_t>(got));
     for (std::string request = takeRequest(in); !request.empty() && !crashed_;
          request = takeRequest(in)) {
-      run(socket, request);
+      run(socket, request, caller);
     }
   }
 }
 
-void ReplicaStandin::run(Poco::Net::StreamSocket& socket, const std::string& request) {
+void ReplicaStandin::run(Poco::Net::StreamSocket& socket, const std::string& request,
+                         const std::string& caller) {
   const std::string body = bodyOf(request);
-  const std::string caller = socket.peerAddress().host().toString();
   if (rejects(socket, request, caller)) return;
   const double limit = limit_;
   {
--- a/standin/ReplicaStandin.h
+++ b/standin/ReplicaStandin.h
@@ -98,8 +98,8 @@
  private:
   void accept();
   void serve(Poco::Net::StreamSocket socket);
-  void answerRequests(Poco::Net::StreamSocket& socket);
-  void run(Poco::Net::StreamSocket& socket, const std::string& request);
+  void answerRequests(Poco::Net::StreamSocket& socket, const std::string& caller);
+  void run(Poco::Net::StreamSocket& socket, const std::string& request, const std::string& caller);
   /// \returns whether it rejected the request.
   bool rejects(Poco::Net::StreamSocket& socket, const std::string& request,
                const std::string& caller);
