Take a stream that ends before its first event for a broken one

A caller got an empty answer with 200 for a stream whose upstream ended before the first event, if the answer had no length: the end of the connection was taken for the end of the stream. Now such a stream is complete only if it ends with an event. Three rows of TrafficContractTest; the one without an event failed before.

--- a/Hallchute/src/Relay/EventSplitter.cpp
+++ b/Hallchute/src/Relay/EventSplitter.cpp
@@ -40,6 +40,7 @@
 std::optional<StreamEvent> EventSplitter::next() {
   const std::size_t length = eventLength(pending_);
   if (length == 0) return std::nullopt;
+  extracted_ = true;
   StreamEvent event;
   event.bytes = pending_.substr(0, length);
   pending_.erase(0, length);
--- a/Hallchute/src/Relay/EventSplitter.h
+++ b/Hallchute/src/Relay/EventSplitter.h
@@ -28,8 +28,12 @@
   std::optional<StreamEvent> next();
   /// \brief The bytes after the last complete event.
   const std::string& incompleteEvent() const { return pending_; }
+  /// \brief Whether the bytes so far may be a whole stream: they end with an event. To be called
+  /// after next() has returned nothing.
+  bool endsWithEvent() const { return extracted_ && pending_.empty(); }
 
  private:
+  bool extracted_ = false;
   std::string pending_;
 };
 
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -433,8 +433,8 @@
     return;
   }
   if (answerIsStream_) {
-    // An answer delimited by the end of the connection may have been truncated within an event.
-    const bool complete = !answerHead_.bodyEndsAtClose || splitter_.incompleteEvent().empty();
+    // An answer delimited by the end of the connection may have been cut off, as its upstream ended.
+    const bool complete = !answerHead_.bodyEndsAtClose || splitter_.endsWithEvent();
     if (!complete) {
       upstreamFailed(ExchangeFailure::connectionEnded);
       return;
--- a/test/TrafficContractTest.cpp
+++ b/test/TrafficContractTest.cpp
@@ -28,6 +28,8 @@
 const std::string kStreamHead =
     "HTTP/1.1 200 OK\r\n" + kSigned +
     "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string kUnframedHead =
+    "HTTP/1.1 200 OK\r\n" + kSigned + "Content-Type: text/event-stream\r\n\r\n";
 const std::string kEnd = "0\r\n\r\n";
 
 std::string event(int id) {
@@ -199,6 +201,33 @@
          chunk(event(1)) + chunk(event(2)) + kEnd,
          "da\r\n",
          2},
+        {"an unframed stream that ends between events is complete",
+         WorkKind::stream,
+         true,
+         {kUnframedHead + event(1) + event(2), Then::close},
+         fine,
+         "HTTP/1.1 200",
+         chunk(event(1)) + chunk(event(2)) + kEnd,
+         "",
+         1},
+        {"an unframed stream that ends inside an event goes on elsewhere",
+         WorkKind::stream,
+         true,
+         {kUnframedHead + event(1) + "id: 2\nda", Then::close},
+         {kStreamHead + chunk(event(2)) + kEnd, Then::keep},
+         "HTTP/1.1 200",
+         chunk(event(1)) + chunk(event(2)) + kEnd,
+         "da\r\n",
+         2},
+        {"an unframed stream that ends before its first event goes elsewhere",
+         WorkKind::stream,
+         true,
+         {kUnframedHead, Then::close},
+         {kStreamHead + chunk(event(1)) + kEnd, Then::keep},
+         "HTTP/1.1 200",
+         chunk(event(1)) + kEnd,
+         "",
+         2},
         {"a silent stream goes on elsewhere",
          WorkKind::stream,
          true,
