Notice streams that are cut inside an event through another daemon

A stream without a length that was cut inside an event, as its upstream ended, broke off for the caller, but neither daemon recorded the end of the upstream: the one that made the dispatch took the end of the connection for the end of the answer, and the one that knew better had no dispatch. The one that makes the dispatch now follows the events, so that it records the crash and reports the failure. It also takes an answer for begun by its first whole event, as without the detour, and never by a rejection. aStreamCutInsideAnEventIsACrashThere failed before (0 crashes recorded, 1 expected).

--- a/Hallchute/src/Http/HttpReader.cpp
+++ b/Hallchute/src/Http/HttpReader.cpp
@@ -162,4 +162,8 @@
   return parser_->visit([](auto& parser) { return std::exchange(parser.body, {}); });
 }
 
+bool HttpHead::holdsEvents() const {
+  return fields.get("Content-Type").starts_with("text/event-stream");
+}
+
 }  // namespace Hallchute
--- a/Hallchute/src/Http/HttpReader.h
+++ b/Hallchute/src/Http/HttpReader.h
@@ -29,6 +29,9 @@
   bool keepAlive = false;
   /// Whether the body is delimited by the end of the connection.
   bool bodyEndsAtClose = false;
+
+  /// \brief Whether the body is a stream of events, by its content type.
+  bool holdsEvents() const;
 };
 
 /// \brief The state of a reader after the bytes it was given.
--- a/Hallchute/src/Traffic/AssistedDispatch.cpp
+++ b/Hallchute/src/Traffic/AssistedDispatch.cpp
@@ -87,18 +87,29 @@
   dispatch_->noteAnswer(answer_);
   if (answer_.draining && !answer_.misdirected) engine_.noteDrainingAnswer(dispatch_->upstream());
   status_ = head.status;
+  endsAtClose_ = head.bodyEndsAtClose;
+  if (head.holdsEvents()) events_.emplace();
   reply_(ForwardedReplies::Head{head});
   return true;
 }
 
 void AssistedDispatch::upstreamBody(std::string_view bytes) {
-  dispatch_->noteBegan();
+  if (events_) {
+    events_->add(bytes);
+    while (events_->next()) dispatch_->noteBegan();
+  }
   reply_(ForwardedReplies::Body{std::string(bytes)});
 }
 
 void AssistedDispatch::upstreamDone() {
+  if (events_ && endsAtClose_ && !events_->endsWithEvent()) {
+    upstreamFailed(ExchangeFailure::connectionEnded);
+    return;
+  }
+  const DispatchResult result = resultOf(answer_, status_);
+  if (result != DispatchResult::rejected) dispatch_->noteBegan();
   logEnd("answered");
-  dispatch_->end(resultOf(answer_, status_), !answer_.misdirected);
+  dispatch_->end(result, !answer_.misdirected);
   reply_(ForwardedReplies::Done{});
   engine_.endAssist(id_);
 }
--- a/Hallchute/src/Traffic/AssistedDispatch.h
+++ b/Hallchute/src/Traffic/AssistedDispatch.h
@@ -7,8 +7,10 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 
+#include "Hallchute/src/Relay/EventSplitter.h"
 #include "Hallchute/src/Traffic/ForwardedReply.h"
 #include "Hallchute/src/Traffic/ForwardedRequest.h"
 #include "Hallchute/src/Upstream/UpstreamChannel.h"
@@ -52,6 +54,9 @@
   ReplySink reply_;
   std::unique_ptr<UpstreamDispatch> dispatch_;
   UpstreamResponse answer_;
+  /// Follows the events of a stream; nothing for another response.
+  std::optional<EventSplitter> events_;
+  bool endsAtClose_ = false;
   int status_ = 0;
   Instant startedAt_;
 };
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -3,7 +3,6 @@
 
 #include "Hallchute/src/Traffic/TrafficSession.h"
 
-#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 
 #include <algorithm>
@@ -379,10 +378,8 @@
   if (answer_.draining && !answer_.misdirected) engine_.noteDrainingAnswer(upstream_);
   answerHead_ = head;
   answerBody_.clear();
-  const bool eventStream =
-      absl::StartsWith(std::string(head.fields.get("Content-Type")), "text/event-stream");
   answerIsStream_ = isSuccess(head.status) && answer_.hasSignature &&
-                    admission_.route->kind == WorkKind::stream && eventStream;
+                    admission_.route->kind == WorkKind::stream && head.holdsEvents();
   return true;
 }
 
@@ -433,7 +430,8 @@
     return;
   }
   if (answerIsStream_) {
-    // An answer delimited by the end of the connection may have been cut off, as its upstream ended.
+    // An answer delimited by the end of the connection may have been cut off, as its upstream
+    // ended.
     const bool complete = !answerHead_.bodyEndsAtClose || splitter_.endsWithEvent();
     if (!complete) {
       upstreamFailed(ExchangeFailure::connectionEnded);
--- a/test/ForwardingTest.cpp
+++ b/test/ForwardingTest.cpp
@@ -175,6 +175,7 @@
   CPPUNIT_TEST(aCallerWhoLeavesEndsTheRunAtTheUpstream);
   CPPUNIT_TEST(anUpstreamLearnsNeitherTheKeyNorALaterDeadline);
   CPPUNIT_TEST(aCrashIsRecordedOnce);
+  CPPUNIT_TEST(aStreamCutInsideAnEventIsACrashThere);
   CPPUNIT_TEST(nobodyLeftIsRefusedAtOnce);
   CPPUNIT_TEST(aRegainedPathIsUsedAgain);
   CPPUNIT_TEST_SUITE_END();
@@ -250,6 +251,19 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pair.helper.crashes() + pair.origin.crashes());
   }
 
+  /// A stream without a length ends with its connection, as its upstream's process does.
+  void aStreamCutInsideAnEventIsACrashThere() {
+    const UpstreamScript cut{
+        "HTTP/1.1 200 X\r\nHallchute-Attempt-Id: {id}\r\nHallchute-Replica-Signature: s\r\n"
+        "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: t1\n\nid: 2\nda",
+        Then::close};
+    CutPair pair(WorkKind::stream, cut, cut);
+    const std::string answer = pair.ask("", "no such text");
+    CPPUNIT_ASSERT_MESSAGE(answer, answer.find("0\r\n\r\n") == std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pair.helper.crashes() + pair.origin.crashes());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, pair.arrivals());
+  }
+
   void nobodyLeftIsRefusedAtOnce() {
     CutPair pair(WorkKind::once, fine(), fine());
     pair.origin.peers.clear();
