Pass requests through other daemons when the own share of connections is in use

Now the request goes through another daemon, as it does when the path is lost. othersHelpADaemonWithoutConnectionsLeft failed before at the fourth of six streams.

--- a/Hallchute/src/Traffic/AssistedDispatch.h
+++ b/Hallchute/src/Traffic/AssistedDispatch.h
@@ -20,7 +20,7 @@
 class TrafficEngine;
 class UpstreamDispatch;
 
-/// \brief One dispatch on behalf of another daemon, which can't reach the upstreams itself.
+/// \brief One dispatch on behalf of another daemon, which has no connection to the upstreams.
 /// Traffic thread only. \ingroup Traffic
 ///
 /// Never forwards a request further, so that requests can't travel in a circle, and never repeats
--- a/Hallchute/src/Traffic/PeerDispatch.h
+++ b/Hallchute/src/Traffic/PeerDispatch.h
@@ -27,8 +27,8 @@
   virtual void peerDeclined(const DaemonId& peer) = 0;
 };
 
-/// \brief One dispatch through another daemon, for a service that this daemon can't reach. Traffic
-/// thread only. \ingroup Traffic
+/// \brief One dispatch through another daemon, as this one has no connection to an upstream.
+/// Traffic thread only. \ingroup Traffic
 ///
 /// The listener may destroy it within any call.
 class PeerDispatch final : public ForwardingListener {
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -245,11 +245,14 @@
     handleEvent(RelayEvents::NoUpstreamAvailable{});
     return;
   }
-  if (forwards) {
-    forwardToPeer(action.resume);
-  } else if (!dispatchTo(*upstream, action.resume)) {
+  if (!forwards && dispatchTo(*upstream, action.resume)) return;
+  if (engine_.forwarder() == nullptr) {
     handleEvent(RelayEvents::NotSent{});
+    return;
   }
+  // This daemon's share of the upstream's connections is in use; others may have room in theirs.
+  if (!forwards) selection_.tried.erase(upstream_.id);
+  forwardToPeer(action.resume);
 }
 
 DispatchMetadata TrafficSession::dispatchTerms(bool resume) const {
@@ -279,7 +282,7 @@
   return true;
 }
 
-/// Sends the request through another daemon, as this one can't reach the service's upstreams.
+/// Sends the request through another daemon, as this one has no connection for it.
 void TrafficSession::forwardToPeer(bool resume) {
   ForwardedRequest request;
   request.criteria = selection_;
--- a/test/ForwardingTest.cpp
+++ b/test/ForwardingTest.cpp
@@ -178,6 +178,7 @@
   CPPUNIT_TEST(aStreamCutInsideAnEventIsACrashThere);
   CPPUNIT_TEST(nobodyLeftIsRefusedAtOnce);
   CPPUNIT_TEST(aRegainedPathIsUsedAgain);
+  CPPUNIT_TEST(othersHelpADaemonWithoutConnectionsLeft);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -281,6 +282,23 @@
     CPPUNIT_ASSERT(pair.ask().find("HTTP/1.1 200") == 0);
   }
 
+  /// The load balancer may send most callers to one daemon of many, whose share of an upstream's
+  /// connections is small.
+  void othersHelpADaemonWithoutConnectionsLeft() {
+    CutPair pair(WorkKind::stream, kFirstEvent, kFirstEvent);
+    pair.origin.rig.setUpstreams({upstreamAt("i-1", pair.firstUpstream.address())});
+    waitUntil([&] { return !pair.origin.pathLost(); });
+    pair.origin.rig.loop().call([&] { pair.origin.rig.engine().setFleet({10'000, {}, {}}); });
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int i = 0; i < 6; ++i) {
+      callers.push_back(std::make_unique<RawCaller>(pair.origin.rig.address()));
+      callers.back()->send(requestText("POST", "", "body"));
+      const std::string answer = callers.back()->read("data: t1");
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(i) + ": " + answer,
+                             answer.find("data: t1") != std::string::npos);
+    }
+  }
+
  private:
   template <typename Condition>
   static void waitUntil(Condition condition) {
