Split the start of a dispatch; report streams as soon as a listing shows a second version

Read through as a newcomer: names the link of origins for what it is, splits the checks before a dispatch, says why a stream that replied isn't closed. Streams that began under a single version are reported with the listing that shows another one, not up to 200 ms later.

--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -86,9 +86,9 @@
              [this](const SnapshotRequest& request) { return storeCopy_.snapshot(request); }},
             metrics_),
       forwarding_(trafficLoop_, controlLoop_, link_.transport(), forwardingCallbacks()),
-      origins_(trafficLoop_, controlLoop_, link_.transport(), originCallbacks()) {
+      originLink_(trafficLoop_, controlLoop_, link_.transport(), originCallbacks()) {
   engine_.setForwarder(&forwarding_);
-  engine_.setOriginExchange(&origins_);
+  engine_.setOriginExchange(&originLink_);
   callerServer_.setLimits(callerLimits({}));
   readinessServer_.setLimits(pageLimits());
   serveMetrics();
--- a/Hallchute/src/Node/GatewayNode.h
+++ b/Hallchute/src/Node/GatewayNode.h
@@ -112,7 +112,7 @@
   StoreCopy storeCopy_;
   FleetLink link_;
   ForwardingLink forwarding_;
-  OriginLink origins_;
+  OriginLink originLink_;
   std::vector<GatewayService> services_;
   double quotaTokens_ = 0;
   LocalReport localReport_;
--- a/Hallchute/src/Node/OriginLink.cpp
+++ b/Hallchute/src/Node/OriginLink.cpp
@@ -121,6 +121,7 @@
       const bool known = reply && reply->known;
       receive(id, known ? std::optional(reply->reply) : std::nullopt);
     };
+    // Not called after a reply, as a stream stays open until this side closes it too.
     asked->onClosed = [this, id] { receive(id, std::nullopt); };
     question.streams.push_back(asked);
   }
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -116,6 +116,7 @@
   }
   noteReplacedProcesses(records, now);
   origins_.noteListed(records, now);
+  reportStreams(origins_.takeUnreported(now));
   for (const UpstreamId& removed : upstreams_.replace(records, now)) {
     const UpstreamEntry* entry = upstreams_.find(removed);
     const bool restarted = entry != nullptr && !entry->unlistedSince;
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -213,23 +213,31 @@
   }
 }
 
-void TrafficSession::perform(const RelayActions::Dispatch& action) {
-  const Instant now = clockNow();
-  if (selection_.version) {
-    // A listing may have shown since that the process was replaced.
-    const StreamOrigin* origin = engine_.origins().find(streamKey());
-    if (origin != nullptr) selection_.version = origin->version;
-  }
+/// A listing may have shown since the stream began that the process was replaced.
+void TrafficSession::refreshVersion() {
+  if (!selection_.version) return;
+  const StreamOrigin* origin = engine_.origins().find(streamKey());
+  if (origin != nullptr) selection_.version = origin->version;
+}
+
+bool TrafficSession::deniedByQuarantine() const {
   const bool trial = admission_.isCrashTrial && dispatchCount_ == 0;
   const CrashHistory* history = engine_.crashes().quarantined(admission_.suspects);
-  if (history != nullptr && !trial) {
-    LogLine(LogLevel::info, "request.retryDenied")
-        .with("request", selection_.requestId)
-        .with("content", describe(history->content))
-        .with("reason", "crashesUpstreams");
+  if (history == nullptr || trial) return false;
+  LogLine(LogLevel::info, "request.retryDenied")
+      .with("request", selection_.requestId)
+      .with("content", describe(history->content))
+      .with("reason", "crashesUpstreams");
+  return true;
+}
+
+void TrafficSession::perform(const RelayActions::Dispatch& action) {
+  const Instant now = clockNow();
+  if (deniedByQuarantine()) {
     handleEvent(RelayEvents::NoUpstreamAvailable{});
     return;
   }
+  refreshVersion();
   const bool forwards = engine_.forwarder() != nullptr && engine_.paths().lost(service_);
   const UpstreamEntry* upstream =
       forwards ? nullptr : pickUpstream(engine_.upstreamTable(), selection_, now);
--- a/Hallchute/src/Traffic/TrafficSession.h
+++ b/Hallchute/src/Traffic/TrafficSession.h
@@ -78,6 +78,8 @@
   void perform(const RelayActions::Fail& action);
   void perform(const RelayActions::AbortStream& action);
 
+  void refreshVersion();
+  bool deniedByQuarantine() const;
   DispatchMetadata dispatchTerms(bool resume) const;
   bool dispatchTo(const UpstreamEntry& upstream, bool resume);
   void forwardToPeer(bool resume);
