Soaks: streams in cuts; half of the stand-ins' streams have no length

The soak of cuts now also takes streams up again, with the check that no event is missed or repeated over a caller's attempts. Stand-in replicas send half of their streams without length or chunks, and a crash ends these inside an event as if they were complete.

--- a/standin/ReplicaStandin.cpp
+++ b/standin/ReplicaStandin.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <utility>
 
 #include "standin/RawRequest.h"
@@ -142,15 +143,15 @@
     in.append(buffer.data(), static_cast<std::size_t>(got));
     for (std::string request = takeRequest(in); !request.empty() && !crashed_;
          request = takeRequest(in)) {
-      run(socket, request, caller);
+      if (!run(socket, request, caller)) return;
     }
   }
 }
 
-void ReplicaStandin::run(Poco::Net::StreamSocket& socket, const std::string& request,
+bool ReplicaStandin::run(Poco::Net::StreamSocket& socket, const std::string& request,
                          const std::string& caller) {
   const std::string body = bodyOf(request);
-  if (rejects(socket, request, caller)) return;
+  if (rejects(socket, request, caller)) return true;
   const double limit = limit_;
   {
     const std::lock_guard lock(mutex_);
@@ -166,34 +167,54 @@
   {
     const std::lock_guard lock(mutex_);
     running_.erase(running_.find(body));
-    if (crashed_) return;
+    if (crashed_) return false;
     if (limit > 0) namedLimits_.push_back({std::chrono::steady_clock::now(), caller, limit});
   }
   if (absl::StrContains(request.substr(0, request.find('\r')), " /stream/")) {
-    stream(socket, request);
-    return;
+    return stream(socket, request);
   }
   const std::string answer = answerTo(request, limit);
   ::send(socket.impl()->sockfd(), answer.data(), answer.size(), MSG_NOSIGNAL);
+  return true;
 }
 
-void ReplicaStandin::stream(Poco::Net::StreamSocket& socket, const std::string& request) const {
+/// Half of the streams have neither a length nor chunks. When the replica crashes, these end inside
+/// an event as if they were complete.
+bool ReplicaStandin::stream(Poco::Net::StreamSocket& socket, const std::string& request) const {
   int last = 0;
   int from = 0;
-  if (!absl::SimpleAtoi(bodyOf(request), &last)) return;
+  if (!absl::SimpleAtoi(bodyOf(request), &last)) return false;
   if (!absl::SimpleAtoi(fieldOf(request, "Last-Event-Id"), &from)) from = 0;
-  std::string text = absl::StrCat(
-      "HTTP/1.1 200 OK\r\nHallchute-Attempt-Id: ", fieldOf(request, "Hallchute-Attempt-Id"),
-      "\r\nHallchute-Replica-Signature: ", id_,
-      "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+  const std::string id = fieldOf(request, "Hallchute-Attempt-Id");
+  const bool chunked = std::hash<std::string>{}(id) % 2 == 0;
+  std::string text = absl::StrCat("HTTP/1.1 200 OK\r\nHallchute-Attempt-Id: ", id,
+                                  "\r\nHallchute-Replica-Signature: ", id_,
+                                  "\r\nContent-Type: text/event-stream\r\n",
+                                  chunked ? "Transfer-Encoding: chunked\r\n" : "", "\r\n");
+  const auto sendText = [&] {
+    const ssize_t sent = ::send(socket.impl()->sockfd(), text.data(), text.size(), MSG_NOSIGNAL);
+    text.clear();
+    return sent >= 0;
+  };
   for (int i = from + 1; i <= last && !crashed_; ++i) {
     const std::string event = absl::StrCat("id: ", i, "\ndata: ", version_, "\n\n");
-    absl::StrAppend(&text, absl::Hex(event.size()), "\r\n", event, "\r\n",
-                    i == last ? "0\r\n\r\n" : "");
-    if (::send(socket.impl()->sockfd(), text.data(), text.size(), MSG_NOSIGNAL) < 0) return;
-    text.clear();
+    if (chunked) {
+      absl::StrAppend(&text, absl::Hex(event.size()), "\r\n", event, "\r\n");
+      if (i == last) absl::StrAppend(&text, "0\r\n\r\n");
+    } else {
+      absl::StrAppend(&text, event);
+    }
+    if (!sendText()) return false;
     std::this_thread::sleep_for(kEventGap);
   }
+  if (chunked) return true;
+  if (crashed_) {
+    text = "id: ";
+    sendText();
+  }
+  // Closed without a reset.
+  socket.setLinger(false, 0);
+  return false;
 }
 
 std::string ReplicaStandin::answerTo(const std::string& request, double limit) const {
--- a/standin/ReplicaStandin.h
+++ b/standin/ReplicaStandin.h
@@ -99,11 +99,12 @@
   void accept();
   void serve(Poco::Net::StreamSocket socket);
   void answerRequests(Poco::Net::StreamSocket& socket, const std::string& caller);
-  void run(Poco::Net::StreamSocket& socket, const std::string& request, const std::string& caller);
+  /// \returns whether the connection goes on.
+  bool run(Poco::Net::StreamSocket& socket, const std::string& request, const std::string& caller);
   /// \returns whether it rejected the request.
   bool rejects(Poco::Net::StreamSocket& socket, const std::string& request,
                const std::string& caller);
-  void stream(Poco::Net::StreamSocket& socket, const std::string& request) const;
+  bool stream(Poco::Net::StreamSocket& socket, const std::string& request) const;
   std::string answerTo(const std::string& request, double limit) const;
 
   std::string id_;
--- a/test/soak/CutSoak.cpp
+++ b/test/soak/CutSoak.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <array>
 #include <iostream>
 #include <map>
@@ -18,6 +19,7 @@
 #include "test/soak/Callers.h"
 #include "test/soak/GatewayFleet.h"
 #include "test/soak/SoakOptions.h"
+#include "test/soak/StreamCallers.h"
 
 namespace Soak {
 namespace {
@@ -25,6 +27,7 @@
 using Standin::CutKind;
 
 constexpr int kReplicas = 6;
+constexpr int kStreams = 6;
 constexpr std::size_t kDomains = 3;
 constexpr Millis kWorkTime{30};
 constexpr Millis kTurn{100};
@@ -109,6 +112,14 @@
   return broken == 0;
 }
 
+/// Each stream holds the events of one run, or of runs that continue each other.
+bool keepsStreams(const std::vector<CallerStream>& streams) {
+  const auto broken = std::count_if(streams.begin(), streams.end(),
+                                    [](const CallerStream& stream) { return stream.broken; });
+  std::cout << streams.size() << " streams, " << broken << " with events out of order\n";
+  return broken == 0 && !streams.empty();
+}
+
 /// Restarts daemons, takes the store away and lets replicas fall silent at random.
 class Disturbances {
  public:
@@ -146,6 +157,8 @@
   const auto end = Clock::now() + std::chrono::seconds(options.seconds);
   Callers callers(fleet, options.seed);
   callers.add(8, Millis(100), body);
+  StreamCallers streamCallers(fleet, options.seed);
+  streamCallers.add(kStreams);
   std::mt19937 random(options.seed);
   Disturbances disturbances(fleet, random);
   std::vector<Cut> cuts;
@@ -164,9 +177,11 @@
     std::this_thread::sleep_for(kTurn);
   }
   callers.stop();
+  streamCallers.stop();
   const std::vector<Attempt> attempts = callers.attempts();
   bool kept = fleet.noneEndedByItself();
   kept = keepsPromises(fleet, attempts) && kept;
+  kept = keepsStreams(streamCallers.streams()) && kept;
   for (const Cut& cut : cuts) kept = servedWell(fleet, cut, attempts) && kept;
   return kept;
 }
