A fleet that has served nobody knows its services' versions

In the first minute after the first start of a fleet each daemon reported every stream to others, as it couldn't know the versions before: in a large fleet connections between most pairs of daemons for nothing. A duties' record that is absent, or counts nothing yet, says that nobody was served before. earlierVersionsStandInForAShortHistory, a row more.

--- a/Hallchute/src/Gateway/VersionHistory.cpp
+++ b/Hallchute/src/Gateway/VersionHistory.cpp
@@ -23,7 +23,7 @@
 
 void VersionHistory::noteEarlier(std::span<const ServiceVersion> versions, Instant now) {
   // Later records hold what daemons learned from earlier ones, which would never expire.
-  if (earlierKnown_ || versions.empty()) return;
+  if (earlierKnown_) return;
   earlierKnown_ = true;
   for (const ServiceVersion& version : versions) versions_.try_emplace(version, now);
 }
--- a/Hallchute/src/Gateway/VersionHistory.h
+++ b/Hallchute/src/Gateway/VersionHistory.h
@@ -37,7 +37,7 @@
   /// \brief Records a complete listing of the directory.
   void noteListed(std::span<const UpstreamRecord> records, Instant now);
   /// \brief Records the versions that the fleet's services had lately before this daemon started.
-  /// Only the first call counts.
+  /// Only the first call counts; none of them means that the fleet served nobody.
   void noteEarlier(std::span<const ServiceVersion> versions, Instant now);
   /// \brief The only version that the service has had for the horizon; nothing if there were
   /// several, or if the history is shorter.
--- a/Hallchute/src/Node/DutyRunner.h
+++ b/Hallchute/src/Node/DutyRunner.h
@@ -4,6 +4,8 @@
 #ifndef HALLCHUTE_NODE_DUTYRUNNER_H
 #define HALLCHUTE_NODE_DUTYRUNNER_H
 
+#include <absl/status/statusor.h>
+
 #include <atomic>
 #include <functional>
 #include <map>
@@ -50,7 +52,8 @@
     std::function<void(std::size_t)> onEarlierSize;
     /// Reports the requests in quarantine that the store records.
     std::function<void(std::vector<CrashHistory>)> onQuarantine;
-    /// Reports the software versions that services had before this daemon started.
+    /// Reports the software versions that services had before this daemon started; not called if
+    /// the store's record doesn't tell.
     std::function<void(std::vector<ServiceVersion>)> onEarlierVersions;
   };
 
@@ -79,6 +82,7 @@
   void release(const DutyFacts& facts);
   /// \returns whether the store responded.
   bool readEarlierSize();
+  void reportEarlierVersions(const absl::StatusOr<StoredDutyRecord>& stored);
   void perform(const DutySteps::Nothing& step, const DutyInput& input);
   void perform(const DutySteps::Read& step, const DutyInput& input);
   void perform(const DutySteps::Create& step, const DutyInput& input);
--- a/test/StreamOriginFleetTest.cpp
+++ b/test/StreamOriginFleetTest.cpp
@@ -113,7 +113,7 @@
     for (const std::string& version : day_.earlier) {
       earlier.push_back({kService, SoftwareVersion(version)});
     }
-    origins->noteEarlier(earlier, at(ms));
+    if (!earlier.empty()) origins->noteEarlier(earlier, at(ms));
     listingLag_[static_cast<std::size_t>(i)] = static_cast<int>(random_() % kMaxListingLagMs);
   }
   std::vector<std::string> versionsAt(int ms) const {
@@ -303,17 +303,21 @@
     const Instant now = SimulatedFleet::at(0);
     struct Row {
       const char* story;
-      std::vector<std::string> earlier;
+      std::optional<std::vector<std::string>> earlier;
       bool known;
     };
-    const std::vector<Row> rows{{"nothing is known of the time before", {}, false},
-                                {"it had the same version", {"v1"}, true},
-                                {"another one was there", {"v1", "v2"}, false}};
+    const std::vector<Row> rows{
+        {"nothing is known of the time before", std::nullopt, false},
+        {"the fleet served nobody before", std::vector<std::string>{}, true},
+        {"it had the same version", std::vector<std::string>{"v1"}, true},
+        {"another one was there", std::vector<std::string>{"v1", "v2"}, false}};
     for (const Row& row : rows) {
       StreamOrigins origins;
-      std::vector<ServiceVersion> earlier;
-      for (const std::string& v : row.earlier) earlier.push_back({kService, SoftwareVersion(v)});
-      origins.noteEarlier(earlier, now);
+      if (row.earlier) {
+        std::vector<ServiceVersion> earlier;
+        for (const std::string& v : *row.earlier) earlier.push_back({kService, SoftwareVersion(v)});
+        origins.noteEarlier(earlier, now);
+      }
       origins.noteListed({&record, 1}, now);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(row.story, row.known,
                                    origins.soleVersion(kService, now).has_value());
