--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -254,11 +254,13 @@
     return;
   }
   if (!forwards && dispatchTo(*upstream, action.resume)) return;
-  if (engine_.forwarder() == nullptr) {
+  // This daemon's share of the upstream's connections is in use; others may have room in theirs.
+  // What may not repeat tries another upstream instead, as it could be lost between daemons.
+  const bool othersHelp = engine_.forwarder() != nullptr && admission_.route->mayRepeat();
+  if (!forwards && !othersHelp) {
     handleEvent(RelayEvents::NotSent{});
     return;
   }
-  // This daemon's share of the upstream's connections is in use; others may have room in theirs.
   if (!forwards) selection_.tried.erase(upstream_.id);
   forwardToPeer(action.resume);
 }
--- a/test/StreamOriginFleetTest.cpp
+++ b/test/StreamOriginFleetTest.cpp
@@ -190,7 +190,7 @@
     std::optional<StreamOriginReply> conclusion = origins(daemon).reply(key, kService, at(ms));
     for (const FleetMember& holder : fleet_.view(daemon).originHoldersToAsk(key, at(ms))) {
       if (!fleet_.reaches(daemon, indexOf(holder), ms)) continue;
-      const auto reply = origins(indexOf(holder)).reply(key, kService, at(ms));
+      auto reply = origins(indexOf(holder)).reply(key, kService, at(ms));
       if (reply && reply->recorded) return reply;
       if (reply) conclusion = reply;
     }
--- a/test/soak/StreamCallers.cpp
+++ b/test/soak/StreamCallers.cpp
@@ -85,7 +85,7 @@
 
 std::string StreamCallers::attempt(CallerStream& stream, const std::string& began,
                                    std::size_t daemon) {
-  const std::string id = absl::StrCat("s", ++nextNumber_);
+  std::string id = absl::StrCat("s", ++nextNumber_);
   Hallchute::HttpRequest request;
   request.method = "POST";
   request.target = "/stream/work";
