Log by what a retry is denied, count retries by outcome

The logs could not tell the hypotheses of retries beyond the budget apart: a denied retry named no input, an allowed one left no trace but a second dispatch. A denial now names the requests and retries that the daemon remembers and the daemons that share the slack; hallchute_retries_total counts both outcomes. No decision changes.

--- a/Hallchute/src/Gateway/RetryWindow.h
+++ b/Hallchute/src/Gateway/RetryWindow.h
@@ -31,6 +31,9 @@
   /// \returns whether it does.
   /// \param daemons number of daemons that share the slack.
   bool takeRetry(const RetryAllowance& allowance, std::size_t daemons, Instant now);
+  /// \brief What takeRetry() last compared: the requests and retries that it remembers.
+  std::size_t requestCount() const { return requests_.size(); }
+  std::size_t retryCount() const { return repeats_.size(); }
 
  private:
   std::deque<Instant> requests_;
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -363,8 +363,20 @@
   return std::max(kMinConnections, share);
 }
 
-bool TrafficEngine::takeRetry(const ServiceName& service, Instant now) {
-  return retryWindows_[service].takeRetry(options_.retries, daemonCount_, now);
+bool TrafficEngine::takeRetry(const ServiceName& service, std::string_view requestId) {
+  RetryWindow& window = retryWindows_[service];
+  const bool allowed = window.takeRetry(options_.retries, daemonCount_, clockNow());
+  metrics_.add("hallchute_retries_total", "service=\"" + service.str() + "\",allowed=\"" +
+                                              (allowed ? "true" : "false") + "\"");
+  if (allowed) return true;
+  LogLine(LogLevel::info, "request.retryDenied")
+      .with("request", requestId)
+      .with("service", service.str())
+      .with("reason", "budget")
+      .with("requests", static_cast<std::uint64_t>(window.requestCount()))
+      .with("retries", static_cast<std::uint64_t>(window.retryCount()))
+      .with("daemons", static_cast<std::uint64_t>(daemonCount_));
+  return false;
 }
 
 void TrafficEngine::refundQuota(const OrganisationName& organisation, double amount) {
--- a/Hallchute/src/Traffic/TrafficEngine.h
+++ b/Hallchute/src/Traffic/TrafficEngine.h
@@ -125,7 +125,7 @@
   UpstreamTable& upstreamTable() { return upstreams_; }
   /// \brief Connections that this daemon may open to one upstream of \p service.
   std::size_t connectionShare(const ServiceName& service) const;
-  bool takeRetry(const ServiceName& service, Instant now);
+  bool takeRetry(const ServiceName& service, std::string_view requestId);
   void refundQuota(const OrganisationName& organisation, double amount);
   void noteRun(const OrganisationName& organisation);
   /// \brief Records that a stream began at an upstream, and reports it if callers need that.
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -245,11 +245,7 @@
     handleEvent(RelayEvents::NoUpstreamAvailable{});
     return;
   }
-  if (action.retry && !engine_.takeRetry(service_, now)) {
-    LogLine(LogLevel::info, "request.retryDenied")
-        .with("request", selection_.requestId)
-        .with("service", service_.str())
-        .with("reason", "budget");
+  if (action.retry && !engine_.takeRetry(service_, selection_.requestId)) {
     handleEvent(RelayEvents::NoUpstreamAvailable{});
     return;
   }
