Earn retries by what is still in the rule's windows; no memory to renew

Cause: a budget over all daemons, kept in each one's memory. A new process had its share of the slack again and earned on new requests what the rule grants once for old and new ones; the window that ends now isn't one of the rule's; a daemon that had just started took itself for the only one.

Why it works: what a window allows is earned half in it and half in the window before, by requests and, with time, from the slack. From any retry on a daemon sends no more than it has earned since a window before that retry. The rule grants at least the mean of the two windows, so sums over daemons and over the incarnations of a daemon stay within it, without a message; a new incarnation has earned nothing. The slack's shares count each daemon seen in the last hour.

--- a/Hallchute/src/Fleet/FleetRoster.cpp
+++ b/Hallchute/src/Fleet/FleetRoster.cpp
@@ -24,6 +24,9 @@
 /// Incarnations are start times in milliseconds of the wall clock: a daemon that started this much
 /// earlier has completed its discovery.
 constexpr std::uint64_t kEstablishedLeadMs = 3'000;
+/// How long a daemon that vanished without a word counts as sharing the retry slack: as long as
+/// regions may be cut off from each other.
+constexpr Millis kSharerRetention{3'600'000};
 /// The quota share during discovery if the size of the fleet is unknown: assumes 100 daemons.
 constexpr double kDiscoveryQuotaShare = 0.01;
 
@@ -164,6 +167,19 @@
   return now - started_ < FleetPeer::kPeerRetention ? std::max(count, earlierSize_) : count;
 }
 
+std::size_t FleetRoster::retrySharers(Instant now) const {
+  if (!discoveryComplete(now)) return 0;
+  std::set<std::string> undiscovered = addresses_;
+  std::size_t count = 1;
+  for (const auto& [daemon, peer] : peers_) {
+    undiscovered.erase(peer.report.self.address);
+    const bool seen = FleetPeer::isRecent(peer.lastSeenAt, now, kSharerRetention);
+    if (seen && !peer.report.leaving) ++count;
+  }
+  count += undiscovered.size();
+  return now - started_ < kSharerRetention ? std::max(count, earlierSize_) : count;
+}
+
 bool FleetRoster::discoveryComplete(Instant now) const {
   if (now - started_ >= kDiscoveryTime) return true;
   // A daemon that was running before this one started knows the fleet and reports it at once.
--- a/Hallchute/src/Fleet/FleetRoster.h
+++ b/Hallchute/src/Fleet/FleetRoster.h
@@ -65,6 +65,10 @@
   std::size_t liveCount(Instant now) const;
   /// \brief Daemons that are likely to be running, reachable or not, this one included.
   std::size_t expectedCount(Instant now) const;
+  /// \brief Daemons that may be sharing the slack of the retry budget, this one included: all that
+  /// were seen in the last hour and didn't leave, as they may be running behind a cut, and all that
+  /// are configured or were running before this one started. 0 during discovery.
+  std::size_t retrySharers(Instant now) const;
   /// \brief Whether the other daemons are likely to have been discovered.
   bool discoveryComplete(Instant now) const;
   QuotaFleet quotaFleet(Instant now) const;
--- a/Hallchute/src/Fleet/FleetView.h
+++ b/Hallchute/src/Fleet/FleetView.h
@@ -76,6 +76,9 @@
   std::size_t liveCount(Instant now) const { return roster_.liveCount(now); }
   /// \brief Number of daemons that are likely to be running, reachable or not, this one included.
   std::size_t expectedCount(Instant now) const { return roster_.expectedCount(now); }
+  /// \brief Number of daemons that share the slack of the retry budget; see
+  /// FleetRoster::retrySharers().
+  std::size_t retrySharers(Instant now) const { return roster_.retrySharers(now); }
   /// \brief Whether this daemon is likely to have discovered the others since its start.
   bool discoveryComplete(Instant now) const { return roster_.discoveryComplete(now); }
   /// \brief Whether all daemons that are likely to be running have been live for as long as they
--- a/Hallchute/src/Gateway/RetryWindow.cpp
+++ b/Hallchute/src/Gateway/RetryWindow.cpp
@@ -5,11 +5,18 @@
 
 #include <algorithm>
 
+#include "Hallchute/src/Gateway/RetrySlack.h"
+
 namespace Hallchute {
 namespace {
 
 /// Fraction of the slack that is used, because daemons may underestimate the number of peers.
 constexpr double kUsableSlack = 0.7;
+/// Part of a window's allowance that is earned in that window; the rest in the one before it.
+constexpr double kEarnedInWindow = 0.5;
+/// Time from a caller's request until it is counted, plus the time from a retry until it reaches
+/// an upstream. Within it, retries of one window arrive in the next.
+constexpr Millis kTransitTime{1'000};
 
 void dropBefore(std::deque<Instant>& times, Instant start) {
   while (!times.empty() && times.front() < start) times.pop_front();
@@ -17,14 +24,28 @@
 
 }  // namespace
 
-bool RetryWindow::takeRetry(const RetryAllowance& allowance, std::size_t daemons, Instant now) {
-  dropBefore(requests_, now - allowance.window);
-  dropBefore(repeats_, now - allowance.window);
-  const double share =
-      allowance.slack * kUsableSlack / static_cast<double>(std::max(daemons, std::size_t{1}));
-  const double allowed = allowance.ratio * static_cast<double>(requests_.size()) + share;
-  if (static_cast<double>(repeats_.size()) + 1 > allowed) return false;
-  repeats_.push_back(now);
+double RetryWindow::earnedSince(const RetryAllowance& allowance, const RetrySlack& slack,
+                                Instant from, Instant now) const {
+  const auto first = std::lower_bound(requests_.begin(), requests_.end(), from);
+  const auto requests = static_cast<double>(requests_.end() - first);
+  const double windowsShared = slack.earned(from, now) / allowance.window;
+  const double fromSlack = allowance.slack * kUsableSlack * windowsShared;
+  return kEarnedInWindow * (allowance.ratio * requests + fromSlack);
+}
+
+bool RetryWindow::takeRetry(const RetryAllowance& allowance, const RetrySlack& slack, Instant now) {
+  const Millis memory = allowance.window + kTransitTime;
+  dropBefore(retries_, now - memory);
+  dropBefore(requests_, now - 2 * allowance.window);
+  retries_.push_back(now);
+  // Any window that begins with an earlier retry must have room for this one.
+  for (std::size_t i = 0; i < retries_.size(); ++i) {
+    const auto spent = static_cast<double>(retries_.size() - i);
+    const Instant earning = retries_[i] - allowance.window + kTransitTime;
+    if (spent <= earnedSince(allowance, slack, earning, now)) continue;
+    retries_.pop_back();
+    return false;
+  }
   return true;
 }
 
--- a/Hallchute/src/Gateway/RetryWindow.h
+++ b/Hallchute/src/Gateway/RetryWindow.h
@@ -11,7 +11,12 @@
 
 namespace Hallchute {
 
+class RetrySlack;
+
 /// \brief Retry budget of the fleet, as configured by the operator's platform. \ingroup Gateway
+///
+/// The retries that reach upstreams in a window are at most the ratio times the requests of that
+/// window, or of an earlier one that ends at its start or in its middle, plus the slack.
 struct RetryAllowance {
   /// Retries per request.
   double ratio = 0.2;
@@ -20,24 +25,34 @@
   Millis window{10'000};
 };
 
-/// \brief One daemon's share of a service's retry budget in a sliding window. \ingroup Gateway
+/// \brief One daemon's part of a service's retry budget. Not thread-safe; no I/O, no clock.
+/// \ingroup Gateway
 ///
-/// A daemon's budget is the ratio times its own requests in the window, plus its share of the
-/// fleet's slack. The sum over all daemons stays within the fleet's budget without coordination.
+/// A daemon earns retries by its own requests and, with time, from the fleet's slack. What a window
+/// allows is earned in two windows, the window itself and the one before it, half in each. From any
+/// of its retries on, a daemon sends no more than it has earned since one window before that
+/// retry. Sums over daemons, and over the incarnations of a daemon, therefore stay within the
+/// fleet's budget in each window: a new incarnation has earned nothing, and what is spent in a
+/// window was earned once. At once a daemon can spend half of what a window allows.
+///
+/// Memory: the times of the requests and retries of two windows. Cost of takeRetry(): one binary
+/// search for each retry of a window.
 class RetryWindow {
  public:
   void noteRequest(Instant now) { requests_.push_back(now); }
   /// \brief Records a retry if the budget allows it.
   /// \returns whether it does.
-  /// \param daemons number of daemons that share the slack.
-  bool takeRetry(const RetryAllowance& allowance, std::size_t daemons, Instant now);
+  bool takeRetry(const RetryAllowance& allowance, const RetrySlack& slack, Instant now);
   /// \brief What takeRetry() last compared: the requests and retries that it remembers.
   std::size_t requestCount() const { return requests_.size(); }
-  std::size_t retryCount() const { return repeats_.size(); }
+  std::size_t retryCount() const { return retries_.size(); }
 
  private:
+  double earnedSince(const RetryAllowance& allowance, const RetrySlack& slack, Instant from,
+                     Instant now) const;
+
   std::deque<Instant> requests_;
-  std::deque<Instant> repeats_;
+  std::deque<Instant> retries_;
 };
 
 }  // namespace Hallchute
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -341,9 +341,10 @@
   FleetTrafficView trafficView{fleet_.expectedCount(now), fleet_.loadsElsewhere(now),
                                fleet_.quotaFleet(now),    fleet_.clock().offset(),
                                crashLimit(now),           fleet_.limitFleet(now),
-                               directoryCurrent(now)};
+                               directoryCurrent(now),     fleet_.retrySharers(now)};
   // The others no longer count on a daemon that is leaving.
   if (leaving_) trafficView.limitFleet.active = false;
+  if (leaving_) trafficView.retrySharers = 0;
   logFleetState(trafficView, now);
   trafficLoop_.post(
       [this, trafficView = std::move(trafficView), stale = storeCopy_.mayBeStale(now)] {
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -171,6 +171,7 @@
 
 void TrafficEngine::setFleet(const FleetTrafficView& view) {
   daemonCount_ = std::max<std::size_t>(1, view.expectedDaemons);
+  retrySlack_.setSharers(view.retrySharers, clockNow());
   clockOffset_ = view.clockOffset;
   upstreams_.setPeerLoads(view.loads);
   quota_.setFleet(view.quota, clockNow());
@@ -365,7 +366,7 @@
 
 bool TrafficEngine::takeRetry(const ServiceName& service, std::string_view requestId) {
   RetryWindow& window = retryWindows_[service];
-  const bool allowed = window.takeRetry(options_.retries, daemonCount_, clockNow());
+  const bool allowed = window.takeRetry(options_.retries, retrySlack_, clockNow());
   metrics_.add("hallchute_retries_total", "service=\"" + service.str() + "\",allowed=\"" +
                                               (allowed ? "true" : "false") + "\"");
   if (allowed) return true;
@@ -375,7 +376,7 @@
       .with("reason", "budget")
       .with("requests", static_cast<std::uint64_t>(window.requestCount()))
       .with("retries", static_cast<std::uint64_t>(window.retryCount()))
-      .with("daemons", static_cast<std::uint64_t>(daemonCount_));
+      .with("daemons", static_cast<std::uint64_t>(retrySlack_.sharers()));
   return false;
 }
 
--- a/Hallchute/src/Traffic/TrafficEngine.h
+++ b/Hallchute/src/Traffic/TrafficEngine.h
@@ -19,6 +19,7 @@
 #include "Hallchute/src/Gateway/CrashLedger.h"
 #include "Hallchute/src/Gateway/QuotaFleet.h"
 #include "Hallchute/src/Gateway/QuotaLedger.h"
+#include "Hallchute/src/Gateway/RetrySlack.h"
 #include "Hallchute/src/Gateway/RetryWindow.h"
 #include "Hallchute/src/Gateway/RouteTable.h"
 #include "Hallchute/src/Gateway/StreamOrigins.h"
@@ -61,6 +62,9 @@
   LimitFleet limitFleet{};
   /// No daemon is known to have a newer listing of the upstreams, and the store answers.
   bool directoryCurrent = true;
+  /// Number of daemons that share the slack of the retry budget; 0 if this one has no share yet, or
+  /// no more.
+  std::size_t retrySharers = 0;
 };
 
 /// \brief Admits callers' requests and runs a session for each. Used on the traffic thread only.
@@ -173,6 +177,7 @@
   CrashLedger crashes_;
   AbandonedRuns abandoned_;
   std::map<ServiceName, RetryWindow> retryWindows_;
+  RetrySlack retrySlack_;
   std::unordered_map<std::uint64_t, std::shared_ptr<TrafficSession>> sessions_;
   std::uint64_t nextSessionId_ = 1;
   std::unordered_map<std::uint64_t, std::shared_ptr<AssistedDispatch>> assists_;
