Forget requests of old retry windows also where no retry is asked for

What callers saw: nothing yet. A daemon kept the time of each request of a service until the next retry of that service: 8 bytes a request, without bound where nothing fails. Found by reading. The times are dropped as requests come; requestsOfOldWindowsAreForgotten fails without that (10,000 of 2,001 kept).

--- a/Hallchute/src/Gateway/RetryWindow.cpp
+++ b/Hallchute/src/Gateway/RetryWindow.cpp
@@ -24,6 +24,11 @@
 
 }  // namespace
 
+void RetryWindow::noteRequest(const RetryAllowance& allowance, Instant now) {
+  dropBefore(requests_, now - 2 * allowance.window);
+  requests_.push_back(now);
+}
+
 double RetryWindow::earnedSince(const RetryAllowance& allowance, const RetrySlack& slack,
                                 Instant from, Instant now) const {
   const auto first = std::lower_bound(requests_.begin(), requests_.end(), from);
@@ -36,7 +41,6 @@
 bool RetryWindow::takeRetry(const RetryAllowance& allowance, const RetrySlack& slack, Instant now) {
   const Millis memory = allowance.window + kTransitTime;
   dropBefore(retries_, now - memory);
-  dropBefore(requests_, now - 2 * allowance.window);
   retries_.push_back(now);
   // Any window that begins with an earlier retry must have room for this one.
   for (std::size_t i = 0; i < retries_.size(); ++i) {
--- a/Hallchute/src/Gateway/RetryWindow.h
+++ b/Hallchute/src/Gateway/RetryWindow.h
@@ -39,7 +39,7 @@
 /// search for each retry of a window.
 class RetryWindow {
  public:
-  void noteRequest(Instant now) { requests_.push_back(now); }
+  void noteRequest(const RetryAllowance& allowance, Instant now);
   /// \brief Records a retry if the budget allows it.
   /// \returns whether it does.
   bool takeRetry(const RetryAllowance& allowance, const RetrySlack& slack, Instant now);
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -352,7 +352,7 @@
   const std::uint64_t id = nextSessionId_++;
   const auto session = std::make_shared<TrafficSession>(*this, id, exchange, std::move(admission));
   sessions_[id] = session;
-  retryWindows_[session->service()].noteRequest(now);
+  retryWindows_[session->service()].noteRequest(options_.retries, now);
   session->begin();
 }
 
--- a/test/GatewayTest.cpp
+++ b/test/GatewayTest.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(routesByTable);
   CPPUNIT_TEST(splitsByWeight);
   CPPUNIT_TEST(retriesStayWithinTheBudgetOfTheWindow);
+  CPPUNIT_TEST(requestsOfOldWindowsAreForgotten);
   CPPUNIT_TEST(restartsDontRenewTheRetrySlack);
   CPPUNIT_TEST(picksByTable);
   CPPUNIT_TEST(affinityKeyKeepsItsUpstreamUntilItIsBusy);
@@ -98,7 +99,7 @@
       while (window.takeRetry(allowance, slack, at(ms))) ++retries;
       return retries;
     };
-    for (int i = 0; i < 50; ++i) window.noteRequest(at(i));
+    for (int i = 0; i < 50; ++i) window.noteRequest(allowance, at(i));
     // Half of 10 for 20% of the requests, and half of 70% of this daemon's half of the slack, which
     // it earned in nine seconds.
     CPPUNIT_ASSERT_EQUAL(8, spend(100));
@@ -109,6 +110,14 @@
     CPPUNIT_ASSERT_EQUAL(3, spend(21'000));
   }
 
+  /// A service whose requests never fail.
+  void requestsOfOldWindowsAreForgotten() {
+    const RetryAllowance allowance{0.2, 20, Millis(10'000)};
+    RetryWindow window;
+    for (int ms = 0; ms < 100'000; ms += 10) window.noteRequest(allowance, at(ms));
+    CPPUNIT_ASSERT(window.requestCount() <= 2'001);
+  }
+
   /// A daemon that starts has forgotten the retries of its window; they still count for the fleet.
   void restartsDontRenewTheRetrySlack() {
     constexpr int kDaemons = 7;
--- a/test/RetryBudgetTest.cpp
+++ b/test/RetryBudgetTest.cpp
@@ -210,7 +210,7 @@
     for (; due_ >= 1; due_ -= 1) {
       ++requests_[stepOf(std::max(-kLeadMs, ms - below(kMaxReadDelayMs)))];
       Daemon* daemon = daemons_[index(below(served))].get();
-      if (daemon != nullptr) daemon->window.noteRequest(at(ms));
+      if (daemon != nullptr) daemon->window.noteRequest(allowance(), at(ms));
     }
   }
   void retry(int ms) {
