Soak of replicas that crash under what they reject

Real processes: four replicas with six slots and room for four that wait, which crash beyond ten rejections a second and are back as new ones; sixty callers return 0.1 s after a refusal, daemons are killed, one replica crashes by itself.

--- a/standin/ReplicaStandin.cpp
+++ b/standin/ReplicaStandin.cpp
@@ -148,10 +148,35 @@
   }
 }
 
+bool ReplicaStandin::takeSlot(Poco::Net::StreamSocket& socket, const std::string& request) {
+  if (room_.slots == 0) return true;
+  std::unique_lock lock(mutex_);
+  if (admitted_ < room_.slots + room_.queue) {
+    ++admitted_;
+    while (!crashed_ && running_.size() >= room_.slots) slotFreed_.wait_for(lock, kSleep);
+    return !crashed_;
+  }
+  const auto now = std::chrono::steady_clock::now();
+  turnedAway_.push_back(now);
+  while (turnedAway_.front() <= now - std::chrono::seconds(1)) turnedAway_.pop_front();
+  const bool falls = static_cast<double>(turnedAway_.size()) > room_.rejectionsPerSecond;
+  lock.unlock();
+  if (falls) crash();
+  if (falls) return false;
+  const std::string answer =
+      absl::StrCat("HTTP/1.1 503 Service Unavailable\r\nHallchute-Attempt-Id: ",
+                   fieldOf(request, "Hallchute-Attempt-Id"),
+                   "\r\nHallchute-Not-Executed: 1\r\nServer-Brittle: ", room_.rejectionsPerSecond,
+                   "\r\nContent-Length: 0\r\n\r\n");
+  ::send(socket.impl()->sockfd(), answer.data(), answer.size(), MSG_NOSIGNAL);
+  return false;
+}
+
 bool ReplicaStandin::run(Poco::Net::StreamSocket& socket, const std::string& request,
                          const std::string& caller) {
   const std::string body = bodyOf(request);
   if (rejects(socket, request, caller)) return true;
+  if (!takeSlot(socket, request)) return !crashed_;
   const double limit = limit_;
   {
     const std::lock_guard lock(mutex_);
@@ -167,6 +192,8 @@
   {
     const std::lock_guard lock(mutex_);
     running_.erase(running_.find(body));
+    if (admitted_ > 0) --admitted_;
+    slotFreed_.notify_all();
     if (crashed_) return false;
     if (limit > 0) namedLimits_.push_back({std::chrono::steady_clock::now(), caller, limit});
   }
@@ -223,6 +250,8 @@
       "HTTP/1.1 200 OK\r\nHallchute-Attempt-Id: ", fieldOf(request, "Hallchute-Attempt-Id"),
       "\r\nHallchute-Replica-Signature: ", id_, "\r\nContent-Length: ", body.size(), "\r\n");
   if (limit > 0) absl::StrAppend(&head, "Server-Limit: ", limit, "\r\n");
+  if (room_.slots > 0)
+    absl::StrAppend(&head, "Server-Brittle: ", room_.rejectionsPerSecond, "\r\n");
   return absl::StrCat(head, "\r\n", body);
 }
 
--- a/standin/ReplicaStandin.h
+++ b/standin/ReplicaStandin.h
@@ -9,7 +9,10 @@
 
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <set>
@@ -42,6 +45,14 @@
   std::chrono::milliseconds retryAfter{0};
 };
 
+/// \brief Room of a replica that fails when it has to reject too many requests.
+struct BrittleRoom {
+  std::size_t slots = 0;
+  /// Requests that may wait for a slot.
+  std::size_t queue = 0;
+  double rejectionsPerSecond = 0;
+};
+
 /// \brief What a cut does to connections between a replica and some callers.
 enum class CutKind {
   /// Nothing gets through on any connection.
@@ -88,6 +99,9 @@
   /// \brief The requests a second to name as its limit in answers; 0 for none.
   void nameLimit(double perSecond) { limit_ = perSecond; }
   std::vector<NamedLimit> namedLimits() const;
+  /// \brief From now on it rejects what it has no room for, names its limit on rejections in all
+  /// answers, and crashes beyond it; to be called before it is listed.
+  void makeBrittle(const BrittleRoom& room) { room_ = room; }
   /// \brief From now on it rejects requests with this Retry-After; zero: it serves again.
   void rejectWith(std::chrono::milliseconds retryAfter) { retryAfterMs_ = retryAfter.count(); }
   /// \brief It answers nothing for so long, and then goes on with all that came.
@@ -104,6 +118,9 @@
   /// \returns whether it rejected the request.
   bool rejects(Poco::Net::StreamSocket& socket, const std::string& request,
                const std::string& caller);
+  /// Takes a slot, after some wait if there is room for it.
+  /// \returns whether the replica had room; if it had not, it has rejected the request.
+  bool takeSlot(Poco::Net::StreamSocket& socket, const std::string& request);
   bool stream(Poco::Net::StreamSocket& socket, const std::string& request) const;
   std::string answerTo(const std::string& request, double limit) const;
 
@@ -123,6 +140,10 @@
   std::vector<std::string> runningAtCrash_;
   std::chrono::steady_clock::time_point crashedAt_;
   std::vector<std::thread> threads_;
+  BrittleRoom room_;
+  std::size_t admitted_ = 0;
+  std::deque<std::chrono::steady_clock::time_point> turnedAway_;
+  std::condition_variable slotFreed_;
   std::atomic<double> limit_{0};
   std::atomic<std::int64_t> retryAfterMs_{0};
   std::atomic<std::chrono::steady_clock::time_point> silentUntil_{};
--- a/test/soak/GatewayFleet.cpp
+++ b/test/soak/GatewayFleet.cpp
@@ -25,6 +25,9 @@
 namespace Soak {
 namespace {
 
+/// Requests at once of a replica that doesn't say otherwise.
+constexpr std::size_t kSlots = 64;
+
 constexpr int kDomains = 3;
 constexpr std::size_t kSeeds = 3;
 constexpr Millis kStartLimit{20'000};
@@ -220,15 +223,17 @@
   noteDisturbed(index);
 }
 
-Standin::ReplicaStandin& GatewayFleet::addReplica(Millis workTime, const std::string& version) {
+Standin::ReplicaStandin& GatewayFleet::addReplica(Millis workTime, const std::string& version,
+                                                  const Standin::BrittleRoom& room) {
   const std::string id = absl::StrCat("replica-", replicas_.size());
   replicas_.push_back(std::make_unique<Standin::ReplicaStandin>(id, workTime, version));
+  replicas_.back()->makeBrittle(room);
   Poco::JSON::Object::Ptr entry = new Poco::JSON::Object;
   entry->set("service", kService);
   entry->set("address", replicas_.back()->address());
   entry->set("zone", absl::StrCat("domain-", replicas_.size() % kDomains));
   entry->set("version", version);
-  entry->set("slots", 64);
+  entry->set("slots", static_cast<int>(room.slots > 0 ? room.slots : kSlots));
   entry->set("state", "ready");
   entry->set("cold-remaining-ms", 0);
   entry->set("sequence", 1);
--- a/test/soak/GatewayFleet.h
+++ b/test/soak/GatewayFleet.h
@@ -67,7 +67,8 @@
   std::vector<GatewayProcess>& daemons() { return daemons_; }
 
   /// \brief Adds a replica to the service and lists it in the store.
-  Standin::ReplicaStandin& addReplica(Millis workTime, const std::string& version = "1");
+  Standin::ReplicaStandin& addReplica(Millis workTime, const std::string& version = "1",
+                                      const Standin::BrittleRoom& room = {});
   /// \brief Removes a crashed replica from the store, as its heartbeats have ended.
   void unlist(const Standin::ReplicaStandin& replica);
   /// \brief All replicas that ever ran.
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "test/soak/BrittleSoak.h"
 #include "test/soak/CrashSoak.h"
 #include "test/soak/CutSoak.h"
 #include "test/soak/LimitSoak.h"
@@ -36,13 +37,15 @@
     std::cout << "logs: " << work.path() << "\n";
   }
   options.work = work.path();
+  if (kind == "brittle") return Soak::runBrittleSoak(options) ? 0 : 1;
   if (kind == "crashes") return Soak::runCrashSoak(options) ? 0 : 1;
   if (kind == "cuts") return Soak::runCutSoak(options) ? 0 : 1;
   if (kind == "limits") return Soak::runLimitSoak(options) ? 0 : 1;
   if (kind == "sites") return Soak::runSiteSoak(options) ? 0 : 1;
   if (kind == "stops") return Soak::runStopSoak(options) ? 0 : 1;
   if (kind == "versions") return Soak::runVersionSoak(options) ? 0 : 1;
-  std::cerr << "usage: hallchute-gateway-soak BUILD crashes|cuts|limits|sites|stops|versions\n";
+  std::cerr
+      << "usage: hallchute-gateway-soak BUILD brittle|crashes|cuts|limits|sites|stops|versions\n";
   return 2;
 }
 
