Construct an aggregate in the way that the linter's compiler knows

What developers saw: the linter stopped at UpstreamTable.cpp, as Clang 14 doesn't initialise aggregates from parentheses; the compiler did. No behaviour changes.

--- a/Hallchute/src/Gateway/UpstreamTable.cpp
+++ b/Hallchute/src/Gateway/UpstreamTable.cpp
@@ -108,7 +108,8 @@
   for (const auto& [id, entry] : entries_) {
     const std::optional<double> limit = rejectionLimits_.limitOf(id);
     if (!limit) continue;
-    ServiceAdmission& service = services.try_emplace(entry.record.service, *limit).first->second;
+    ServiceAdmission& service =
+        services.try_emplace(entry.record.service, ServiceAdmission{*limit}).first->second;
     service.rejectionsPerSecond = std::min(service.rejectionsPerSecond, *limit);
     service.load += entry.load();
     service.slots += entry.record.slots;
