Admit all requests again once a limit on rejections is forgotten

What callers saw: nothing yet, found by reading the change. When no answer of a service had named its limit for a minute, its ledger became empty, and the fraction of requests admitted to its upstreams was left as it was, for good.

Cause: the adjustment returned early while no limit was known, and it is also what resets the fraction. It now runs always: one pass over the upstreams a report. aForgottenLimitAdmitsAllAgain guards against it.

--- a/Hallchute/src/Gateway/UpstreamTable.cpp
+++ b/Hallchute/src/Gateway/UpstreamTable.cpp
@@ -252,7 +252,6 @@
     const auto it = loads.find(id);
     entry.peerLoad = it == loads.end() ? UpstreamLoad{} : it->second;
   }
-  if (rejectionLimits_.empty()) return;
   const std::map<ServiceName, ServiceAdmission> services = serviceAdmissions();
   for (auto& [id, entry] : entries_) {
     if (rejectionLimits_.limited(id)) {
--- a/test/BrittleUpstreamsTest.cpp
+++ b/test/BrittleUpstreamsTest.cpp
@@ -289,6 +289,7 @@
   CPPUNIT_TEST_SUITE(BrittleUpstreamsTest);
   CPPUNIT_TEST(brittleUpstreamsStayUpWhateverHappens);
   CPPUNIT_TEST(brittleUpstreamsStayUpThroughJumpsAndRestarts);
+  CPPUNIT_TEST(aForgottenLimitAdmitsAllAgain);
   CPPUNIT_TEST_SUITE_END();
 
   static void check(const std::vector<BrittleDay>& rows) {
@@ -330,6 +331,22 @@
     });
   }
 
+  /// Nothing is heard of the service for so long that its limits are forgotten.
+  void aForgottenLimitAdmitsAllAgain() {
+    UpstreamTable table;
+    UpstreamRecord record;
+    record.id = UpstreamId("u");
+    record.service = kService;
+    record.slots = kSlots;
+    table.replace({&record, 1}, at(0));
+    table.rejectionLimits().noteAnswer({record.id, 0}, 5, at(0));
+    table.setPeerLoads({}, at(0));
+    CPPUNIT_ASSERT(table.find(record.id)->admittedFraction < 1);
+    table.sweep(at(90'000));
+    table.setPeerLoads({}, at(90'000));
+    CPPUNIT_ASSERT_EQUAL(1.0, table.find(record.id)->admittedFraction);
+  }
+
   /// More arrives than the reports of the others' loads can tell in time.
   void brittleUpstreamsStayUpThroughJumpsAndRestarts() {
     check({
