--- a/test/soak/BrittleSoak.cpp
+++ b/test/soak/BrittleSoak.cpp
@@ -32,6 +32,14 @@
 constexpr double kCrashAt = 0.4;
 constexpr unsigned kDisturbanceTurns = 50;
 constexpr double kMostFalls = 2 + 0.1 * static_cast<double>(kReplicas);
+/// A jump of demand: replicas with short requests, and demand as a share of what they could do.
+constexpr std::size_t kJumpReplicas = 5;
+constexpr Millis kShortWork{60};
+constexpr Millis kJumpPeriod{200};
+constexpr double kDemand = 0.6;
+constexpr double kDemandAfterJump = 2;
+constexpr double kJumpAt = 0.5;
+constexpr double kMostJumpFalls = 2 + 0.1 * static_cast<double>(kJumpReplicas);
 /// Of what the replicas could do.
 constexpr double kServed = 0.4;
 
@@ -63,6 +71,19 @@
   std::vector<Clock::time_point> due_;
 };
 
+/// Falls, answers and daemons that ended by themselves, of a run.
+bool checkRun(GatewayFleet& fleet, Callers& callers, std::size_t falls, double capacity,
+              double mostFalls) {
+  const std::vector<Attempt> attempts = callers.attempts();
+  const auto served = std::count_if(attempts.begin(), attempts.end(),
+                                    [](const Attempt& attempt) { return attempt.status == 200; });
+  const double share = static_cast<double>(served) / capacity;
+  std::cout << falls << " replicas crashed under rejections; " << served << " of "
+            << attempts.size() << " requests served, " << share << " of the capacity\n";
+  const bool kept = fleet.noneEndedByItself();
+  return kept && static_cast<double>(falls) <= mostFalls && share >= kServed;
+}
+
 }  // namespace
 
 bool runBrittleSoak(const SoakOptions& options) {
@@ -94,16 +115,49 @@
   callers.stop();
   replacements.update(Clock::now());
   const std::size_t falls = replacements.crashed() - 1;
-  const std::vector<Attempt> attempts = callers.attempts();
-  const auto served = std::count_if(attempts.begin(), attempts.end(),
-                                    [](const Attempt& attempt) { return attempt.status == 200; });
   const double capacity = static_cast<double>(kReplicas * kRoom.slots) *
                           (std::chrono::duration<double>(length) / kWorkTime);
-  const double share = static_cast<double>(served) / capacity;
-  std::cout << falls << " replicas crashed under rejections; " << served << " of "
-            << attempts.size() << " requests served, " << share << " of the capacity\n";
-  const bool kept = fleet.noneEndedByItself();
-  return kept && static_cast<double>(falls) <= kMostFalls && share >= kServed;
+  return checkRun(fleet, callers, falls, capacity, kMostFalls);
+}
+
+bool runJumpSoak(const SoakOptions& options) {
+  GatewayFleet fleet(options.binaries, options.work, options.daemons);
+  for (std::size_t i = 0; i < kJumpReplicas; ++i) fleet.addReplica(kShortWork, "1", kRoom);
+  fleet.start();
+  const double perSecond = static_cast<double>(kJumpReplicas * kRoom.slots) /
+                           std::chrono::duration<double>(kShortWork).count();
+  const auto callersFor = [&](double demand) {
+    return static_cast<int>(demand * perSecond *
+                            std::chrono::duration<double>(kJumpPeriod).count());
+  };
+  Callers callers(fleet, options.seed);
+  callers.add(callersFor(kDemand), kJumpPeriod, body);
+  Replacements replacements(fleet);
+  std::mt19937 random(options.seed);
+  const auto start = Clock::now();
+  const auto length = std::chrono::seconds(options.seconds);
+  std::size_t fallsBefore = 0;
+  bool jumped = false;
+  while (Clock::now() < start + length) {
+    const double progress = std::chrono::duration<double>(Clock::now() - start) / length;
+    replacements.update(Clock::now());
+    if (!jumped && progress >= kJumpAt) {
+      fallsBefore = replacements.crashed();
+      callers.add(callersFor(kDemandAfterJump - kDemand), kJumpPeriod, body);
+      jumped = true;
+    }
+    if (random() % kDisturbanceTurns == 0) {
+      const std::size_t index = random() % fleet.daemons().size();
+      fleet.kill(index);
+      fleet.startDaemon(index);
+    }
+    std::this_thread::sleep_for(kTurn);
+  }
+  callers.stop();
+  replacements.update(Clock::now());
+  std::cout << fallsBefore << " replicas crashed before the jump\n";
+  const double capacity = perSecond * std::chrono::duration<double>(length).count();
+  return checkRun(fleet, callers, replacements.crashed(), capacity, kMostJumpFalls);
 }
 
 }  // namespace Soak
--- a/test/soak/BrittleSoak.h
+++ b/test/soak/BrittleSoak.h
@@ -16,6 +16,10 @@
 /// the figures.
 bool runBrittleSoak(const SoakOptions& options);
 
+/// \brief The same for a jump of demand from 0.6 of what the replicas could do to twice, while
+/// daemons are killed and started.
+bool runJumpSoak(const SoakOptions& options);
+
 }  // namespace Soak
 
 #endif  // HALLCHUTE_TEST_SOAK_BRITTLESOAK_H
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -40,12 +40,13 @@
   if (kind == "brittle") return Soak::runBrittleSoak(options) ? 0 : 1;
   if (kind == "crashes") return Soak::runCrashSoak(options) ? 0 : 1;
   if (kind == "cuts") return Soak::runCutSoak(options) ? 0 : 1;
+  if (kind == "jumps") return Soak::runJumpSoak(options) ? 0 : 1;
   if (kind == "limits") return Soak::runLimitSoak(options) ? 0 : 1;
   if (kind == "sites") return Soak::runSiteSoak(options) ? 0 : 1;
   if (kind == "stops") return Soak::runStopSoak(options) ? 0 : 1;
   if (kind == "versions") return Soak::runVersionSoak(options) ? 0 : 1;
-  std::cerr
-      << "usage: hallchute-gateway-soak BUILD brittle|crashes|cuts|limits|sites|stops|versions\n";
+  std::cerr << "usage: hallchute-gateway-soak BUILD "
+               "brittle|crashes|cuts|jumps|limits|sites|stops|versions\n";
   return 2;
 }
 
