Bound the requests that a daemon dispatches for others

What callers could see: if few daemons still have a path to the upstreams, all requests of the others come to them at once, each with its body and a connection to an upstream, beside those of their own callers: a host is given more than it has descriptors and memory for.

Evidence: aHelperTakesOnlyWhatItHasRoomFor failed before, the fourth stream of six was taken with room for three.

--- a/Hallchute/src/Traffic/AssistedDispatch.cpp
+++ b/Hallchute/src/Traffic/AssistedDispatch.cpp
@@ -60,6 +60,7 @@
 bool AssistedDispatch::begin() {
   if (engine_.refusesNewRequests() || !engine_.ready()) return decline("notServing");
   if (engine_.paths().lost(request_.criteria.service)) return decline("pathLost");
+  if (!engine_.mayAssist()) return decline("noRoom");
   engine_.chooser().choose(
       request_.criteria,
       [weak = weak_from_this()](const UpstreamEntry* upstream, const HeldSlotPtr& slot) {
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -44,6 +44,10 @@
 /// Fraction of an upstream's connection limit that the known daemons divide among them. The rest
 /// is reserved for daemons that this one has not discovered.
 constexpr double kAllocatedConnectionFraction = 0.9;
+/// Of the connections for callers, for each request that is dispatched for another daemon at the
+/// same time. It takes descriptors and memory as a caller does, and if few daemons have a path to
+/// the upstreams, all the others' requests come to them.
+constexpr std::size_t kCallersPerAssist = 4;
 /// Minimum connections per upstream; in a large fleet a daemon's share would be too small to work.
 constexpr std::size_t kMinConnections = 3;
 
@@ -245,6 +249,11 @@
   if (assisted->begin()) assists_[assist] = assisted;
 }
 
+bool TrafficEngine::mayAssist() const {
+  const std::size_t connections = routes_ == nullptr ? 0 : routes_->settings().limits.connections;
+  return assists_.size() < connections / kCallersPerAssist;
+}
+
 void TrafficEngine::cancelAssist(std::uint64_t assist) {
   const auto it = assists_.find(assist);
   if (it == assists_.end()) return;
--- a/Hallchute/src/Traffic/TrafficEngine.h
+++ b/Hallchute/src/Traffic/TrafficEngine.h
@@ -102,6 +102,8 @@
   /// \brief Makes a dispatch for another daemon. \param assist a number for cancelAssist().
   void assist(std::uint64_t assist, ForwardedRequest request,
               std::function<void(const ForwardedReply&)> reply);
+  /// \brief Whether there is room for one more dispatch for another daemon.
+  bool mayAssist() const;
   /// \brief Ends a dispatch for another daemon; does nothing if it has ended.
   void cancelAssist(std::uint64_t assist);
   /// \brief Called by a dispatch for another daemon when it has ended.
--- a/test/ForwardingTest.cpp
+++ b/test/ForwardingTest.cpp
@@ -173,6 +173,7 @@
   CPPUNIT_TEST(nobodyLeftIsRefusedAtOnce);
   CPPUNIT_TEST(aRegainedPathIsUsedAgain);
   CPPUNIT_TEST(othersHelpADaemonWithoutConnectionsLeft);
+  CPPUNIT_TEST(aHelperTakesOnlyWhatItHasRoomFor);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -293,6 +294,30 @@
     }
   }
 
+  /// If few daemons still have a path, all the others' requests come to them.
+  void aHelperTakesOnlyWhatItHasRoomFor() {
+    constexpr std::size_t kConnections = 12;
+    constexpr std::size_t kTaken = kConnections / 4;
+    CutPair pair(WorkKind::stream, kFirstEvent, kFirstEvent);
+    Route route = plainRoute(WorkKind::stream);
+    route.resumable = true;
+    GatewaySettings settings = settingsWith(route, 2);
+    settings.limits.connections = kConnections;
+    pair.helper.rig.setSettings(settings);
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (std::size_t i = 0; i < kTaken + 3; ++i) {
+      callers.push_back(std::make_unique<RawCaller>(pair.origin.rig.address()));
+      callers.back()->send(requestText("POST", "", "body"));
+      const std::string answer = callers.back()->read(i < kTaken ? "data: t1" : "\r\n\r\n");
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(i) + ": " + answer,
+                             answer.starts_with(i < kTaken ? "HTTP/1.1 200" : "HTTP/1.1 503"));
+    }
+    CPPUNIT_ASSERT_EQUAL(kTaken, pair.arrivals());
+    // One that ends makes room.
+    callers.front().reset();
+    waitUntil([&] { return pair.ask("", "data: t1").starts_with("HTTP/1.1 200"); });
+  }
+
  private:
   template <typename Condition>
   static void waitUntil(Condition condition) {
