--- a/Hallchute/src/Core/StableHash.cpp
+++ b/Hallchute/src/Core/StableHash.cpp
@@ -5,6 +5,8 @@
 
 #include <xxhash.h>
 
+#include <cmath>
+
 namespace Hallchute {
 
 std::uint64_t stableHash(std::string_view text, std::uint64_t seed) {
@@ -16,4 +18,8 @@
   return static_cast<double>(stableHash(text, seed)) / kRange;
 }
 
+double weightedHashRank(std::string_view text, std::uint64_t seed, double weight) {
+  return -std::log1p(-hashFraction(text, seed)) / weight;
+}
+
 }  // namespace Hallchute
--- a/Hallchute/src/Core/StableHash.h
+++ b/Hallchute/src/Core/StableHash.h
@@ -18,6 +18,11 @@
 /// \ingroup Core
 double hashFraction(std::string_view text, std::uint64_t seed = 0);
 
+/// \brief The hash mapped to an exponential distribution with rate \p weight: among several texts,
+/// each has the lowest rank with a probability proportional to its weight.
+/// \ingroup Core
+double weightedHashRank(std::string_view text, std::uint64_t seed, double weight);
+
 }  // namespace Hallchute
 
 #endif  // HALLCHUTE_CORE_STABLEHASH_H
--- a/Hallchute/src/Fleet/ForwardingPeer.cpp
+++ b/Hallchute/src/Fleet/ForwardingPeer.cpp
@@ -4,7 +4,6 @@
 #include "Hallchute/src/Fleet/ForwardingPeer.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "Hallchute/src/Core/StableHash.h"
 #include "Hallchute/src/Fleet/FleetRoster.h"
@@ -29,16 +28,14 @@
   const std::uint64_t seed =
       stableHash(roster.self().daemon.str(), stableHash(requestId) % kPeersUsed);
   const FleetMember* best = nullptr;
-  double bestCost = 0;
+  double bestRank = 0;
   for (const auto& [daemon, peer] : roster.peers()) {
     if (excluded.contains(daemon) || !canForward(peer, service, now)) continue;
-    // The minimum of exponential variables selects each with a probability proportional to its
-    // rate.
     const double capacity = std::max<std::uint32_t>(1, peer.report.self.capacity);
-    const double cost = -std::log1p(-hashFraction(daemon.str(), seed)) / capacity;
-    if (best != nullptr && cost >= bestCost) continue;
+    const double rank = weightedHashRank(daemon.str(), seed, capacity);
+    if (best != nullptr && rank >= bestRank) continue;
     best = &peer.report.self;
-    bestCost = cost;
+    bestRank = rank;
   }
   return best == nullptr ? std::nullopt : std::optional(*best);
 }
--- a/Hallchute/src/Fleet/SlotCoordinator.cpp
+++ b/Hallchute/src/Fleet/SlotCoordinator.cpp
@@ -4,7 +4,6 @@
 #include "Hallchute/src/Fleet/SlotCoordinator.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
 #include "Hallchute/src/Core/StableHash.h"
@@ -13,11 +12,9 @@
 namespace Hallchute {
 namespace {
 
-/// The minimum of exponential variables selects each member with a probability proportional to its
-/// rate.
-double costOf(const FleetMember& member, std::uint64_t seed) {
+double rankOf(const FleetMember& member, std::uint64_t seed) {
   const double capacity = std::max<std::uint32_t>(1, member.capacity);
-  return -std::log1p(-hashFraction(member.daemon.str(), seed)) / capacity;
+  return weightedHashRank(member.daemon.str(), seed, capacity);
 }
 
 }  // namespace
@@ -26,13 +23,13 @@
                                            bool leaving, Instant now) {
   const std::uint64_t seed = stableHash(upstream.str());
   const FleetMember* best = nullptr;
-  double bestCost = leaving ? std::numeric_limits<double>::infinity() : costOf(roster.self(), seed);
+  double bestRank = leaving ? std::numeric_limits<double>::infinity() : rankOf(roster.self(), seed);
   for (const auto& [daemon, peer] : roster.peers()) {
     if (!peer.alive(now)) continue;
-    const double cost = costOf(peer.report.self, seed);
-    if (cost >= bestCost) continue;
+    const double rank = rankOf(peer.report.self, seed);
+    if (rank >= bestRank) continue;
     best = &peer.report.self;
-    bestCost = cost;
+    bestRank = rank;
   }
   return best == nullptr ? std::nullopt : std::optional(*best);
 }
--- a/Hallchute/src/Gateway/SlotLedger.cpp
+++ b/Hallchute/src/Gateway/SlotLedger.cpp
@@ -154,10 +154,4 @@
   });
 }
 
-std::size_t SlotLedger::inUse() const {
-  std::size_t sum = 0;
-  for (const auto& [key, entry] : entries_) sum += entry.leases.size();
-  return sum;
-}
-
 }  // namespace Hallchute
--- a/Hallchute/src/Gateway/SlotLedger.h
+++ b/Hallchute/src/Gateway/SlotLedger.h
@@ -4,7 +4,6 @@
 #ifndef HALLCHUTE_GATEWAY_SLOTLEDGER_H
 #define HALLCHUTE_GATEWAY_SLOTLEDGER_H
 
-#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -37,8 +36,6 @@
   /// \brief Forgets the upstreams for which this daemon isn't the coordinator any more, and those
   /// that were not used for long.
   void retain(const std::function<bool(const UpstreamId&)>& coordinates, Instant now);
-  /// \brief Slots that are in use, of all upstreams.
-  std::size_t inUse() const;
 
  private:
   struct Entry {
--- a/Hallchute/src/Gateway/UpstreamPick.cpp
+++ b/Hallchute/src/Gateway/UpstreamPick.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <span>
 #include <utility>
 #include <vector>
@@ -158,9 +157,8 @@
   return cheapest(entries, [&](const UpstreamEntry& entry) {
     const double freeFraction =
         std::max(kMinFreeFraction, 1 - occupancy(entry, criteria, entry.load()));
-    // The minimum of exponential variables selects each entry with probability proportional to its
-    // rate.
-    return -std::log1p(-hashScore(entry, criteria.requestId)) / (freeFraction * slotsOf(entry));
+    return weightedHashRank(entry.record.id.str(), stableHash(criteria.requestId),
+                            freeFraction * slotsOf(entry));
   });
 }
 
--- a/Hallchute/src/Gateway/UpstreamTable.h
+++ b/Hallchute/src/Gateway/UpstreamTable.h
@@ -97,9 +97,10 @@
   void noteAddressReused(const UpstreamId& upstream, Instant now);
   /// \brief Sets the other daemons' loads, to be called once a report period.
   void setPeerLoads(const UpstreamLoads& loads, Instant now);
-  /// \brief Records what an answer says of the limit on rejections, half of which daemons may
-  /// cause; processes of the service that have named none are taken to have the same. \returns
-  /// whether that differs from what was known.
+  /// \brief Records what an answer says of the limit on rejections. Processes of the service that
+  /// have named none are taken to have the same.
+  /// \param perSecond rejections that daemons may cause; nothing if it names none.
+  /// \returns whether that differs from what was known.
   bool noteRejectionLimit(const UpstreamIncarnation& upstream, std::optional<double> perSecond,
                           Instant now);
   /// \brief Sets the limits on rejections that services had before this daemon started.
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -402,25 +402,23 @@
                                     const UpstreamResponse& answer) {
   const Instant now = clockNow();
   if (upstreams_.limits().noteAnswer(upstream, answer.requestLimit, now)) {
-    logNamedLimit("requests", upstream, answer.id, answer.requestLimit, upstreams_.limits());
+    logNamedLimit("requests", upstream, answer.id, answer.requestLimit);
   }
   std::optional<double> risked = answer.rejectionLimit;
   if (risked) *risked *= kRiskedRejectionFraction;
   if (upstreams_.noteRejectionLimit(upstream, risked, now)) {
-    logNamedLimit("rejections", upstream, answer.id, answer.rejectionLimit,
-                  upstreams_.rejectionLimits());
+    logNamedLimit("rejections", upstream, answer.id, answer.rejectionLimit);
   }
 }
 
 void TrafficEngine::logNamedLimit(std::string_view kind, const UpstreamIncarnation& upstream,
-                                  const RequestId& request, std::optional<double> perSecond,
-                                  const LimitLedger& ledger) {
+                                  const RequestId& request, std::optional<double> perSecond) {
   LogLine(LogLevel::info, "upstream.limit")
       .with("upstream", upstream.id.str())
       .with("request", request.str())
       .with("of", kind)
       .with("limited", perSecond.has_value())
-      .with("ownShare", ledger.share(upstream.id, clockNow()).value_or(0))
+      .with("ownShare", upstreams_.limits().share(upstream.id, clockNow()).value_or(0))
       .with("perMinute", static_cast<std::uint64_t>(perSecond.value_or(0) * kSecondsPerMinute));
   metrics_.add(
       "hallchute_upstream_limit_changes_total",
--- a/Hallchute/src/Traffic/TrafficEngine.h
+++ b/Hallchute/src/Traffic/TrafficEngine.h
@@ -158,8 +158,7 @@
   /// Logs the quota state behind a refusal, immediately before the refusal itself is logged.
   void logQuotaShortage(const SessionAdmission& admission, const QuotaShortage& shortage);
   void logNamedLimit(std::string_view kind, const UpstreamIncarnation& upstream,
-                     const RequestId& request, std::optional<double> perSecond,
-                     const LimitLedger& ledger);
+                     const RequestId& request, std::optional<double> perSecond);
   void logQuarantine(const CrashHistory& history);
   void noteAbandonedCrashes(const std::vector<CrashSuspects>& runs,
                             const UpstreamIncarnation& upstream);
