--- a/Hallchute/src/Traffic/AssistedDispatch.cpp
+++ b/Hallchute/src/Traffic/AssistedDispatch.cpp
@@ -61,7 +61,7 @@
   if (engine_.refusesNewRequests() || !engine_.ready()) return decline("notServing");
   if (engine_.paths().lost(request_.criteria.service)) return decline("pathLost");
   if (!engine_.mayAssist()) return decline("noRoom");
-  engine_.chooser().choose(
+  engine_.selector().choose(
       request_.criteria,
       [weak = weak_from_this()](const UpstreamEntry* upstream, const HeldSlotPtr& slot) {
         if (const auto assisted = weak.lock()) assisted->dispatch(upstream, slot);
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -82,7 +82,7 @@
       options_(std::move(options)),
       codec_(codec),
       metrics_(metrics),
-      chooser_(upstreams_, metrics),
+      selector_(upstreams_, metrics),
       prober_(loop, upstreams_, pool_, metrics),
       pool_(loop, options_.ownIp, prober_, metrics),
       quota_(clockNow(), options_.quotas),
--- a/Hallchute/src/Traffic/TrafficEngine.h
+++ b/Hallchute/src/Traffic/TrafficEngine.h
@@ -28,7 +28,7 @@
 #include "Hallchute/src/Traffic/ForwardedReply.h"
 #include "Hallchute/src/Traffic/PathProber.h"
 #include "Hallchute/src/Traffic/TrafficOptions.h"
-#include "Hallchute/src/Traffic/UpstreamChooser.h"
+#include "Hallchute/src/Traffic/UpstreamSelector.h"
 #include "Hallchute/src/Upstream/UpstreamPool.h"
 
 namespace Hallchute {
@@ -98,7 +98,7 @@
   void setOriginExchange(OriginExchange* exchange) { originExchange_ = exchange; }
   OriginExchange* originExchange() const { return originExchange_; }
   /// \brief Sets how slots of upstreams are taken; null, or must outlive this.
-  void setSlotExchange(SlotExchange* exchange) { chooser_.setExchange(exchange); }
+  void setSlotExchange(SlotExchange* exchange) { selector_.setExchange(exchange); }
   /// \brief Makes a dispatch for another daemon. \param assist a number for cancelAssist().
   void assist(std::uint64_t assist, ForwardedRequest request,
               std::function<void(const ForwardedReply&)> reply);
@@ -133,7 +133,7 @@
   Metrics& metrics() { return metrics_; }
   UpstreamPool& pool() { return pool_; }
   UpstreamTable& upstreamTable() { return upstreams_; }
-  UpstreamChooser& chooser() { return chooser_; }
+  UpstreamSelector& selector() { return selector_; }
   /// \brief Connections that this daemon may open to one upstream of \p service.
   std::size_t connectionShare(const ServiceName& service) const;
   bool takeRetry(const ServiceName& service, std::string_view requestId);
@@ -175,7 +175,7 @@
   const TrafficCodec& codec_;
   Metrics& metrics_;
   UpstreamTable upstreams_;
-  UpstreamChooser chooser_;
+  UpstreamSelector selector_;
   PathProber prober_;
   UpstreamPool pool_;
   std::shared_ptr<const RouteTable> routes_;
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -239,7 +239,7 @@
   refreshVersion();
   const bool forwards = engine_.forwarder() != nullptr && engine_.paths().lost(service_);
   if (!forwards) {
-    engine_.chooser().choose(
+    engine_.selector().choose(
         selection_,
         [weak = weak_from_this(), action](const UpstreamEntry* upstream, const HeldSlotPtr& slot) {
           const auto session = weak.lock();
--- a/Hallchute/src/Traffic/UpstreamChooser.cpp
+++ b/Hallchute/src/Traffic/UpstreamSelector.cpp
@@ -1,7 +1,7 @@
 // This file is part of hallchute, a serving system for language models.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "Hallchute/src/Traffic/UpstreamChooser.h"
+#include "Hallchute/src/Traffic/UpstreamSelector.h"
 
 #include <utility>
 
@@ -19,7 +19,7 @@
 
 }  // namespace
 
-void UpstreamChooser::choose(const UpstreamCriteria& criteria, Sink sink) {
+void UpstreamSelector::choose(const UpstreamCriteria& criteria, Sink sink) {
   const UpstreamEntry* upstream = pickUpstream(upstreams_, criteria, clockNow());
   const bool needsSlot = exchange_ != nullptr && upstream != nullptr &&
                          upstreams_.rejectionLimits().limited(upstream->record.id);
@@ -30,7 +30,7 @@
   ask(std::make_shared<Search>(Search{criteria, std::move(sink), 0, {}, {}}), *upstream);
 }
 
-void UpstreamChooser::ask(const std::shared_ptr<Search>& search, const UpstreamEntry& upstream) {
+void UpstreamSelector::ask(const std::shared_ptr<Search>& search, const UpstreamEntry& upstream) {
   ++search->asked;
   search->upstream = {upstream.record.id, upstream.record.incarnation};
   search->askedAt = clockNow();
@@ -39,7 +39,7 @@
   exchange_->acquire(request, [this, search](const SlotReply& reply) { receive(search, reply); });
 }
 
-void UpstreamChooser::receive(const std::shared_ptr<Search>& search, const SlotReply& reply) {
+void UpstreamSelector::receive(const std::shared_ptr<Search>& search, const SlotReply& reply) {
   const UpstreamId& asked = search->upstream.id;
   const SlotDecision& decision = reply.decision;
   const auto waited = std::chrono::duration_cast<Millis>(clockNow() - search->askedAt);
--- a/Hallchute/src/Traffic/UpstreamChooser.h
+++ b/Hallchute/src/Traffic/UpstreamSelector.h
@@ -1,8 +1,8 @@
 // This file is part of hallchute, a serving system for language models.
 // SPDX-License-Identifier: Apache-2.0
 
-#ifndef HALLCHUTE_TRAFFIC_UPSTREAMCHOOSER_H
-#define HALLCHUTE_TRAFFIC_UPSTREAMCHOOSER_H
+#ifndef HALLCHUTE_TRAFFIC_UPSTREAMSELECTOR_H
+#define HALLCHUTE_TRAFFIC_UPSTREAMSELECTOR_H
 
 #include <functional>
 #include <memory>
@@ -20,12 +20,12 @@
 
 /// \brief Chooses the upstream of a request and takes a slot there if the upstream names a limit on
 /// rejections. Traffic thread only. \ingroup Traffic
-class UpstreamChooser {
+class UpstreamSelector {
  public:
   /// Called with null if no upstream has room.
   using Sink = std::function<void(const UpstreamEntry* upstream, const HeldSlotPtr& slot)>;
 
-  UpstreamChooser(const UpstreamTable& upstreams, Metrics& metrics)
+  UpstreamSelector(const UpstreamTable& upstreams, Metrics& metrics)
       : upstreams_(upstreams), metrics_(metrics) {}
   /// \brief Sets how slots are taken; null, or must outlive this. Without it none are needed.
   void setExchange(SlotExchange* exchange) { exchange_ = exchange; }
@@ -52,4 +52,4 @@
 
 }  // namespace Hallchute
 
-#endif  // HALLCHUTE_TRAFFIC_UPSTREAMCHOOSER_H
+#endif  // HALLCHUTE_TRAFFIC_UPSTREAMSELECTOR_H
