--- a/test/GatewayRig.cpp
+++ b/test/GatewayRig.cpp
@@ -9,12 +9,11 @@
 
 namespace Hallchute {
 
-GatewayRig::GatewayRig() {
+GatewayRig::GatewayRig(const RetryAllowance& retries) {
   TrafficOptions options;
   options.domain = FailureDomainName("d1");
   options.ownIp = "127.0.0.1";
-  // Enough in a few milliseconds, as if the daemon had run for long.
-  options.retries = {0.2, 1e6, Millis(10'000)};
+  options.retries = retries;
   // A quarter of the tolerance is there at a start.
   options.quotas = {0, 2'000, Millis(8'000)};
   engine_ = std::make_unique<TrafficEngine>(loop_, options, codec_, metrics_);
--- a/test/GatewayRig.h
+++ b/test/GatewayRig.h
@@ -24,7 +24,8 @@
 /// \brief The whole data path on a thread of its own, at a loopback port from the kernel.
 class GatewayRig {
  public:
-  GatewayRig();
+  /// \param retries by default enough in a few milliseconds, as if the daemon had run for long.
+  explicit GatewayRig(const RetryAllowance& retries = {0.2, 1e6, Millis(10'000)});
   ~GatewayRig();
   GatewayRig(const GatewayRig&) = delete;
   GatewayRig& operator=(const GatewayRig&) = delete;
--- a/test/ScriptedUpstream.cpp
+++ b/test/ScriptedUpstream.cpp
@@ -50,6 +50,19 @@
   }
 }
 
+/// \returns whether the other side kept the connection open.
+bool ScriptedUpstream::stayOpenFor(Poco::Net::StreamSocket& socket,
+                                   std::chrono::milliseconds time) const {
+  const auto end = std::chrono::steady_clock::now() + time;
+  while (!stopping_ && std::chrono::steady_clock::now() < end) {
+    char byte = 0;
+    if (!socket.poll(kTurn, Poco::Net::Socket::SELECT_READ)) continue;
+    if (::recv(socket.impl()->sockfd(), &byte, 1, MSG_PEEK) <= 0) return false;
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  return true;
+}
+
 void ScriptedUpstream::serve(Poco::Net::StreamSocket socket) {
   std::string in;
   std::array<char, 4096> buffer;
@@ -70,8 +83,16 @@
         requests_.push_back(request);
       }
       const std::string id = fieldOf(request, "Hallchute-Attempt-Id");
-      const std::string out = absl::StrReplaceAll(script.bytes, {{"{id}", id}});
-      if (!out.empty()) socket.sendBytes(out.data(), static_cast<int>(out.size()));
+      const auto send = [&](const std::string& bytes) {
+        const std::string out = absl::StrReplaceAll(bytes, {{"{id}", id}});
+        if (!out.empty()) socket.sendBytes(out.data(), static_cast<int>(out.size()));
+      };
+      send(script.bytes);
+      if (!stayOpenFor(socket, script.silence)) {
+        ++cancelled_;
+        return;
+      }
+      send(script.later);
       if (script.then == UpstreamScript::Then::close) return;
       if (script.then == UpstreamScript::Then::reset) {
         socket.setLinger(true, 0);
--- a/test/ScriptedUpstream.h
+++ b/test/ScriptedUpstream.h
@@ -7,6 +7,7 @@
 #include <Poco/Net/ServerSocket.h>
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -21,6 +22,9 @@
   std::string bytes;
   /// How the connection goes on.
   enum class Then { keep, close, reset, hang } then = Then::keep;
+  /// How long it is silent after that, and what it sends then.
+  std::chrono::milliseconds silence{0};
+  std::string later{};
 };
 
 /// \brief A TCP server that answers the n-th request with the n-th script, byte for byte, and the
@@ -41,6 +45,7 @@
  private:
   void accept();
   void serve(Poco::Net::StreamSocket socket);
+  bool stayOpenFor(Poco::Net::StreamSocket& socket, std::chrono::milliseconds time) const;
 
   Poco::Net::ServerSocket listener_;
   std::vector<UpstreamScript> scripts_;
