Read what is ready before timers act on its absence

Callers saw a whole request closed without an answer or refusal: an idle connection was closed though the request lay unread in its socket, as the daemon ran late (stopped for a moment, or busy). In the same way an upstream counted as silent with its events unread.

Cause: EventLoop ran timers that were due after a poll that had been interrupted, that had returned at most 64 sockets, or that lay before a long task. A timer now runs only once every socket that was ready when it became due has been handled, whatever timer it is: head, idle and linger times, silence, acknowledgements, connects, probes, leases, peers. Ready sockets are handled in turn and at most once each before that, so that busy ones don't hold up timers.

--- a/Hallchute/src/Net/EventLoop.cpp
+++ b/Hallchute/src/Net/EventLoop.cpp
@@ -20,7 +20,6 @@
 namespace {
 
 constexpr Millis kMaxPollTimeout{1'000};
-/// Sockets with events beyond this number are handled in the next iteration.
 constexpr int kMaxEventsPerPoll = 64;
 
 // Callers pass poll() flags, which go to epoll unchanged.
@@ -49,9 +48,9 @@
 void EventLoop::run() {
   thread_ = std::this_thread::get_id();
   while (!stopping_) {
-    pollOnce();
+    const std::optional<Instant> handledUntil = handleSockets();
     runPosted();
-    runTimers();
+    if (handledUntil) runTimers(*handledUntil);
   }
   runPosted();
   thread_ = std::thread::id();
@@ -155,23 +154,36 @@
   return std::clamp(left, Millis(0), kMaxPollTimeout);
 }
 
-void EventLoop::pollOnce() {
+std::optional<Instant> EventLoop::handleSockets() {
   std::array<epoll_event, kMaxEventsPerPoll> ready;
-  const int timeout = static_cast<int>(untilNextTimer().count());
-  const int count = epoll_wait(pollFd_, ready.data(), kMaxEventsPerPoll, timeout);
-  for (int i = 0; i < count; ++i) {
-    const std::uint64_t key = ready[i].data.u64;
-    const int socket = static_cast<int>(key & 0xffffffffU);
-    if (socket == wakeFd_) {
-      clearWake();
-      continue;
+  const Instant start = clockNow();
+  int timeout = static_cast<int>(untilNextTimer().count());
+  std::size_t handled = 0;
+  int count = 0;
+  do {
+    count = epoll_wait(pollFd_, ready.data(), kMaxEventsPerPoll, timeout);
+    if (count < 0) return std::nullopt;
+    for (int i = 0; i < count; ++i) {
+      handleSocket(ready[i].data.u64, static_cast<short>(ready[i].events));
     }
-    const auto it = sockets_.find(socket);
-    if (it == sockets_.end() || it->second.generation != key >> 32U) continue;
-    // Keeps the task alive: it may replace itself or unwatch its socket.
-    const std::shared_ptr<SocketTask> task = it->second.task;
-    (*task)(static_cast<short>(ready[i].events));
+    handled += static_cast<std::size_t>(count);
+    timeout = 0;
+    // epoll returns ready sockets in turn, so that none is left out although others stay ready.
+  } while (count == kMaxEventsPerPoll && handled <= sockets_.size());
+  return start;
+}
+
+void EventLoop::handleSocket(std::uint64_t key, short events) {
+  const int socket = static_cast<int>(key & 0xffffffffU);
+  if (socket == wakeFd_) {
+    clearWake();
+    return;
   }
+  const auto it = sockets_.find(socket);
+  if (it == sockets_.end() || it->second.generation != key >> 32U) return;
+  // Keeps the task alive: it may replace itself or unwatch its socket.
+  const std::shared_ptr<SocketTask> task = it->second.task;
+  (*task)(events);
 }
 
 void EventLoop::runPosted() {
@@ -183,9 +195,9 @@
   for (const Task& task : tasks) task();
 }
 
-void EventLoop::runTimers() {
+void EventLoop::runTimers(Instant until) {
   const Instant now = clockNow();
-  while (!timers_.empty() && timers_.begin()->first.first <= now) {
+  while (!timers_.empty() && timers_.begin()->first.first <= until) {
     auto node = timers_.extract(timers_.begin());
     timerDueTimes_.erase(node.key().second);
     Timer timer = std::move(node.mapped());
--- a/Hallchute/src/Net/EventLoop.h
+++ b/Hallchute/src/Net/EventLoop.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <unordered_map>
 #include <utility>
@@ -24,6 +25,9 @@
 ///
 /// State that is used only on the loop's thread needs no lock. post(), call() and stop() may be
 /// called from any thread; everything else only on the loop's thread or before run().
+///
+/// A timer runs only after every socket that was ready when it became due has been handled once: a
+/// loop that runs late reads what has arrived before a timeout acts on its absence.
 class EventLoop {
  public:
   using Task = std::function<void()>;
@@ -74,9 +78,14 @@
   void wake();
   void clearWake();
   void runPosted();
-  void runTimers();
+  /// Runs the timers that were due at \p until.
+  void runTimers(Instant until);
   Millis untilNextTimer() const;
-  void pollOnce();
+  /// Waits for ready sockets or the next timer, and handles the sockets.
+  /// \returns a time such that all sockets that were ready then have been handled; nothing if the
+  /// wait was interrupted.
+  std::optional<Instant> handleSockets();
+  void handleSocket(std::uint64_t key, short events);
   TimerId addTimer(Instant at, Timer timer);
 
   int pollFd_;
