Keep a silent upstream at work until another one sends data

Callers saw streams broken off, or 502, though a sound upstream had only been silent for a second: 12 of 434 streams with 30 daemons, more with more daemons, as each has a smaller share of the retry budget.

Cause: the relay cancelled the exchange that worked and only then looked for a retry, an upstream of the version with room, a slot and a connection; each can be missing, and three rejections end the answer. Now a silent upstream stays at work: the request is dispatched beside it, and whichever sends data first goes on, the others are cancelled at that moment. While one is at work, the answer ends only with its caller or its deadline. So the length of the silence, the budget and the other upstreams decide only who answers, not whether.

The upstream counts as silent when the timer fires, not when it is replaced, so that others avoid it as soon as before. Each dispatch of a session and its answer are a class of their own (SessionDispatch).

RelayTest walks all orders of events with several dispatches at work: none is cancelled before another sends data. Its invariant "two dispatches at once" gives way to as strict ones: never more than maxRuns, only what may repeat, marked as retries, one source of a stream, nothing at work after the end.

--- a/Hallchute/src/Gateway/UpstreamTable.cpp
+++ b/Hallchute/src/Gateway/UpstreamTable.cpp
@@ -197,15 +197,20 @@
       entry.mayHaveEndedAt = now;
       noteFailure(entry, now);
       return;
-    case DispatchResult::silent:
     case DispatchResult::failed:
       noteFailure(entry, now);
       return;
+    case DispatchResult::silent:
     case DispatchResult::abandoned:
       return;
   }
 }
 
+void UpstreamTable::noteSilent(const UpstreamIncarnation& upstream, Instant now) {
+  UpstreamEntry* const entry = findIncarnation(upstream.id, upstream.incarnation);
+  if (entry != nullptr) noteFailure(*entry, now);
+}
+
 void UpstreamTable::noteUnreachable(const UpstreamEntry& entry, Instant now) {
   DomainOutage& outage = outages_[entry.record.domain];
   const bool different = !outage.last.empty() && outage.last != entry.record.id;
--- a/Hallchute/src/Gateway/UpstreamTable.h
+++ b/Hallchute/src/Gateway/UpstreamTable.h
@@ -29,7 +29,8 @@
   unreachable,
   /// The connection was closed or the response was malformed after the request was sent.
   broken,
-  /// No response data within the expected time.
+  /// No response data within the expected time, reported by noteSilent(); another upstream
+  /// answered.
   silent,
   /// The upstream responded with a server error.
   failed,
@@ -88,6 +89,8 @@
   /// \param incarnation as above.
   void noteEnded(const UpstreamId& upstream, DispatchResult result, Instant now,
                  std::optional<std::uint64_t> incarnation = {});
+  /// \brief Records that an upstream at work on a request sends no data within the expected time.
+  void noteSilent(const UpstreamIncarnation& upstream, Instant now);
   /// \brief Records that this daemon must not send the upstream requests for some time.
   void noteBackoff(const UpstreamIncarnation& upstream, Millis time, Instant now);
   /// \brief The time until this daemon may send requests to an upstream of the service again;
--- a/Hallchute/src/Relay/RelayAction.h
+++ b/Hallchute/src/Relay/RelayAction.h
@@ -11,7 +11,7 @@
 /// \brief Actions for a request in progress; see RelayStateMachine. \ingroup Relay
 namespace RelayActions {
 
-/// Select an upstream and send the request to it.
+/// Select an upstream and send the request to it, beside those that are at work on it.
 struct Dispatch {
   /// An earlier dispatch reached an upstream, so this one counts against the retry budget.
   bool retry = false;
@@ -19,7 +19,8 @@
   bool resume = false;
   bool operator==(const Dispatch&) const = default;
 };
-/// Close the exchange with the upstream, so that it stops processing the request.
+/// Close the exchanges with all upstreams but the one that the event came from, so that they stop
+/// processing the request.
 struct Cancel {
   bool operator==(const Cancel&) const = default;
 };
--- a/Hallchute/src/Relay/RelayEvent.h
+++ b/Hallchute/src/Relay/RelayEvent.h
@@ -13,7 +13,7 @@
 
 /// The request was admitted and may be dispatched.
 struct Begin {};
-/// No upstream is available, or the retry budget is exhausted.
+/// The last dispatch can't be made: no upstream is available, or the retry budget is exhausted.
 struct NoUpstreamAvailable {};
 /// The request was certainly not sent.
 struct NotSent {};
@@ -27,7 +27,7 @@
 };
 /// The connection was closed or the response was malformed after the request was sent.
 struct ConnectionBroken {};
-/// The upstream accepted the request but sent no data within the expected time.
+/// The upstreams at work on the request sent no data within the expected time.
 struct UpstreamSilent {};
 struct CallerDisconnected {};
 /// The deadline of the request passed.
--- a/Hallchute/src/Relay/RelayStateMachine.cpp
+++ b/Hallchute/src/Relay/RelayStateMachine.cpp
@@ -25,12 +25,29 @@
 }
 
 bool RelayStateMachine::mayRunAgain() const {
-  if (runs_ >= terms_.maxRuns) return false;
+  if (runs_ + dispatches_ >= terms_.maxRuns) return false;
   return started_ ? terms_.resumable : terms_.repeatable;
 }
 
-RelayAction RelayStateMachine::dispatchAgain() {
-  return RelayActions::Dispatch{deliveries_ > 0, started_};
+RelayAction RelayStateMachine::dispatch() {
+  const bool retry = deliveries_ > 0 || dispatches_ > 0;
+  ++dispatches_;
+  return RelayActions::Dispatch{retry, started_};
+}
+
+void RelayStateMachine::cancelAll(Actions& actions) {
+  if (dispatches_ == 0) return;
+  runs_ += dispatches_;
+  deliveries_ += dispatches_;
+  dispatches_ = 0;
+  actions.push_back(RelayActions::Cancel{});
+}
+
+/// Cancels all but the dispatch that the event came from.
+void RelayStateMachine::cancelOthers(Actions& actions) {
+  --dispatches_;
+  cancelAll(actions);
+  ++dispatches_;
 }
 
 RelayStateMachine::Actions RelayStateMachine::giveUp(bool deadlineExceeded) {
@@ -43,80 +60,90 @@
 RelayStateMachine::Actions RelayStateMachine::afterRejection() {
   ++rejections_;
   const bool mayContinue = !started_ || terms_.resumable;
-  if (rejections_ >= kMaxRejections || !mayContinue) return giveUp(false);
-  return {dispatchAgain()};
+  if (rejections_ < kMaxRejections && mayContinue) return {dispatch()};
+  return atWork() ? Actions{} : giveUp(false);
 }
 
 RelayStateMachine::Actions RelayStateMachine::afterFailedRun() {
-  if (!mayRunAgain()) return giveUp(false);
-  return {dispatchAgain()};
+  if (mayRunAgain()) return {dispatch()};
+  return atWork() ? Actions{} : giveUp(false);
 }
 
 RelayStateMachine::Actions RelayStateMachine::on(const RelayEvents::Begin&) {
   if (phase_ != Phase::waiting) return {};
-  phase_ = Phase::dispatched;
-  return {RelayActions::Dispatch{}};
+  phase_ = Phase::running;
+  return {dispatch()};
 }
 
 RelayStateMachine::Actions RelayStateMachine::on(const RelayEvents::NoUpstreamAvailable&) {
-  return giveUp(false);
+  if (atWork()) --dispatches_;
+  return atWork() ? Actions{} : giveUp(false);
 }
 
 RelayStateMachine::Actions RelayStateMachine::on(const RelayEvents::NotSent&) {
-  if (phase_ != Phase::dispatched) return {};
+  if (!atWork()) return {};
+  --dispatches_;
   return afterRejection();
 }
 
 RelayStateMachine::Actions RelayStateMachine::on(const RelayEvents::NotExecuted&) {
-  if (phase_ != Phase::dispatched) return {};
+  if (!atWork()) return {};
+  --dispatches_;
   ++deliveries_;
   return afterRejection();
 }
 
 RelayStateMachine::Actions RelayStateMachine::on(const RelayEvents::StreamEventReceived&) {
-  if (phase_ != Phase::dispatched) return {};
+  if (!atWork()) return {};
+  Actions actions;
+  cancelOthers(actions);
   const bool first = !std::exchange(started_, true);
-  return {RelayActions::ForwardEvent{first}};
+  actions.push_back(RelayActions::ForwardEvent{first});
+  return actions;
 }
 
 RelayStateMachine::Actions RelayStateMachine::on(const RelayEvents::ResponseComplete& event) {
-  if (phase_ != Phase::dispatched) return {};
-  if (event.success) {
-    if (started_) return end({RelayActions::EndStream{}});
-    return end({RelayActions::ForwardResponse{}});
-  }
+  if (!atWork()) return {};
+  --dispatches_;
   ++deliveries_;
   ++runs_;
-  hasFallbackResponse_ = !started_;
-  return afterFailedRun();
+  if (!event.success) {
+    hasFallbackResponse_ = !started_;
+    return afterFailedRun();
+  }
+  Actions actions;
+  cancelAll(actions);
+  if (started_) {
+    actions.push_back(RelayActions::EndStream{});
+  } else {
+    actions.push_back(RelayActions::ForwardResponse{});
+  }
+  return end(std::move(actions));
 }
 
 RelayStateMachine::Actions RelayStateMachine::on(const RelayEvents::ConnectionBroken&) {
-  if (phase_ != Phase::dispatched) return {};
+  if (!atWork()) return {};
+  --dispatches_;
   ++deliveries_;
   ++runs_;
   return afterFailedRun();
 }
 
 RelayStateMachine::Actions RelayStateMachine::on(const RelayEvents::UpstreamSilent&) {
-  if (phase_ != Phase::dispatched) return {};
-  if (runs_ + 1 >= terms_.maxRuns) return {};
-  if (!(started_ ? terms_.resumable : terms_.repeatable)) return {};
-  ++deliveries_;
-  ++runs_;
-  return {RelayActions::Cancel{}, dispatchAgain()};
+  if (!atWork() || !mayRunAgain()) return {};
+  return {dispatch()};
 }
 
 RelayStateMachine::Actions RelayStateMachine::on(const RelayEvents::CallerDisconnected&) {
-  const bool dispatched = phase_ == Phase::dispatched;
-  return dispatched ? end({RelayActions::Cancel{}}) : end({});
+  Actions actions;
+  cancelAll(actions);
+  return end(std::move(actions));
 }
 
 RelayStateMachine::Actions RelayStateMachine::on(const RelayEvents::DeadlineExceeded&) {
-  if (phase_ != Phase::dispatched) return giveUp(true);
-  // The upstream may still be running the request.
-  ++runs_;
-  Actions actions{RelayActions::Cancel{}};
+  Actions actions;
+  // The upstreams may still be running the request.
+  cancelAll(actions);
   for (const RelayAction& action : giveUp(true)) actions.push_back(action);
   return actions;
 }
--- a/Hallchute/src/Relay/RelayStateMachine.h
+++ b/Hallchute/src/Relay/RelayStateMachine.h
@@ -27,6 +27,10 @@
 /// Invariants for every order of events: a request that is not repeatable is sent again only if no
 /// earlier dispatch can have run; a refusal guarantees that nothing ran; a stream contains the
 /// events of one run, or of runs that continue each other; there is exactly one final response.
+///
+/// A silent upstream is replaced only once its replacement has sent data: until then both are at
+/// work, and either may go on. While one is at work the request ends only if its caller leaves or
+/// its deadline passes.
 class RelayStateMachine {
  public:
   explicit RelayStateMachine(RelayPolicy terms) : terms_(terms) {}
@@ -38,9 +42,11 @@
   bool started() const { return started_; }
   /// \brief Whether an upstream may have run the request.
   bool mayHaveRun() const { return runs_ > 0; }
+  /// \brief Whether one more upstream may run the request, beside those at work on it.
+  bool mayRunAgain() const;
 
  private:
-  enum class Phase { waiting, dispatched, ended };
+  enum class Phase { waiting, running, ended };
   using Actions = std::vector<RelayAction>;
 
   Actions on(const RelayEvents::Begin& event);
@@ -53,8 +59,10 @@
   Actions on(const RelayEvents::UpstreamSilent& event);
   Actions on(const RelayEvents::CallerDisconnected& event);
   Actions on(const RelayEvents::DeadlineExceeded& event);
-  bool mayRunAgain() const;
-  RelayAction dispatchAgain();
+  bool atWork() const { return phase_ == Phase::running && dispatches_ > 0; }
+  RelayAction dispatch();
+  void cancelAll(Actions& actions);
+  void cancelOthers(Actions& actions);
   Actions afterRejection();
   Actions afterFailedRun();
   Actions giveUp(bool deadlineExceeded);
@@ -65,11 +73,13 @@
   bool started_ = false;
   /// A complete error response was received; it is forwarded if no later attempt succeeds.
   bool hasFallbackResponse_ = false;
-  /// Dispatches that may have run.
+  /// Dispatches that have not ended.
+  int dispatches_ = 0;
+  /// Ended dispatches that may have run.
   int runs_ = 0;
   /// Dispatches that did not run.
   int rejections_ = 0;
-  /// Dispatches that reached an upstream.
+  /// Ended dispatches that reached an upstream.
   int deliveries_ = 0;
 };
 
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -16,7 +16,6 @@
 #include "Hallchute/src/Traffic/OriginExchange.h"
 #include "Hallchute/src/Traffic/RetryAfter.h"
 #include "Hallchute/src/Traffic/TrafficEngine.h"
-#include "Hallchute/src/Traffic/UpstreamDispatch.h"
 
 namespace Hallchute {
 namespace {
@@ -24,11 +23,12 @@
 /// Retry-After of a refusal: about the time until a crashed upstream is excluded from selection
 /// and a full one has accepted requests from its queue.
 constexpr Millis kRefusalRetryAfter{100};
-/// Time without output, in latency objectives, after which a repeatable request is sent to another
-/// upstream. Beyond twice the objective the answer is late in any case.
+/// Time without output, in latency objectives, after which a repeatable request is also sent to
+/// another upstream. Beyond twice the objective the answer is late in any case.
 constexpr double kResponseTimeoutObjectives = 2.0;
-/// Time without output, in pause objectives, after which a started stream is resumed on another
-/// upstream. The minimum keeps the stream on an engine that preempts its request for a short time.
+/// Time without output, in pause objectives, after which a started stream is also resumed on
+/// another upstream. The minimum avoids that for an engine that preempts its request for a short
+/// time.
 constexpr double kStallTimeoutObjectives = 3.0;
 constexpr Millis kMinStallTimeout{1'200};
 /// Time after dispatch at which a request has usually started to run. A stream starts with its
@@ -38,6 +38,8 @@
 constexpr Millis kPlainStartDelay{3};
 /// Maximum fraction of the remaining time to wait for an upstream that sends nothing.
 constexpr double kMaxSilentFraction = 0.4;
+/// Time until another upstream is looked for again after none could be had.
+constexpr Millis kReplacementRetryDelay{200};
 constexpr int kServerError = 500;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
@@ -185,12 +187,14 @@
 /// From the first event on, only the same version may continue the stream.
 void TrafficSession::noteStreamStarted() {
   if (!admission_.route->resumable || selection_.version) return;
-  const UpstreamEntry* entry = engine_.upstreamTable().find(upstream_.id);
-  const bool replaced = entry != nullptr && entry->record.incarnation > upstream_.incarnation &&
-                        entry->record.version != upstreamVersion_;
-  const StreamOrigin origin{streamKey(), service_, replaced ? SoftwareVersion() : upstreamVersion_};
+  const UpstreamIncarnation& upstream = answering_->upstream();
+  const SoftwareVersion& version = answering_->version();
+  const UpstreamEntry* entry = engine_.upstreamTable().find(upstream.id);
+  const bool replaced = entry != nullptr && entry->record.incarnation > upstream.incarnation &&
+                        entry->record.version != version;
+  const StreamOrigin origin{streamKey(), service_, replaced ? SoftwareVersion() : version};
   selection_.version = origin.version;
-  engine_.noteStreamBegan(origin, upstream_.id);
+  engine_.noteStreamBegan(origin, upstream.id);
 }
 
 Millis TrafficSession::remaining() const {
@@ -203,12 +207,18 @@
   engine_.loop().cancel(std::exchange(silenceTimer_, 0));
 }
 
-void TrafficSession::handleEvent(const RelayEvent& event) {
+void TrafficSession::handleEvent(const RelayEvent& event, SessionDispatch* source) {
   const bool ended = relay_.ended();
+  SessionDispatch* const outerSource = std::exchange(source_, source);
   for (const RelayAction& action : relay_.step(event)) {
     std::visit([this](const auto& a) { perform(a); }, action);
   }
-  if (!ended && relay_.ended() && std::holds_alternative<RelayEvents::CallerDisconnected>(event)) {
+  source_ = outerSource;
+  if (ended) return;
+  if (!relay_.ended()) {
+    // An upstream at work whose replacement could not be had is still silent.
+    if (silenceTimer_ == 0 && !choosing_ && anyOpen()) restartSilenceTimer(kReplacementRetryDelay);
+  } else if (std::holds_alternative<RelayEvents::CallerDisconnected>(event)) {
     finish("callerLeft", 0);
   }
 }
@@ -239,19 +249,22 @@
   refreshVersion();
   const bool forwards = engine_.forwarder() != nullptr && engine_.paths().lost(service_);
   if (!forwards) {
+    choosing_ = true;
+    const std::uint64_t choice = ++choice_;
     engine_.selector().choose(
-        selection_,
-        [weak = weak_from_this(), action](const UpstreamEntry* upstream, const HeldSlotPtr& slot) {
+        selection_, [weak = weak_from_this(), action, choice](const UpstreamEntry* upstream,
+                                                              const HeldSlotPtr& slot) {
           const auto session = weak.lock();
-          if (session != nullptr && !session->relay_.ended())
-            session->dispatch(action, upstream, slot);
+          if (session == nullptr || session->relay_.ended() || session->choice_ != choice) return;
+          session->choosing_ = false;
+          session->dispatch(action, upstream, slot);
         });
   } else if (takeRetry(action)) {
     forwardToPeer(action.resume);
   }
 }
 
-/// Without one the request is over.
+/// Without one the dispatch isn't made.
 bool TrafficSession::takeRetry(const RelayActions::Dispatch& action) {
   if (!action.retry || engine_.takeRetry(service_, selection_.requestId)) return true;
   handleEvent(RelayEvents::NoUpstreamAvailable{});
@@ -271,7 +284,7 @@
     handleEvent(RelayEvents::NotSent{});
     return;
   }
-  selection_.tried.erase(upstream_.id);
+  selection_.tried.erase(upstream->record.id);
   forwardToPeer(action.resume);
 }
 
@@ -287,17 +300,33 @@
   return terms;
 }
 
+SessionDispatch& TrafficSession::addDispatch() {
+  dispatches_.push_back(std::make_unique<SessionDispatch>(*this));
+  return *dispatches_.back();
+}
+
+bool TrafficSession::anyOpen() const {
+  return std::any_of(dispatches_.begin(), dispatches_.end(),
+                     [](const auto& dispatch) { return dispatch->isOpen(); });
+}
+
+const SessionDispatch* TrafficSession::reportedDispatch() const {
+  if (answering_ != nullptr) return answering_;
+  return dispatches_.empty() ? nullptr : dispatches_.back().get();
+}
+
 bool TrafficSession::dispatchTo(const UpstreamEntry& upstream, bool resume,
                                 const HeldSlotPtr& slot) {
-  noteUpstream({upstream.record.id, upstream.record.incarnation}, upstream.record.version);
-  noteDispatchStarted();
-  std::unique_ptr<UpstreamDispatch> dispatch = UpstreamDispatch::start(
+  SessionDispatch& dispatch = addDispatch();
+  const bool sent = dispatch.sendTo(
       engine_, upstream,
       {exchange_->head(), exchange_->body(), dispatchTerms(resume), selection_, admission_.suspects,
-       admission_.request.promptTokens.value_or(0), admission_.route->mayRepeat(), slot},
-      *this);
-  if (dispatch == nullptr) return false;
-  dispatch_ = std::move(dispatch);
+       admission_.request.promptTokens.value_or(0), admission_.route->mayRepeat(), slot});
+  noteUpstream(dispatch);
+  if (!sent) {
+    dispatches_.pop_back();
+    return false;
+  }
   ++dispatchCount_;
   restartSilenceTimer();
   return true;
@@ -315,60 +344,37 @@
   // Removes the API key, among others.
   request.head.fields = engine_.codec().dispatchFields(exchange_->head(), request.terms);
   request.body = exchange_->body();
-  noteDispatchStarted();
   ++dispatchCount_;
-  dispatch_ = std::make_unique<PeerDispatch>(engine_, std::move(request), excludedPeers_, *this);
+  addDispatch().sendThroughPeer(engine_, std::move(request), excludedPeers_);
   restartSilenceTimer();
 }
 
-void TrafficSession::noteDispatchStarted() {
-  dispatchedAt_ = clockNow();
-  splitter_ = {};
-  answerComplete_ = false;
-}
-
-UpstreamDispatch* TrafficSession::directDispatch() const {
-  const auto* direct = std::get_if<std::unique_ptr<UpstreamDispatch>>(&dispatch_);
-  return direct == nullptr ? nullptr : direct->get();
-}
-
-PeerDispatch* TrafficSession::peerDispatch() const {
-  const auto* peer = std::get_if<std::unique_ptr<PeerDispatch>>(&dispatch_);
-  return peer == nullptr ? nullptr : peer->get();
-}
-
-void TrafficSession::peerDispatched(const UpstreamIncarnation& upstream,
-                                    const SoftwareVersion& version) {
-  noteUpstream(upstream, version);
+void TrafficSession::dispatchForwarded(SessionDispatch& dispatch) {
+  noteUpstream(dispatch);
 }
 
-void TrafficSession::noteUpstream(const UpstreamIncarnation& upstream,
-                                  const SoftwareVersion& version) {
-  upstream_ = upstream;
-  upstreamVersion_ = version;
-  selection_.tried.insert(upstream_.id);
+void TrafficSession::noteUpstream(const SessionDispatch& dispatch) {
+  selection_.tried.insert(dispatch.upstream().id);
   if (!relay_.started() && !admission_.request.resumesStream()) return;
   LogLine(LogLevel::info, "stream.resumed")
       .with("request", selection_.requestId)
       .with("resumes", admission_.request.resumes.str())
       .with("afterEvent", relay_.started() ? lastEventId_ : admission_.request.lastEventId)
-      .with("upstream", upstream_.id.str())
-      .with("version", upstreamVersion_.str());
+      .with("upstream", dispatch.upstream().id.str())
+      .with("version", dispatch.version().str());
 }
 
-void TrafficSession::peerDeclined(const DaemonId& peer) {
+void TrafficSession::dispatchDeclined(SessionDispatch& dispatch, const DaemonId& peer) {
   if (!peer.empty()) excludedPeers_.insert(peer);
-  endDispatch(DispatchResult::unreachable, false);
+  endDispatch(dispatch, DispatchResult::unreachable, false);
   if (peer.empty()) {
-    handleEvent(RelayEvents::NoUpstreamAvailable{});
+    handleEvent(RelayEvents::NoUpstreamAvailable{}, &dispatch);
   } else {
-    handleEvent(RelayEvents::NotSent{});
+    handleEvent(RelayEvents::NotSent{}, &dispatch);
   }
 }
 
-void TrafficSession::restartSilenceTimer() {
-  engine_.loop().cancel(std::exchange(silenceTimer_, 0));
-  if (!admission_.route->mayRepeat()) return;
+Millis TrafficSession::silenceTimeout() const {
   using RealMillis = std::chrono::duration<double, std::milli>;
   const Route& route = *admission_.route;
   const RealMillis responseTimeout =
@@ -377,53 +383,69 @@
       RealMillis(kMinStallTimeout), RealMillis(route.gapObjective) * kStallTimeoutObjectives);
   const RealMillis objectiveTimeout = relay_.started() ? stallTimeout : responseTimeout;
   const RealMillis deadlineTimeout = RealMillis(remaining()) * kMaxSilentFraction;
-  const auto timeout =
-      std::chrono::duration_cast<Millis>(std::min(objectiveTimeout, deadlineTimeout));
-  silenceTimer_ = engine_.loop().after(timeout, [this] {
+  return std::chrono::duration_cast<Millis>(std::min(objectiveTimeout, deadlineTimeout));
+}
+
+void TrafficSession::restartSilenceTimer(Millis least) {
+  engine_.loop().cancel(std::exchange(silenceTimer_, 0));
+  if (!admission_.route->mayRepeat()) return;
+  silenceTimer_ = engine_.loop().after(std::max(least, silenceTimeout()), [this] {
     silenceTimer_ = 0;
-    // Keep waiting if no other upstream is available. The relay decides whether the request may be
-    // sent to another one.
-    UpstreamCriteria otherSelection = selection_;
-    if (pickUpstream(engine_.upstreamTable(), otherSelection, clockNow()) == nullptr) return;
-    handleEvent(RelayEvents::UpstreamSilent{});
+    handleSilence();
   });
 }
 
-bool TrafficSession::upstreamHead(const HttpHead& head) {
-  answer_ = engine_.codec().readAnswer(head);
-  if (!answer_.notExecuted && !answer_.misdirected && answer_.id != admission_.request.id) {
+/// The upstreams at work are kept until another one sends data: they may go on.
+void TrafficSession::handleSilence() {
+  if (!relay_.mayRunAgain()) return;
+  if (pickUpstream(engine_.upstreamTable(), selection_, clockNow()) == nullptr) {
+    restartSilenceTimer(kReplacementRetryDelay);
+    return;
+  }
+  for (const auto& dispatch : dispatches_) {
+    if (dispatch->isOpen() && !dispatch->silent()) {
+      dispatch->noteSilent();
+      LogLine(LogLevel::info, "upstream.silent")
+          .with("request", selection_.requestId)
+          .with("upstream", dispatch->upstream().id.str())
+          .with("started", relay_.started())
+          .with("sinceDispatchMs",
+                std::chrono::duration_cast<Millis>(clockNow() - dispatch->startedAt()));
+    }
+  }
+  handleEvent(RelayEvents::UpstreamSilent{});
+}
+
+bool TrafficSession::answerBegan(SessionDispatch& dispatch) {
+  const HttpHead& head = dispatch.head();
+  dispatch.setResponse(engine_.codec().readAnswer(head));
+  const UpstreamResponse& answer = dispatch.response();
+  if (!answer.notExecuted && !answer.misdirected && answer.id != admission_.request.id) {
     LogLine(LogLevel::warning, "upstream.foreignAnswer")
         .with("request", selection_.requestId)
-        .with("upstream", upstream_.id.str())
-        .with("answersRequest", answer_.id.str());
+        .with("upstream", dispatch.upstream().id.str())
+        .with("answersRequest", answer.id.str());
     return false;
   }
-  if (UpstreamDispatch* direct = directDispatch()) direct->noteAnswer(answer_);
-  if (answer_.draining && !answer_.misdirected) engine_.noteDrainingAnswer(upstream_);
-  answerHead_ = head;
-  answerBody_.clear();
-  answerIsStream_ = isSuccess(head.status) && answer_.hasSignature &&
-                    admission_.route->kind == WorkKind::stream && head.holdsEvents();
+  if (UpstreamDispatch* direct = dispatch.direct()) direct->noteAnswer(answer);
+  if (answer.draining && !answer.misdirected) engine_.noteDrainingAnswer(dispatch.upstream());
+  dispatch.setIsStream(isSuccess(head.status) && answer.hasSignature &&
+                       admission_.route->kind == WorkKind::stream && head.holdsEvents());
   return true;
 }
 
-void TrafficSession::upstreamBody(std::string_view bytes) {
-  if (!answerIsStream_) {
-    answerBody_.append(bytes);
-    return;
-  }
-  splitter_.add(bytes);
-  forwardEvents();
+void TrafficSession::streamContinued(SessionDispatch& dispatch) {
+  forwardEvents(dispatch);
 }
 
-void TrafficSession::forwardEvents() {
-  while (dispatched() && !relay_.ended()) {
-    std::optional<StreamEvent> event = splitter_.next();
+void TrafficSession::forwardEvents(SessionDispatch& dispatch) {
+  while (dispatch.isOpen() && !relay_.ended()) {
+    std::optional<StreamEvent> event = dispatch.events().next();
     if (!event) return;
-    recordRunStart();
+    recordRunStart(dispatch);
     if (alreadyForwarded(*event)) continue;
     event_ = std::move(*event);
-    handleEvent(RelayEvents::StreamEventReceived{});
+    handleEvent(RelayEvents::StreamEventReceived{}, &dispatch);
     if (!relay_.ended()) restartSilenceTimer();
   }
 }
@@ -435,118 +457,113 @@
   return absl::SimpleAtoi(lastEventId_, &last) && absl::SimpleAtoi(event.id, &id) && id <= last;
 }
 
-void TrafficSession::recordRunStart() {
-  if (UpstreamDispatch* direct = directDispatch()) direct->noteBegan();
+void TrafficSession::recordRunStart(SessionDispatch& dispatch) {
+  if (UpstreamDispatch* direct = dispatch.direct()) direct->noteBegan();
   if (std::exchange(runCounted_, true)) return;
   if (!firstOutputAt_) firstOutputAt_ = clockNow();
   if (admission_.organisation != nullptr) engine_.noteRun(admission_.organisation->name);
 }
 
-void TrafficSession::upstreamDone() {
-  if (answer_.notExecuted || answer_.misdirected) {
+void TrafficSession::answerEnded(SessionDispatch& dispatch) {
+  const UpstreamResponse& answer = dispatch.response();
+  const HttpHead& head = dispatch.head();
+  if (answer.notExecuted || answer.misdirected) {
     LogLine(LogLevel::info, "upstream.rejected")
         .with("request", selection_.requestId)
-        .with("upstream", upstream_.id.str())
-        .with("status", answerHead_.status)
-        .with("retryAfterMs", answer_.retryAfter);
-    endDispatch(DispatchResult::rejected, !answer_.misdirected);
-    handleEvent(RelayEvents::NotExecuted{});
+        .with("upstream", dispatch.upstream().id.str())
+        .with("status", head.status)
+        .with("retryAfterMs", answer.retryAfter);
+    endDispatch(dispatch, DispatchResult::rejected, !answer.misdirected);
+    handleEvent(RelayEvents::NotExecuted{}, &dispatch);
     return;
   }
-  if (answerIsStream_) {
+  if (dispatch.isStream()) {
     // An answer delimited by the end of the connection may have been cut off, as its upstream
     // ended.
-    const bool complete = !answerHead_.bodyEndsAtClose || splitter_.endsWithEvent();
+    const bool complete = !head.bodyEndsAtClose || dispatch.events().endsWithEvent();
     if (!complete) {
-      upstreamFailed(ExchangeFailure::connectionEnded);
+      dispatchFailed(dispatch, ExchangeFailure::connectionEnded);
       return;
     }
-    endDispatch(DispatchResult::answered, true);
-    noteCompleted();
-    answerComplete_ = true;
-    event_ = {splitter_.incompleteEvent(), ""};
-    if (!event_.bytes.empty()) handleEvent(RelayEvents::StreamEventReceived{});
-    handleEvent(RelayEvents::ResponseComplete{});
+    endDispatch(dispatch, DispatchResult::answered, true);
+    noteCompleted(dispatch);
+    event_ = {dispatch.events().incompleteEvent(), ""};
+    if (!event_.bytes.empty()) handleEvent(RelayEvents::StreamEventReceived{}, &dispatch);
+    answering_ = &dispatch;
+    handleEvent(RelayEvents::ResponseComplete{}, &dispatch);
     return;
   }
-  recordRunStart();
+  recordRunStart(dispatch);
   // A started stream can only be continued by another stream.
-  if (!answer_.hasSignature || relay_.started()) {
-    upstreamFailed(ExchangeFailure::malformed);
+  if (!answer.hasSignature || relay_.started()) {
+    dispatchFailed(dispatch, ExchangeFailure::malformed);
     return;
   }
-  const bool failed = answerHead_.status >= kServerError;
-  endDispatch(failed ? DispatchResult::failed : DispatchResult::answered, true);
-  answerComplete_ = true;
-  if (isSuccess(answerHead_.status)) noteCompleted();
+  const bool failed = head.status >= kServerError;
+  endDispatch(dispatch, failed ? DispatchResult::failed : DispatchResult::answered, true);
+  if (isSuccess(head.status)) noteCompleted(dispatch);
   if (failed) {
-    fallbackHead_ = answerHead_;
-    fallbackBody_ = answerBody_;
+    fallbackHead_ = head;
+    fallbackBody_ = dispatch.body();
+  } else {
+    answering_ = &dispatch;
   }
-  handleEvent(RelayEvents::ResponseComplete{!failed});
+  handleEvent(RelayEvents::ResponseComplete{!failed}, &dispatch);
 }
 
 /// Clears the content of crashes, unless the end of the connection may have been one.
-void TrafficSession::noteCompleted() {
-  if (!answerHead_.bodyEndsAtClose)
+void TrafficSession::noteCompleted(const SessionDispatch& dispatch) {
+  if (!dispatch.head().bodyEndsAtClose)
     engine_.crashes().noteCompleted(admission_.suspects.content, clockNow());
 }
 
-void TrafficSession::upstreamFailed(ExchangeFailure failure) {
+void TrafficSession::dispatchFailed(SessionDispatch& dispatch, ExchangeFailure failure) {
   const bool sent = failure != ExchangeFailure::notSent;
   LogLine(LogLevel::info, "upstream.failed")
       .with("request", selection_.requestId)
-      .with("upstream", upstream_.id.str())
+      .with("upstream", dispatch.upstream().id.str())
       .with("content", describe(admission_.suspects.content))
       .with("parts", sharedPartIds(admission_.request))
       .with("began", runCounted_)
       .with("failure", describe(failure))
       .with("sent", sent)
       .with("started", relay_.started())
-      .with("afterMs", std::chrono::duration_cast<Millis>(clockNow() - dispatchedAt_));
+      .with("afterMs", std::chrono::duration_cast<Millis>(clockNow() - dispatch.startedAt()));
   if (sent) {
     engine_.metrics().add("hallchute_upstream_breaks_total", "service=\"" + service_.str() + "\"");
   }
-  if (UpstreamDispatch* direct = directDispatch()) direct->noteFailure(failure);
-  if (failure == ExchangeFailure::peerLost) excludedPeers_.insert(peerDispatch()->peer());
-  endDispatch(sent ? DispatchResult::broken : DispatchResult::unreachable, false);
+  if (UpstreamDispatch* direct = dispatch.direct()) direct->noteFailure(failure);
+  if (failure == ExchangeFailure::peerLost) excludedPeers_.insert(dispatch.peer()->peer());
+  endDispatch(dispatch, sent ? DispatchResult::broken : DispatchResult::unreachable, false);
   if (sent) {
-    handleEvent(RelayEvents::ConnectionBroken{});
+    handleEvent(RelayEvents::ConnectionBroken{}, &dispatch);
   } else {
-    handleEvent(RelayEvents::NotSent{});
+    handleEvent(RelayEvents::NotSent{}, &dispatch);
   }
 }
 
-void TrafficSession::endDispatch(DispatchResult result, bool keepChannel) {
-  if (!dispatched()) return;
-  recordUnansweredRun(result);
-  engine_.loop().cancel(std::exchange(silenceTimer_, 0));
-  if (UpstreamDispatch* direct = directDispatch()) direct->end(result, keepChannel);
-  dispatch_ = std::monostate{};
-}
-
-/// Whether the last dispatch reached an upstream, as far as is known. During a network partition a
-/// request is not delivered; resetting the connection discards it.
-bool TrafficSession::delivered() const {
-  if (const UpstreamDispatch* direct = directDispatch()) return direct->delivered();
-  const PeerDispatch* peer = peerDispatch();
-  return peer != nullptr && peer->sent();
+void TrafficSession::endDispatch(SessionDispatch& dispatch, DispatchResult result,
+                                 bool keepChannel) {
+  if (!dispatch.isOpen()) return;
+  recordUnansweredRun(dispatch, result);
+  dispatch.end(result, keepChannel);
+  if (!anyOpen()) engine_.loop().cancel(std::exchange(silenceTimer_, 0));
 }
 
 /// Counts a run without an answer if the upstream had enough time to start it.
-void TrafficSession::recordUnansweredRun(DispatchResult result) {
+void TrafficSession::recordUnansweredRun(const SessionDispatch& dispatch, DispatchResult result) {
   if (result == DispatchResult::rejected || result == DispatchResult::unreachable) return;
   if (runCounted_ || admission_.organisation == nullptr) return;
   const bool stream = admission_.route->kind == WorkKind::stream;
-  const Millis waited = std::chrono::duration_cast<Millis>(clockNow() - dispatchedAt_);
-  const bool reached = delivered();
+  const Millis waited = std::chrono::duration_cast<Millis>(clockNow() - dispatch.startedAt());
+  const bool reached = dispatch.delivered();
   // A stream that this side cancelled was still queued: an overloaded engine has not started it and
   // discards it when the connection closes.
   const bool notStarted = stream && result != DispatchResult::broken;
   runCounted_ = reached && !notStarted && waited >= (stream ? kStreamStartDelay : kPlainStartDelay);
   LogLine(LogLevel::info, "upstream.unanswered")
       .with("request", selection_.requestId)
-      .with("upstream", upstream_.id.str())
+      .with("upstream", dispatch.upstream().id.str())
       .with("result", describe(result))
       .with("waitedMs", waited)
       .with("delivered", reached)
@@ -555,8 +572,13 @@
 }
 
 void TrafficSession::perform(const RelayActions::Cancel&) {
-  const bool silent = !relay_.ended();
-  endDispatch(silent ? DispatchResult::silent : DispatchResult::abandoned, false);
+  ++choice_;
+  choosing_ = false;
+  for (const auto& dispatch : dispatches_) {
+    if (dispatch.get() == source_ || !dispatch->isOpen()) continue;
+    const bool replaced = source_ != nullptr && dispatch->silent();
+    endDispatch(*dispatch, replaced ? DispatchResult::silent : DispatchResult::abandoned, false);
+  }
 }
 
 HttpFields TrafficSession::forwardedFields(const HttpHead& head) {
@@ -567,21 +589,23 @@
 }
 
 void TrafficSession::perform(const RelayActions::ForwardEvent& action) {
+  answering_ = source_;
   noteStreamStarted();
-  if (action.first) exchange_->startStream(answerHead_.status, forwardedFields(answerHead_));
+  const HttpHead& head = answering_->head();
+  if (action.first) exchange_->startStream(head.status, forwardedFields(head));
   if (!event_.id.empty()) lastEventId_ = event_.id;
   exchange_->sendStreamData(event_.bytes);
 }
 
 void TrafficSession::perform(const RelayActions::EndStream&) {
   exchange_->endStream();
-  finish("answered", answerHead_.status);
+  finish("answered", answering_->head().status);
 }
 
 void TrafficSession::perform(const RelayActions::ForwardResponse&) {
-  const HttpHead& head = answerComplete_ ? answerHead_ : fallbackHead_;
+  const HttpHead& head = answering_ != nullptr ? answering_->head() : fallbackHead_;
   exchange_->respond(head.status, forwardedFields(head),
-                     answerComplete_ ? answerBody_ : fallbackBody_);
+                     answering_ != nullptr ? answering_->body() : fallbackBody_);
   finish("answered", head.status);
 }
 
@@ -605,7 +629,7 @@
 
 void TrafficSession::perform(const RelayActions::AbortStream&) {
   exchange_->abortResponse();
-  finish("brokenOff", answerHead_.status);
+  finish("brokenOff", answering_->head().status);
 }
 
 void TrafficSession::finish(std::string_view outcome, int status) {
@@ -613,6 +637,7 @@
   const Instant now = clockNow();
   const auto total = std::chrono::duration_cast<Millis>(now - exchange_->receivedAt());
   const auto first = firstOutputAt_.value_or(now) - exchange_->receivedAt();
+  const SessionDispatch* reported = reportedDispatch();
   LogLine(LogLevel::info, "request.end")
       .with("request", selection_.requestId)
       .with("content", describe(admission_.suspects.content))
@@ -620,8 +645,8 @@
       .with("service", service_.str())
       .with("outcome", outcome)
       .with("status", status)
-      .with("upstream", upstream_.id.str())
-      .with("version", upstreamVersion_.str())
+      .with("upstream", reported == nullptr ? std::string() : reported->upstream().id.str())
+      .with("version", reported == nullptr ? std::string() : reported->version().str())
       .with("dispatches", dispatchCount_)
       .with("settings", admission_.routes->settings().version)
       .with("organisation", admission_.organisation == nullptr
--- a/Hallchute/src/Traffic/TrafficSession.h
+++ b/Hallchute/src/Traffic/TrafficSession.h
@@ -10,7 +10,7 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <variant>
+#include <vector>
 
 #include "Hallchute/src/Gateway/CrashSuspects.h"
 #include "Hallchute/src/Gateway/RouteTable.h"
@@ -20,14 +20,12 @@
 #include "Hallchute/src/Relay/EventSplitter.h"
 #include "Hallchute/src/Relay/RelayStateMachine.h"
 #include "Hallchute/src/Traffic/HeldSlot.h"
-#include "Hallchute/src/Traffic/PeerDispatch.h"
-#include "Hallchute/src/Upstream/UpstreamChannel.h"
+#include "Hallchute/src/Traffic/SessionDispatch.h"
 
 namespace Hallchute {
 
 class FrontExchange;
 class TrafficEngine;
-class UpstreamDispatch;
 
 /// \brief An admitted request and the settings that it was admitted under. \ingroup Traffic
 struct SessionAdmission {
@@ -46,7 +44,7 @@
 /// \brief Runs one admitted request: passes its events to the relay's state machine and performs
 /// the resulting actions.
 /// \ingroup Traffic
-class TrafficSession final : public PeerDispatchListener,
+class TrafficSession final : public SessionDispatchListener,
                              public std::enable_shared_from_this<TrafficSession> {
  public:
   TrafficSession(TrafficEngine& engine, std::uint64_t id, std::shared_ptr<FrontExchange> exchange,
@@ -56,12 +54,12 @@
   void begin();
   const ServiceName& service() const { return service_; }
 
-  bool upstreamHead(const HttpHead& head) override;
-  void upstreamBody(std::string_view bytes) override;
-  void upstreamDone() override;
-  void upstreamFailed(ExchangeFailure failure) override;
-  void peerDispatched(const UpstreamIncarnation& upstream, const SoftwareVersion& version) override;
-  void peerDeclined(const DaemonId& peer) override;
+  void dispatchForwarded(SessionDispatch& dispatch) override;
+  void dispatchDeclined(SessionDispatch& dispatch, const DaemonId& peer) override;
+  bool answerBegan(SessionDispatch& dispatch) override;
+  void streamContinued(SessionDispatch& dispatch) override;
+  void answerEnded(SessionDispatch& dispatch) override;
+  void dispatchFailed(SessionDispatch& dispatch, ExchangeFailure failure) override;
 
  private:
   /// Finds the software version that began the stream, if the caller continues one.
@@ -69,7 +67,8 @@
   void adoptOrigin(const std::optional<StreamOriginReply>& reply, std::string_view source);
   StreamKey streamKey() const;
   void noteStreamStarted();
-  void handleEvent(const RelayEvent& event);
+  /// \param source the dispatch that the event comes from, if any.
+  void handleEvent(const RelayEvent& event, SessionDispatch* source = nullptr);
   void perform(const RelayActions::Dispatch& action);
   void perform(const RelayActions::Cancel& action);
   void perform(const RelayActions::ForwardEvent& action);
@@ -88,19 +87,20 @@
   bool takeRetry(const RelayActions::Dispatch& action);
   bool dispatchTo(const UpstreamEntry& upstream, bool resume, const HeldSlotPtr& slot);
   void forwardToPeer(bool resume);
-  void noteDispatchStarted();
-  void noteUpstream(const UpstreamIncarnation& upstream, const SoftwareVersion& version);
-  UpstreamDispatch* directDispatch() const;
-  PeerDispatch* peerDispatch() const;
-  bool dispatched() const { return !std::holds_alternative<std::monostate>(dispatch_); }
-  bool delivered() const;
-  void forwardEvents();
-  void recordRunStart();
-  void notePromptDone();
-  void noteCompleted();
-  void recordUnansweredRun(DispatchResult result);
-  void endDispatch(DispatchResult result, bool keepChannel);
-  void restartSilenceTimer();
+  SessionDispatch& addDispatch();
+  void noteUpstream(const SessionDispatch& dispatch);
+  bool anyOpen() const;
+  /// Passes on the events that arrived.
+  void forwardEvents(SessionDispatch& dispatch);
+  void recordRunStart(SessionDispatch& dispatch);
+  void noteCompleted(const SessionDispatch& dispatch);
+  void recordUnansweredRun(const SessionDispatch& dispatch, DispatchResult result);
+  void endDispatch(SessionDispatch& dispatch, DispatchResult result, bool keepChannel);
+  Millis silenceTimeout() const;
+  void restartSilenceTimer(Millis least = Millis(0));
+  void handleSilence();
+  /// The dispatch that answers, or the last one.
+  const SessionDispatch* reportedDispatch() const;
   void stopTimers();
   void finish(std::string_view outcome, int status);
   Millis remaining() const;
@@ -116,27 +116,24 @@
   RelayStateMachine relay_;
   Instant deadline_;
 
-  std::variant<std::monostate, std::unique_ptr<UpstreamDispatch>, std::unique_ptr<PeerDispatch>>
-      dispatch_;
-  /// The upstream of the last dispatch.
-  UpstreamIncarnation upstream_;
-  SoftwareVersion upstreamVersion_;
+  /// In order; those that have ended are kept, as they may be calling this session.
+  std::vector<std::unique_ptr<SessionDispatch>> dispatches_;
+  /// The dispatch that the event being handled comes from.
+  SessionDispatch* source_ = nullptr;
+  /// The dispatch whose data was forwarded last, or whose whole answer will be.
+  const SessionDispatch* answering_ = nullptr;
+  /// Number of the last choice of an upstream; an earlier one that is still waiting is void.
+  std::uint64_t choice_ = 0;
+  bool choosing_ = false;
   /// Daemons that didn't pass the request on.
   std::set<DaemonId> excludedPeers_;
   bool runCounted_ = false;
   int dispatchCount_ = 0;
-  Instant dispatchedAt_{};
   std::optional<Instant> firstOutputAt_;
 
-  UpstreamResponse answer_;
-  HttpHead answerHead_;
-  std::string answerBody_;
-  bool answerIsStream_ = false;
-  bool answerComplete_ = false;
   /// Complete error response, kept as a fallback while the request is retried on another upstream.
   HttpHead fallbackHead_;
   std::string fallbackBody_;
-  EventSplitter splitter_;
   StreamEvent event_;
   std::string lastEventId_;
 
--- a/Hallchute/src/Traffic/UpstreamDispatch.cpp
+++ b/Hallchute/src/Traffic/UpstreamDispatch.cpp
@@ -108,6 +108,10 @@
                                          upstream_.incarnation);
 }
 
+void UpstreamDispatch::noteSilent() const {
+  engine_.upstreamTable().noteSilent(upstream_, clockNow());
+}
+
 void UpstreamDispatch::noteFailure(ExchangeFailure failure) {
   if (failure == ExchangeFailure::connectionEnded) {
     engine_.noteCrash(suspects_, upstream_);
--- a/Hallchute/src/Traffic/UpstreamDispatch.h
+++ b/Hallchute/src/Traffic/UpstreamDispatch.h
@@ -56,6 +56,8 @@
   void noteAnswer(const UpstreamResponse& answer);
   /// \brief Records that the answer has begun: a later crash isn't due to a part of the prompt.
   void noteBegan();
+  /// \brief Records that the upstream sends no data although it should.
+  void noteSilent() const;
   /// \brief Records a failed exchange as a crash if the upstream's process seems to have ended.
   void noteFailure(ExchangeFailure failure);
   /// \brief Ends the exchange. \param keepConnection whether the connection can be used again.
--- a/test/RelayTest.cpp
+++ b/test/RelayTest.cpp
@@ -37,6 +37,11 @@
   /// \returns the violated invariant; empty if there is none.
   std::string process(const RelayEvent& event) {
     const bool wasEnded = stateMachine_.ended();
+    const bool deadlineExceeded = std::holds_alternative<Events::DeadlineExceeded>(event);
+    // Of the dispatches at work, the one that the event comes from goes on after these.
+    sourceAtWork_ = running_ > 0 && std::holds_alternative<Events::StreamEventReceived>(event);
+    mayReplace_ = deadlineExceeded || sourceAtWork_ ||
+                  std::holds_alternative<Events::CallerDisconnected>(event) || succeeds(event);
     recordEvent(event);
     const std::vector<RelayAction> actions = stateMachine_.step(event);
     if (wasEnded && !actions.empty()) return "actions after the end";
@@ -47,15 +52,20 @@
     if (!wasEnded && stateMachine_.ended() && finalResponses_ == 0 && !callerDisconnected_)
       return "no final response";
     if (finalResponses_ > 1) return "two final responses";
-    if (callerDisconnected_ && running_)
-      return "the upstream continues after the caller disconnected";
+    if (stateMachine_.ended() && running_ > 0) return "an upstream continues after the end";
+    if (sourceAtWork_ && running_ > 1) return "two upstreams continue one stream";
+    if (!stateMachine_.ended() && running_ == 0) return "nothing is at work, yet no response";
     return {};
   }
 
  private:
-  /// Updates the expected state of the upstream and the caller, independently of the state machine.
+  static bool succeeds(const RelayEvent& event) {
+    const auto* complete = std::get_if<Events::ResponseComplete>(&event);
+    return complete != nullptr && complete->success;
+  }
+  /// Updates the expected state of upstreams and caller, independently of the state machine.
   void recordEvent(const RelayEvent& event) {
-    if (!running_) {
+    if (running_ == 0) {
       if (std::holds_alternative<Events::CallerDisconnected>(event)) callerDisconnected_ = true;
       return;
     }
@@ -73,26 +83,28 @@
                event);
   }
   void endRun(bool mayHaveRun) {
-    running_ = false;
+    --running_;
     if (mayHaveRun) ++runs_;
   }
 
   std::string check(const Actions::Dispatch& action) {
-    if (running_) return "two dispatches at once";
-    if (runs_ > 0 && !started_ && !policy_.repeatable)
+    const int mayRun = runs_ + running_;
+    if (mayRun > 0 && !started_ && !policy_.repeatable)
       return "a request that is not repeatable is sent again";
     if (started_ && !policy_.resumable) return "a stream that is not resumable is sent again";
     if (action.resume != started_)
       return "resumes a stream that has not started, or restarts one that has";
-    if (runs_ >= policy_.maxRuns) return "runs at more than maxRuns upstreams";
+    if (mayRun >= policy_.maxRuns) return "runs at more than maxRuns upstreams";
     if (finalResponses_ > 0) return "dispatch after the final response";
-    if (runs_ > 0 && !action.retry) return "a repeated run is not marked as a retry";
-    running_ = true;
+    if (mayRun > 0 && !action.retry) return "a repeated run is not marked as a retry";
+    ++running_;
     return {};
   }
   std::string check(const Actions::Cancel&) {
-    if (!running_) return "cancels a request that is not running";
-    endRun(true);
+    const int others = running_ - (sourceAtWork_ ? 1 : 0);
+    if (others == 0) return "cancels a request that is not running";
+    if (!mayReplace_) return "cancels an upstream at work before its replacement sent data";
+    for (int i = 0; i < others; ++i) endRun(true);
     return {};
   }
   std::string check(const Actions::ForwardEvent& action) {
@@ -110,7 +122,7 @@
   }
   std::string check(const Actions::Refuse&) {
     ++finalResponses_;
-    if (runs_ > 0 || running_) return "reports that the request did not run, but it may have";
+    if (runs_ > 0 || running_ > 0) return "reports that the request did not run, but it may have";
     return started_ ? "refuses after the response has started" : "";
   }
   std::string check(const Actions::Fail&) {
@@ -124,7 +136,10 @@
 
   RelayPolicy policy_;
   RelayStateMachine stateMachine_;
-  bool running_ = false;
+  /// Dispatches at work.
+  int running_ = 0;
+  bool sourceAtWork_ = false;
+  bool mayReplace_ = false;
   bool started_ = false;
   bool callerDisconnected_ = false;
   bool lastComplete_ = false;
