--- a/Hallchute/src/Front/FrontConnection.cpp
+++ b/Hallchute/src/Front/FrontConnection.cpp
@@ -62,6 +62,7 @@
   if (phase_ == Phase::closing) {
     remove();
   } else if (status == kNoResponse) {
+    server_.countIdleClosed();
     startClosing();
   } else {
     reject(status);
--- a/Hallchute/src/Front/FrontServer.cpp
+++ b/Hallchute/src/Front/FrontServer.cpp
@@ -52,6 +52,10 @@
   metrics_.add("hallchute_front_refused_total", "status=\"" + std::to_string(status) + "\"");
 }
 
+void FrontServer::countIdleClosed() {
+  metrics_.add("hallchute_front_idle_closed_total", "");
+}
+
 std::size_t FrontServer::busy() const {
   return static_cast<std::size_t>(
       std::count_if(connections_.begin(), connections_.end(),
--- a/Hallchute/src/Front/FrontServer.h
+++ b/Hallchute/src/Front/FrontServer.h
@@ -53,6 +53,7 @@
   bool draining() const { return draining_; }
   void remove(std::uint64_t connection);
   void countRejected(int status);
+  void countIdleClosed();
 
  private:
   void accept(const Poco::Net::StreamSocket& socket);
--- a/Hallchute/src/Net/EventLoop.cpp
+++ b/Hallchute/src/Net/EventLoop.cpp
@@ -197,6 +197,9 @@
 
 void EventLoop::runTimers(Instant until) {
   const Instant now = clockNow();
+  if (delayObserver_ && !timers_.empty() && timers_.begin()->first.first <= until) {
+    delayObserver_(std::chrono::duration_cast<Millis>(now - timers_.begin()->first.first));
+  }
   while (!timers_.empty() && timers_.begin()->first.first <= until) {
     auto node = timers_.extract(timers_.begin());
     timerDueTimes_.erase(node.key().second);
--- a/Hallchute/src/Net/EventLoop.h
+++ b/Hallchute/src/Net/EventLoop.h
@@ -59,6 +59,10 @@
   TimerId after(Millis delay, Task task);
   /// \brief Cancels a timer; does nothing if it has already run.
   void cancel(TimerId timer);
+  /// \brief Sets what is called, before timers run, with how late the first of them is.
+  void observeDelay(std::function<void(Millis delay)> observer) {
+    delayObserver_ = std::move(observer);
+  }
   bool onLoopThread() const { return std::this_thread::get_id() == thread_.load(); }
 
  private:
@@ -99,6 +103,7 @@
   std::map<TimerKey, Timer> timers_;
   std::unordered_map<TimerId, Instant> timerDueTimes_;
   TimerId nextTimer_ = 1;
+  std::function<void(Millis)> delayObserver_;
 };
 
 }  // namespace Hallchute
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -38,6 +38,8 @@
 constexpr Millis kFleetLogInterval{1'000};
 /// Changes of the clock's offset below this are not logged: they occur on a busy host.
 constexpr Millis kLoggedClockDifference{500};
+/// Delays of timers below this are not logged: they decide nothing.
+constexpr Millis kLoggedTimerDelay{100};
 /// Number of past usage windows to keep, as their reports may still be due.
 constexpr std::int64_t kUsageWindowsKept = 8;
 
@@ -426,7 +428,18 @@
   });
 }
 
+void GatewayNode::reportDelays(EventLoop& loop, std::string_view name) {
+  const std::string labels = "loop=\"" + std::string(name) + "\"";
+  loop.observeDelay([this, labels, name](Millis delay) {
+    metrics_.time("hallchute_timer_delay_ms", labels, delay);
+    if (delay < kLoggedTimerDelay) return;
+    LogLine(LogLevel::info, "timers.late").with("loop", name).with("delayMs", delay);
+  });
+}
+
 void GatewayNode::run() {
+  reportDelays(trafficLoop_, "traffic");
+  reportDelays(controlLoop_, "control");
   trafficLoop_.every(kReportPeriod, [this] { collectLocalReport(); });
   controlThread_ = std::thread([this] {
     nameThread("control");
--- a/Hallchute/src/Node/GatewayNode.h
+++ b/Hallchute/src/Node/GatewayNode.h
@@ -93,6 +93,7 @@
   void logFleetState(const FleetTrafficView& trafficView, Instant now);
   void handleReport(const FleetReport& report);
   void pollStop(Instant began);
+  void reportDelays(EventLoop& loop, std::string_view name);
 
   NodeStartup startup_;
   NodePorts ports_;
