--- a/test/LateLoopTest.cpp
+++ b/test/LateLoopTest.cpp
@@ -3,10 +3,12 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <poll.h>
+#include <pthread.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
+#include <csignal>
 #include <functional>
 #include <string>
 #include <thread>
@@ -46,10 +48,15 @@
          "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
+/// Runs on the loop's thread while it waits, as a stop of the process ends the wait.
+std::function<void()> whileInterrupted;
+
 /// Guards against timers that act on what a late daemon hasn't read yet.
 class LateLoopTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LateLoopTest);
   CPPUNIT_TEST(readsAllThatIsReadyBeforeATimerThatIsDue);
+  CPPUNIT_TEST(readsAllThatIsReadyAlthoughSocketsEnd);
+  CPPUNIT_TEST(readsWhatIsReadyBeforeTasksAfterAnInterruption);
   CPPUNIT_TEST(busySocketsDoNotHoldUpTimers);
   CPPUNIT_TEST(answersTheRequestThatAnIdleConnectionHolds);
   CPPUNIT_TEST(doesNotTakeUnreadEventsForSilence);
@@ -99,6 +106,54 @@
     }
   }
 
+  /// More sockets than one poll returns, and each is closed as it is read.
+  void readsAllThatIsReadyAlthoughSocketsEnd() {
+    EventLoop loop;
+    std::vector<SocketPair> pairs(200);
+    std::size_t read = 0;
+    std::size_t readBefore = 0;
+    for (const SocketPair& pair : pairs) {
+      pair.write();
+      loop.watch(pair.ends[0], POLLIN, [&](short) {
+        loop.unwatch(pair.ends[0]);
+        ++read;
+      });
+    }
+    loop.after(Millis(0), [&] {
+      readBefore = read;
+      loop.stop();
+    });
+    sleepFor(Millis(5));
+    loop.run();
+    CPPUNIT_ASSERT_EQUAL(pairs.size(), readBefore);
+  }
+
+  void readsWhatIsReadyBeforeTasksAfterAnInterruption() {
+    EventLoop loop;
+    const SocketPair pair;
+    std::size_t read = 0;
+    std::size_t readBefore = 0;
+    loop.watch(pair.ends[0], POLLIN, [&](short) {
+      pair.read();
+      ++read;
+    });
+    whileInterrupted = [&] {
+      pair.write();
+      loop.post([&] {
+        readBefore = read;
+        loop.stop();
+      });
+    };
+    struct sigaction action {};
+    action.sa_handler = [](int) { whileInterrupted(); };
+    sigaction(SIGUSR2, &action, nullptr);
+    std::thread thread([&] { loop.run(); });
+    sleepFor(Millis(50));
+    pthread_kill(thread.native_handle(), SIGUSR2);
+    thread.join();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, readBefore);
+  }
+
   /// More sockets than one poll returns are ready all the time.
   void busySocketsDoNotHoldUpTimers() {
     EventLoop loop;
