Read all that is ready although sockets end, and before posted tasks

Found in review of: the bound on one round of ready sockets was their present number, which falls as handlers end sockets, so that timers ran with 72 of 200 unread; and after an interrupted wait (a process that was stopped and goes on) posted tasks ran before sockets: after a stop of a second the control thread would judge its peers by reports that lay in its sockets. The bound is the number at the start of the round, and an interrupted wait begins anew. LateLoopTest: both tests failed before.

--- a/Hallchute/src/Net/EventLoop.cpp
+++ b/Hallchute/src/Net/EventLoop.cpp
@@ -49,8 +49,9 @@
   thread_ = std::this_thread::get_id();
   while (!stopping_) {
     const std::optional<Instant> handledUntil = handleSockets();
+    if (!handledUntil) continue;
     runPosted();
-    if (handledUntil) runTimers(*handledUntil);
+    runTimers(*handledUntil);
   }
   runPosted();
   thread_ = std::thread::id();
@@ -158,6 +159,7 @@
   std::array<epoll_event, kMaxEventsPerPoll> ready;
   const Instant start = clockNow();
   int timeout = static_cast<int>(untilNextTimer().count());
+  const std::size_t watched = sockets_.size();
   std::size_t handled = 0;
   int count = 0;
   do {
@@ -169,7 +171,7 @@
     handled += static_cast<std::size_t>(count);
     timeout = 0;
     // epoll returns ready sockets in turn, so that none is left out although others stay ready.
-  } while (count == kMaxEventsPerPoll && handled <= sockets_.size());
+  } while (count == kMaxEventsPerPoll && handled <= watched);
   return start;
 }
 
--- a/Hallchute/src/Net/EventLoop.h
+++ b/Hallchute/src/Net/EventLoop.h
@@ -27,7 +27,8 @@
 /// called from any thread; everything else only on the loop's thread or before run().
 ///
 /// A timer runs only after every socket that was ready when it became due has been handled once: a
-/// loop that runs late reads what has arrived before a timeout acts on its absence.
+/// loop that runs late reads what has arrived before a timeout acts on its absence. Posted tasks,
+/// too, wait while sockets could not be polled.
 class EventLoop {
  public:
   using Task = std::function<void()>;
