Choices of upstreams that are void count neither as dispatches nor as runs

A choice that waits for a slot while the upstream at work ends was voided by the next one, but the relay still counted it: the request was held until its deadline with nothing at work. A choice voided as the upstream went on counted as a run. And what rejected the request, or was cancelled, during a silence that ended was never tried again, so that a later end of the upstream broke the answer off.

A choice that waits now stands for a further one, and is withdrawn when data comes; with data the count of rejections starts anew, and upstreams that didn't run the request, or whose run was replaced before it sent data, may be tried again. The next look for a replacement comes after 400 ms instead of another whole silence, and a request that is silent at one daemon is replaced through another one.

--- a/Hallchute/src/Relay/RelayStateMachine.cpp
+++ b/Hallchute/src/Relay/RelayStateMachine.cpp
@@ -97,6 +97,7 @@
   if (!atWork()) return {};
   Actions actions;
   cancelOthers(actions);
+  rejections_ = 0;
   const bool first = !std::exchange(started_, true);
   actions.push_back(RelayActions::ForwardEvent{first});
   return actions;
--- a/Hallchute/src/Relay/RelayStateMachine.h
+++ b/Hallchute/src/Relay/RelayStateMachine.h
@@ -77,7 +77,7 @@
   int dispatches_ = 0;
   /// Ended dispatches that may have run.
   int runs_ = 0;
-  /// Dispatches that did not run.
+  /// Dispatches that did not run, since the last event of a stream.
   int rejections_ = 0;
   /// Ended dispatches that reached an upstream.
   int deliveries_ = 0;
--- a/Hallchute/src/Traffic/SessionDispatch.cpp
+++ b/Hallchute/src/Traffic/SessionDispatch.cpp
@@ -33,6 +33,7 @@
 void SessionDispatch::end(DispatchResult result, bool keepConnection) {
   if (UpstreamDispatch* exchange = direct()) exchange->end(result, keepConnection);
   exchange_ = std::monostate{};
+  result_ = result;
 }
 
 void SessionDispatch::noteSilent() {
--- a/Hallchute/src/Traffic/SessionDispatch.h
+++ b/Hallchute/src/Traffic/SessionDispatch.h
@@ -59,12 +59,15 @@
                        std::set<DaemonId> excluded);
   /// \brief Ends the exchange; does nothing if it has ended.
   void end(DispatchResult result, bool keepConnection);
-  /// \brief Records once that the upstream sends no data although it should.
+  /// \brief Records, once until data comes, that the upstream sends none although it should.
   void noteSilent();
 
   bool isOpen() const { return !std::holds_alternative<std::monostate>(exchange_); }
-  /// \brief Whether the last data is late; see noteSilent().
+  /// \brief How it ended; nothing while it is open.
+  std::optional<DispatchResult> result() const { return result_; }
+  /// \brief Whether no data has come since noteSilent().
   bool silent() const { return silent_; }
+  void noteData() { silent_ = false; }
   /// \brief Whether the request reached an upstream, as far as is known. During a network partition
   /// it is not delivered; resetting the connection discards it.
   bool delivered() const;
@@ -108,6 +111,7 @@
   EventSplitter events_;
   bool isStream_ = false;
   bool silent_ = false;
+  std::optional<DispatchResult> result_;
 };
 
 }  // namespace Hallchute
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -39,7 +39,7 @@
 /// Maximum fraction of the remaining time to wait for an upstream that sends nothing.
 constexpr double kMaxSilentFraction = 0.4;
 /// Time until another upstream is looked for again after none could be had.
-constexpr Millis kReplacementRetryDelay{200};
+constexpr Millis kReplacementRetryDelay{400};
 constexpr int kServerError = 500;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
@@ -217,7 +217,7 @@
   if (ended) return;
   if (!relay_.ended()) {
     // An upstream at work whose replacement could not be had is still silent.
-    if (silenceTimer_ == 0 && !choosing_ && anyOpen()) restartSilenceTimer(kReplacementRetryDelay);
+    if (silenceTimer_ == 0 && !choosing_ && anyOpen()) startSilenceTimer(kReplacementRetryDelay);
   } else if (std::holds_alternative<RelayEvents::CallerDisconnected>(event)) {
     finish("callerLeft", 0);
   }
@@ -241,7 +241,31 @@
   return true;
 }
 
+void TrafficSession::withdrawChoice() {
+  if (!choosing_) return;
+  ++choice_;
+  choosing_ = false;
+  // Another upstream is at work, so that no action follows.
+  relay_.step(RelayEvents::NoUpstreamAvailable{});
+}
+
+void TrafficSession::refreshTried() {
+  selection_.tried.clear();
+  for (const auto& dispatch : dispatches_) {
+    const std::optional<DispatchResult> result = dispatch->result();
+    const bool unused = result == DispatchResult::rejected ||
+                        result == DispatchResult::unreachable ||
+                        result == DispatchResult::abandoned;
+    if (!unused) selection_.tried.insert(dispatch->upstream().id);
+  }
+}
+
 void TrafficSession::perform(const RelayActions::Dispatch& action) {
+  if (choosing_) {
+    // The choice that is waiting stands for this one too.
+    handleEvent(RelayEvents::NoUpstreamAvailable{});
+    return;
+  }
   if (deniedByQuarantine() || remaining() <= Millis(0)) {
     handleEvent(RelayEvents::NoUpstreamAvailable{});
     return;
@@ -345,7 +369,12 @@
   request.head.fields = engine_.codec().dispatchFields(exchange_->head(), request.terms);
   request.body = exchange_->body();
   ++dispatchCount_;
-  addDispatch().sendThroughPeer(engine_, std::move(request), excludedPeers_);
+  // What is silent at one daemon is replaced through another one.
+  std::set<DaemonId> excluded = excludedPeers_;
+  for (const auto& dispatch : dispatches_) {
+    if (dispatch->peer() != nullptr) excluded.insert(dispatch->peer()->peer());
+  }
+  addDispatch().sendThroughPeer(engine_, std::move(request), std::move(excluded));
   restartSilenceTimer();
 }
 
@@ -386,10 +415,14 @@
   return std::chrono::duration_cast<Millis>(std::min(objectiveTimeout, deadlineTimeout));
 }
 
-void TrafficSession::restartSilenceTimer(Millis least) {
+void TrafficSession::restartSilenceTimer() {
+  startSilenceTimer(silenceTimeout());
+}
+
+void TrafficSession::startSilenceTimer(Millis timeout) {
   engine_.loop().cancel(std::exchange(silenceTimer_, 0));
   if (!admission_.route->mayRepeat()) return;
-  silenceTimer_ = engine_.loop().after(std::max(least, silenceTimeout()), [this] {
+  silenceTimer_ = engine_.loop().after(timeout, [this] {
     silenceTimer_ = 0;
     handleSilence();
   });
@@ -399,7 +432,7 @@
 void TrafficSession::handleSilence() {
   if (!relay_.mayRunAgain()) return;
   if (pickUpstream(engine_.upstreamTable(), selection_, clockNow()) == nullptr) {
-    restartSilenceTimer(kReplacementRetryDelay);
+    startSilenceTimer(kReplacementRetryDelay);
     return;
   }
   for (const auto& dispatch : dispatches_) {
@@ -445,8 +478,12 @@
     recordRunStart(dispatch);
     if (alreadyForwarded(*event)) continue;
     event_ = std::move(*event);
+    dispatch.noteData();
+    withdrawChoice();
     handleEvent(RelayEvents::StreamEventReceived{}, &dispatch);
-    if (!relay_.ended()) restartSilenceTimer();
+    if (relay_.ended()) return;
+    if (selection_.tried.size() > 1) refreshTried();
+    restartSilenceTimer();
   }
 }
 
@@ -487,6 +524,7 @@
     }
     endDispatch(dispatch, DispatchResult::answered, true);
     noteCompleted(dispatch);
+    withdrawChoice();
     event_ = {dispatch.events().incompleteEvent(), ""};
     if (!event_.bytes.empty()) handleEvent(RelayEvents::StreamEventReceived{}, &dispatch);
     answering_ = &dispatch;
@@ -507,6 +545,7 @@
     fallbackBody_ = dispatch.body();
   } else {
     answering_ = &dispatch;
+    withdrawChoice();
   }
   handleEvent(RelayEvents::ResponseComplete{!failed}, &dispatch);
 }
@@ -572,6 +611,7 @@
 }
 
 void TrafficSession::perform(const RelayActions::Cancel&) {
+  // Void a choice that is still waiting.
   ++choice_;
   choosing_ = false;
   for (const auto& dispatch : dispatches_) {
--- a/Hallchute/src/Traffic/TrafficSession.h
+++ b/Hallchute/src/Traffic/TrafficSession.h
@@ -80,6 +80,11 @@
 
   void refreshVersion();
   bool deniedByQuarantine() const;
+  /// Voids a choice of an upstream that is still waiting: it is no dispatch any more.
+  void withdrawChoice();
+  /// Upstreams that rejected the request, or whose run was replaced before it sent data, may be
+  /// tried again.
+  void refreshTried();
   DispatchMetadata dispatchTerms(bool resume) const;
   /// Sends the request to the upstream that was chosen, if any, or through another daemon.
   void dispatch(const RelayActions::Dispatch& action, const UpstreamEntry* upstream,
@@ -97,7 +102,8 @@
   void recordUnansweredRun(const SessionDispatch& dispatch, DispatchResult result);
   void endDispatch(SessionDispatch& dispatch, DispatchResult result, bool keepChannel);
   Millis silenceTimeout() const;
-  void restartSilenceTimer(Millis least = Millis(0));
+  void restartSilenceTimer();
+  void startSilenceTimer(Millis timeout);
   void handleSilence();
   /// The dispatch that answers, or the last one.
   const SessionDispatch* reportedDispatch() const;
