Judge kept connections by the newest limits

Callers saw connections closed while they rested for less than the idle time in force, so that a request that crossed the close got no answer, and 413 for bodies that the settings in force allow.

Cause: a connection took its idle time and its size limits when its last answer ended; a change of the settings reached it only one request later. Now the idle timer, when it is due, goes by the newest idle time if that is longer, and the limits of a request are those of its first byte. A shorter idle time still closes no connection sooner than the one it was promised.

Evidence: theIdleTimeIsThatOfTheNewestSettings and aKeptConnectionTakesWhatTheNewestSettingsAllow failed before.

--- a/Hallchute/src/Front/FrontConnection.cpp
+++ b/Hallchute/src/Front/FrontConnection.cpp
@@ -34,7 +34,7 @@
 FrontConnection::FrontConnection(FrontServer& server, std::uint64_t id,
                                  const Poco::Net::StreamSocket& socket)
     : server_(server), id_(id), channel_(server.loop(), socket, *this), reader_(makeReader()) {
-  setTimer(server_.limits().idleTimeout, kNoResponse);
+  startIdle();
 }
 
 FrontConnection::~FrontConnection() {
@@ -61,11 +61,14 @@
 void FrontConnection::timeOut(int status) {
   if (phase_ == Phase::closing) {
     remove();
-  } else if (status == kNoResponse) {
+  } else if (status != kNoResponse) {
+    reject(status);
+  } else if (const Instant due = idleSince_ + server_.limits().idleTimeout; clockNow() < due) {
+    // Newer settings have a longer idle time, and callers rely on it.
+    setTimer(std::chrono::ceil<Millis>(due - clockNow()), kNoResponse);
+  } else {
     server_.countIdleClosed();
     startClosing();
-  } else {
-    reject(status);
   }
 }
 
@@ -97,6 +100,8 @@
   while (!receiveBuffer_.empty() && (phase_ == Phase::idle || phase_ == Phase::reading)) {
     if (phase_ == Phase::idle) {
       phase_ = Phase::reading;
+      continueSent_ = false;
+      reader_ = makeReader();
       setTimer(server_.limits().headTimeout, kRequestTimeout);
     }
     const HttpProgress progress = reader_.read(receiveBuffer_);
@@ -226,11 +231,14 @@
     startClosing();
     return;
   }
+  startIdle();
+  readRequests();
+}
+
+void FrontConnection::startIdle() {
   phase_ = Phase::idle;
-  continueSent_ = false;
-  reader_ = makeReader();
+  idleSince_ = clockNow();
   setTimer(server_.limits().idleTimeout, kNoResponse);
-  readRequests();
 }
 
 void FrontConnection::startClosing() {
--- a/Hallchute/src/Front/FrontConnection.h
+++ b/Hallchute/src/Front/FrontConnection.h
@@ -50,6 +50,7 @@
   void dispatch();
   void reject(int status);
   void finishResponse();
+  void startIdle();
   void startClosing();
   void dropConnection();
   void notifyCallerDisconnected();
@@ -67,6 +68,7 @@
   std::string receiveBuffer_;
   std::shared_ptr<FrontExchange> exchange_;
   std::uint64_t timer_ = 0;
+  Instant idleSince_;
   bool reusable_ = true;
   bool isHeadRequest_ = false;
   bool chunked_ = true;
