Answer what a connection holds before it is closed

Callers saw four kinds of requests end without a whole answer, with no harm anywhere: one sent behind another at a daemon that stops; the answer under way, and the request behind it, when over 64 KB were sent ahead (reset); one on a connection that was accepted in the same turn in which idle ones are closed; the last answer of a connection, cut one second after it was queued or at the end of a stop, if its caller reads slowly; and one that was still arriving when a stop ended.

Cause: closing looked at the phase only, not at bytes unread or unsent. Now a draining server announces the close only with an answer behind which nothing waits; idle connections with input stay open; a closing connection lingers from when its last byte is sent, at most the idle time until then; a stop ends only when nothing is unsent, unread or half read, or at its grace, as before. With 64 KB read ahead the connection isn't read until the answer is done; POLLRDHUP and POLLHUP still tell that the caller has left (aCallerThatLeavesWhileItIsNotReadIsNoticed).

Evidence: six tests of LostRequestTest and StopLossTest failed before. With the change these two, FrontContractTest, LateLoopTest, SilentUpstreamTest and TcpChannelTest passed (30 of 30, load about 22 on 8 cores).

--- a/Hallchute/src/Front/FrontConnection.cpp
+++ b/Hallchute/src/Front/FrontConnection.cpp
@@ -83,7 +83,7 @@
   if (phase_ != Phase::responding) {
     readRequests();
   } else if (receiveBuffer_.size() > kMaxReadAheadBytes) {
-    dropConnection();
+    channel_.setReading(false);
   }
 }
 
@@ -158,8 +158,9 @@
 }
 
 ConnectionPersistence FrontConnection::connectionPersistence() const {
-  return reusable_ && !server_.draining() ? ConnectionPersistence::keep
-                                          : ConnectionPersistence::close;
+  // A request that the caller has sent already is answered first.
+  return reusable_ && (!server_.draining() || holdsInput()) ? ConnectionPersistence::keep
+                                                            : ConnectionPersistence::close;
 }
 
 void FrontConnection::respond(int status, const HttpFields& fields, std::string_view body) {
@@ -232,6 +233,7 @@
     return;
   }
   startIdle();
+  channel_.setReading(true);
   readRequests();
 }
 
@@ -244,12 +246,26 @@
 void FrontConnection::startClosing() {
   phase_ = Phase::closing;
   receiveBuffer_.clear();
+  channel_.setReading(true);
   channel_.shutdownSend();
-  setTimer(kLingerTime, kNoResponse);
+  setTimer(channel_.unsent() > 0 ? server_.limits().idleTimeout : kLingerTime, kNoResponse);
+}
+
+void FrontConnection::onChannelDrained() {
+  if (phase_ == Phase::closing) setTimer(kLingerTime, kNoResponse);
+}
+
+bool FrontConnection::holdsInput() const {
+  return !receiveBuffer_.empty() || !channel_.isOpenAndIdle();
+}
+
+bool FrontConnection::busy() const {
+  if (exchange_ != nullptr || phase_ == Phase::reading || channel_.unsent() > 0) return true;
+  return phase_ == Phase::idle && holdsInput();
 }
 
 void FrontConnection::closeIfIdle() {
-  if (phase_ == Phase::idle) startClosing();
+  if (phase_ == Phase::idle && !busy()) startClosing();
 }
 
 }  // namespace Hallchute
--- a/Hallchute/src/Front/FrontConnection.h
+++ b/Hallchute/src/Front/FrontConnection.h
@@ -27,9 +27,11 @@
   FrontConnection(FrontServer& server, std::uint64_t id, const Poco::Net::StreamSocket& socket);
   ~FrontConnection() override;
 
-  /// \brief Closes the connection if no request is in progress.
+  /// \brief Closes the connection if no request is in progress, none waits to be read, and all of
+  /// the last response is sent.
   void closeIfIdle();
-  bool busy() const { return exchange_ != nullptr; }
+  /// \brief Whether a request or response would be cut if the connection ended now.
+  bool busy() const;
 
   // Called by FrontExchange.
   void respond(int status, const HttpFields& fields, std::string_view body);
@@ -40,6 +42,7 @@
 
   void onChannelBytes(std::string_view bytes) override;
   void onChannelEnded(ChannelEnd end) override;
+  void onChannelDrained() override;
 
  private:
   enum class Phase { idle, reading, responding, closing };
@@ -52,6 +55,7 @@
   void finishResponse();
   void startIdle();
   void startClosing();
+  bool holdsInput() const;
   void dropConnection();
   void notifyCallerDisconnected();
   void setTimer(Millis delay, int status);
--- a/Hallchute/src/Http/TcpChannel.cpp
+++ b/Hallchute/src/Http/TcpChannel.cpp
@@ -64,7 +64,14 @@
 
 void TcpChannel::updateWatch() {
   const bool writing = connecting_ || !sendBuffer_.empty();
-  loop_.setEvents(fd_, static_cast<short>((connecting_ ? 0 : POLLIN) | (writing ? POLLOUT : 0)));
+  const int reading = reading_ ? POLLIN : POLLRDHUP;
+  loop_.setEvents(fd_, static_cast<short>((connecting_ ? 0 : reading) | (writing ? POLLOUT : 0)));
+}
+
+void TcpChannel::setReading(bool reading) {
+  if (reading_ == reading || ended_) return;
+  reading_ = reading;
+  updateWatch();
 }
 
 void TcpChannel::send(std::string_view bytes) {
@@ -124,7 +131,11 @@
     finishConnect();
     return;
   }
-  if ((events & (POLLIN | POLLHUP | POLLERR)) != 0) receiveAvailable();
+  if (!reading_ && (events & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
+    reportEnd((events & POLLERR) != 0 ? ChannelEnd::broken : ChannelEnd::peerClosed);
+    return;
+  }
+  if (reading_ && (events & (POLLIN | POLLHUP | POLLERR)) != 0) receiveAvailable();
   if (*alive && !ended_ && (events & POLLOUT) != 0) sendPending();
 }
 
--- a/Hallchute/src/Http/TcpChannel.h
+++ b/Hallchute/src/Http/TcpChannel.h
@@ -69,6 +69,9 @@
   void send(std::string_view bytes);
   /// \brief Shuts down the sending side once all bytes are sent.
   void shutdownSend();
+  /// \brief Stops or resumes reading: what arrives meanwhile waits in the kernel. The peer's end is
+  /// reported at once all the same, and bytes before it are then lost.
+  void setReading(bool reading);
   /// \brief Bytes passed to send() that the kernel has not accepted yet.
   std::size_t unsent() const { return sendBuffer_.size(); }
   /// \brief Bytes that the kernel has accepted since the connection was opened.
@@ -104,6 +107,7 @@
   std::uint64_t sentBytes_ = 0;
   std::uint64_t connectTimer_ = 0;
   bool connecting_ = false;
+  bool reading_ = true;
   bool refused_ = false;
   bool ended_ = false;
   bool shutdownRequested_ = false;
--- a/Hallchute/src/Net/EventLoop.cpp
+++ b/Hallchute/src/Net/EventLoop.cpp
@@ -24,7 +24,7 @@
 
 // Callers pass poll() flags, which go to epoll unchanged.
 static_assert(POLLIN == EPOLLIN && POLLOUT == EPOLLOUT);
-static_assert(POLLERR == EPOLLERR && POLLHUP == EPOLLHUP);
+static_assert(POLLERR == EPOLLERR && POLLHUP == EPOLLHUP && POLLRDHUP == EPOLLRDHUP);
 
 std::uint64_t eventKey(int socket, std::uint32_t generation) {
   return (static_cast<std::uint64_t>(generation) << 32U) | static_cast<std::uint32_t>(socket);
