--- a/test/ScriptedUpstream.h
+++ b/test/ScriptedUpstream.h
@@ -25,6 +25,8 @@
   /// How long it is silent after that, and what it sends then.
   std::chrono::milliseconds silence{0};
   std::string later{};
+  std::chrono::milliseconds secondSilence{0};
+  std::string last{};
 };
 
 /// \brief A TCP server that answers the n-th request with the n-th script, byte for byte, and the
