Soak of silent upstreams and late daemons

Callers saw streams broken off and whole requests closed without an answer where replicas were sound but silent for a second, or daemons late. No soak had either: the stand-in of a replica was silent before an answer only, and callers sent one request a connection.

`silences` runs real daemons. Replicas fall silent for 0.3 to 2.5 s, also between the events of a stream and all at once; daemons are suspended for 0.15 to 1.5 s; beside that the settings change (time limits, weights of two services, idle time, tenants, routes) and daemons are reloaded, stopped, killed and cut off, all in series that overlap. Callers keep their connections and rest up to four fifths of the shortest idle time that may be in force. No request may be lost unless its daemon ended or was cut off meanwhile (for a cut, up to the contact time after it); what is not counted is printed by cause. Also checked: order of events, runs of what may run once or was refused, stops that take too long, daemons that end by themselves.

CutDaemonsSoak passes with streams that fall silent midway.

--- a/standin/ReplicaStandin.cpp
+++ b/standin/ReplicaStandin.cpp
@@ -84,6 +84,14 @@
   }
 }
 
+void ReplicaStandin::wait(std::chrono::milliseconds time) const {
+  const auto end = std::chrono::steady_clock::now() + time;
+  for (auto now = end - time; !crashed_ && now < std::max(end, silentUntil_.load());
+       now = std::chrono::steady_clock::now()) {
+    std::this_thread::sleep_for(kSleep);
+  }
+}
+
 void ReplicaStandin::fallSilent(std::chrono::milliseconds time) {
   silentUntil_ = std::chrono::steady_clock::now() + time;
 }
@@ -94,8 +102,9 @@
   if (retryAfter.count() == 0) return false;
   {
     const std::lock_guard lock(mutex_);
-    rejections_.push_back(
-        {{std::chrono::steady_clock::now(), id_, caller, bodyOf(request)}, retryAfter});
+    rejections_.push_back({{std::chrono::steady_clock::now(), id_, caller, bodyOf(request),
+                            fieldOf(request, "Hallchute-Attempt-Id")},
+                           retryAfter});
   }
   const std::string answer = absl::StrCat(
       "HTTP/1.1 503 Service Unavailable\r\nHallchute-Attempt-Id: ",
@@ -180,12 +189,12 @@
   const double limit = limit_;
   {
     const std::lock_guard lock(mutex_);
-    arrivals_.push_back({std::chrono::steady_clock::now(), id_, caller, body});
+    arrivals_.push_back({std::chrono::steady_clock::now(), id_, caller, body,
+                         fieldOf(request, "Hallchute-Attempt-Id")});
     running_.insert(body);
   }
-  const auto begin = std::max(std::chrono::steady_clock::now(), silentUntil_.load());
-  const auto end = begin + workTime_;
-  while (!crashed_ && std::chrono::steady_clock::now() < end) std::this_thread::sleep_for(kSleep);
+  wait(std::chrono::milliseconds(0));
+  wait(workTime_);
   const bool badPart =
       absl::StrContains(fieldOf(request, "Hallchute-Prompt-Prefix"), kCrashingPart);
   if (absl::StartsWith(body, kCrashingBody) || badPart) crash();
@@ -232,7 +241,7 @@
       absl::StrAppend(&text, event);
     }
     if (!sendText()) return false;
-    std::this_thread::sleep_for(kEventGap);
+    wait(kEventGap);
   }
   if (chunked) return true;
   if (crashed_) {
--- a/standin/ReplicaStandin.h
+++ b/standin/ReplicaStandin.h
@@ -29,6 +29,8 @@
   /// Source IP of the connection.
   std::string caller;
   std::string body;
+  /// Of the caller's attempt.
+  std::string id;
 };
 
 /// \brief An answer in which a replica named its limit.
@@ -104,7 +106,8 @@
   void makeBrittle(const BrittleRoom& room) { room_ = room; }
   /// \brief From now on it rejects requests with this Retry-After; zero: it serves again.
   void rejectWith(std::chrono::milliseconds retryAfter) { retryAfterMs_ = retryAfter.count(); }
-  /// \brief It answers nothing for so long, and then goes on with all that came.
+  /// \brief It sends nothing for so long, not even the next event of a stream, and then goes on
+  /// with all that came.
   void fallSilent(std::chrono::milliseconds time);
   /// \brief Cuts the replica off from the callers at these IP addresses; an empty set heals.
   void cutOff(const std::set<std::string>& callers, CutKind kind);
@@ -121,6 +124,8 @@
   /// Takes a slot, after some wait if there is room for it.
   /// \returns whether the replica had room; if it had not, it has rejected the request.
   bool takeSlot(Poco::Net::StreamSocket& socket, const std::string& request);
+  /// Waits for \p time, and until it is no longer silent.
+  void wait(std::chrono::milliseconds time) const;
   bool stream(Poco::Net::StreamSocket& socket, const std::string& request) const;
   std::string answerTo(const std::string& request, double limit) const;
 
--- a/test/soak/GatewayFleet.cpp
+++ b/test/soak/GatewayFleet.cpp
@@ -32,18 +32,33 @@
 constexpr std::size_t kSeeds = 3;
 constexpr Millis kStartLimit{20'000};
 constexpr Millis kStartPoll{50};
-constexpr const char* kService = "pool";
+constexpr int kTenths = 10;
 /// What a daemon's log has when a sanitizer or the C++ runtime found a fault in it.
 constexpr std::array kFaultTexts{"Sanitizer", "runtime error: ", "terminate called"};
 
-Poco::JSON::Object::Ptr routeJson(const std::string& name, const std::string& kind) {
+Poco::JSON::Array::Ptr splitJson(int sideTenths) {
+  Poco::JSON::Array::Ptr split = new Poco::JSON::Array;
+  const auto add = [&](const char* service, int weight) {
+    if (weight == 0) return;
+    Poco::JSON::Object::Ptr part = new Poco::JSON::Object;
+    part->set("service", service);
+    part->set("weight", weight);
+    split->add(part);
+  };
+  add(GatewayFleet::kService, kTenths - sideTenths);
+  add(GatewayFleet::kSideService, sideTenths);
+  return split;
+}
+
+Poco::JSON::Object::Ptr routeJson(const std::string& name, const std::string& kind,
+                                  const FleetSettings& settings) {
   Poco::JSON::Object::Ptr route = new Poco::JSON::Object;
   route->set("name", name);
   route->set("host", GatewayFleet::kRequestHost);
   route->set("path-prefix", "/" + name + "/");
   route->set("kind", kind);
-  route->set("service", kService);
-  route->set("timeout-ms", 4'000);
+  route->set("split", splitJson(settings.sideTenths));
+  route->set("timeout-ms", settings.timeLimit.count());
   route->set("target-latency-ms", 1'000);
   route->set("max-attempts", 2);
   route->set("public", true);
@@ -83,7 +98,7 @@
   for (std::size_t i = 0; i < daemons_.size(); ++i) {
     writeStartup(daemons_[i], peers[i], seedText.str(), static_cast<int>(i) % kDomains);
   }
-  writeSettings();
+  writeSettings({});
 }
 
 GatewayFleet::~GatewayFleet() {
@@ -105,24 +120,44 @@
   return probe.address().toString();
 }
 
-void GatewayFleet::writeSettings() {
+void GatewayFleet::writeSettings(const FleetSettings& settings) {
   Poco::JSON::Array::Ptr routes = new Poco::JSON::Array;
-  routes->add(routeJson("run", "safe"));
-  routes->add(routeJson("once", "unsafe"));
-  Poco::JSON::Object::Ptr stream = routeJson("stream", "streaming");
+  routes->add(routeJson("run", "safe", settings));
+  routes->add(routeJson("once", "unsafe", settings));
+  Poco::JSON::Object::Ptr stream = routeJson("stream", "streaming", settings);
   stream->set("resumable", true);
   stream->set("gap-aim-ms", 500);
   routes->add(stream);
-  Poco::JSON::Object::Ptr service = new Poco::JSON::Object;
-  service->set("name", kService);
-  service->set("max-connections", 600);
+  for (int i = 0; i < settings.otherRoutes; ++i) {
+    routes->add(routeJson(absl::StrCat("other-", i), "safe", settings));
+  }
   Poco::JSON::Array::Ptr services = new Poco::JSON::Array;
-  services->add(service);
-  Poco::JSON::Object::Ptr settings = new Poco::JSON::Object;
-  settings->set("version", 1);
-  settings->set("routes", routes);
-  settings->set("services", services);
-  store_.put("config", "main", settings);
+  for (const char* name : {kService, kSideService}) {
+    Poco::JSON::Object::Ptr service = new Poco::JSON::Object;
+    service->set("name", name);
+    service->set("max-connections", 600);
+    services->add(service);
+  }
+  Poco::JSON::Array::Ptr tenants = new Poco::JSON::Array;
+  for (int i = 0; i < settings.tenants; ++i) {
+    Poco::JSON::Array::Ptr keys = new Poco::JSON::Array;
+    keys->add(absl::StrCat("key-", i));
+    Poco::JSON::Object::Ptr tenant = new Poco::JSON::Object;
+    tenant->set("name", absl::StrCat("tenant-", i));
+    tenant->set("api-keys", keys);
+    tenants->add(tenant);
+  }
+  Poco::JSON::Object::Ptr spec = new Poco::JSON::Object;
+  spec->set("version", settings.version);
+  spec->set("routes", routes);
+  spec->set("services", services);
+  spec->set("tenants", tenants);
+  if (settings.idleTime) {
+    Poco::JSON::Object::Ptr limits = new Poco::JSON::Object;
+    limits->set("idle-timeout-ms", settings.idleTime->count());
+    spec->set("limits", limits);
+  }
+  store_.put("config", "main", spec);
 }
 
 void GatewayFleet::writeStartup(const GatewayProcess& daemon, const std::string& peers,
@@ -223,13 +258,18 @@
   noteDisturbed(index);
 }
 
+void GatewayFleet::reload(std::size_t index) {
+  if (inContact(daemons_[index].ip, Clock::now())) daemons_[index].process->signal(SIGHUP);
+}
+
 Standin::ReplicaStandin& GatewayFleet::addReplica(Millis workTime, const std::string& version,
-                                                  const Standin::BrittleRoom& room) {
+                                                  const Standin::BrittleRoom& room,
+                                                  const std::string& service) {
   const std::string id = absl::StrCat("replica-", replicas_.size());
   replicas_.push_back(std::make_unique<Standin::ReplicaStandin>(id, workTime, version));
   replicas_.back()->makeBrittle(room);
   Poco::JSON::Object::Ptr entry = new Poco::JSON::Object;
-  entry->set("service", kService);
+  entry->set("service", service);
   entry->set("address", replicas_.back()->address());
   entry->set("zone", absl::StrCat("domain-", replicas_.size() % kDomains));
   entry->set("version", version);
--- a/test/soak/GatewayFleet.h
+++ b/test/soak/GatewayFleet.h
@@ -14,6 +14,7 @@
 #include "standin/ReplicaStandin.h"
 #include "standin/StandinServer.h"
 #include "test/scenario/ChildProcess.h"
+#include "test/soak/FleetSettings.h"
 
 namespace Soak {
 
@@ -39,6 +40,9 @@
   /// The bound after which a daemon counts as in contact, as in the daemons' settings.
   static constexpr Millis kContact{3'000};
   static constexpr const char* kRequestHost = "soak.example";
+  static constexpr const char* kService = "pool";
+  /// Gets requests only if the settings say so.
+  static constexpr const char* kSideService = "side";
 
   /// \param binaries the build folder; \param work an empty folder for settings and logs.
   GatewayFleet(std::string binaries, std::string work, int daemons);
@@ -49,12 +53,16 @@
   /// \brief The daemons write to a full pipe that nobody reads, instead of to their logs.
   void leaveOutputUnread();
 
+  void writeSettings(const FleetSettings& settings);
+
   /// \brief Starts all daemons and waits until they are ready.
   void start();
   void startDaemon(std::size_t index);
   void kill(std::size_t index);
   void suspend(std::size_t index);
   void resume(std::size_t index);
+  /// \brief Sends SIGHUP to a daemon that is in contact; others may not handle it yet.
+  void reload(std::size_t index);
   /// \brief Sends SIGTERM; once it has ended, stopped() says so and startDaemon() starts it again.
   void stop(std::size_t index);
   /// \brief Whether the daemon has ended after stop(); any exit code but 0 counts as a fault.
@@ -66,9 +74,10 @@
   bool noneEndedByItself();
   std::vector<GatewayProcess>& daemons() { return daemons_; }
 
-  /// \brief Adds a replica to the service and lists it in the store.
+  /// \brief Adds a replica to a service and lists it in the store.
   Standin::ReplicaStandin& addReplica(Millis workTime, const std::string& version = "1",
-                                      const Standin::BrittleRoom& room = {});
+                                      const Standin::BrittleRoom& room = {},
+                                      const std::string& service = kService);
   /// \brief Removes a crashed replica from the store, as its heartbeats have ended.
   void unlist(const Standin::ReplicaStandin& replica);
   /// \brief All replicas that ever ran.
@@ -88,7 +97,6 @@
   };
 
   std::string newAddress(const std::string& ip) const;
-  void writeSettings();
   void writeStartup(const GatewayProcess& daemon, const std::string& peers,
                     const std::string& seeds, int domain) const;
   bool ready(const GatewayProcess& daemon) const;
