--- a/test/LateChoiceTest.cpp
+++ b/test/LateChoiceTest.cpp
@@ -156,7 +156,7 @@
     }
     RawCaller caller(rig.address());
     caller.send(requestText("POST", "Connection: close\r\n", "body"));
-    const std::string answer = caller.readAll(kTimeLimit);
+    std::string answer = caller.readAll(kTimeLimit);
     rig.loop().call([&] { rig.engine().setSlotExchange(nullptr); });
     CPPUNIT_ASSERT_EQUAL(0, slots.held());
     CPPUNIT_ASSERT(!limited || slots.asked() > 1);
