--- a/test/CrashQuarantineTest.cpp
+++ b/test/CrashQuarantineTest.cpp
@@ -42,6 +42,13 @@
   return history;
 }
 
+void awaitRequests(const ScriptedUpstream& upstream, std::size_t count) {
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  while (upstream.requests().size() < count && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(Millis(5));
+  }
+}
+
 void awaitCancelled(const ScriptedUpstream& upstream, int runs) {
   const auto limit = std::chrono::steady_clock::now() + kCancelLimit;
   while (upstream.cancelled() < runs && std::chrono::steady_clock::now() < limit) {
@@ -217,7 +224,7 @@
           callers.push_back(std::make_unique<RawCaller>(rig.address()));
           callers.back()->send(requestText("POST", "", c == 0 ? "bad" : std::to_string(c)));
         }
-        callers.back()->read("\r\n\r\n", kLeaveDelay);
+        awaitRequests(*upstream, callers.size());
         for (int c = 0; c <= others; ++c) {
           callers[static_cast<std::size_t>(c)]->close();
           awaitCancelled(*upstream, c + 1);
