--- a/Hallchute/src/Front/FrontConnection.cpp
+++ b/Hallchute/src/Front/FrontConnection.cpp
@@ -34,7 +34,7 @@
 FrontConnection::FrontConnection(FrontServer& server, std::uint64_t id,
                                  const Poco::Net::StreamSocket& socket)
     : server_(server), id_(id), channel_(server.loop(), socket, *this), reader_(makeReader()) {
-  setTimer(server_.limits().idleTimeout, kNoResponse);
+  startIdle();
 }
 
 FrontConnection::~FrontConnection() {
@@ -61,11 +61,14 @@
 void FrontConnection::timeOut(int status) {
   if (phase_ == Phase::closing) {
     remove();
-  } else if (status == kNoResponse) {
+  } else if (status != kNoResponse) {
+    reject(status);
+  } else if (const Instant due = idleSince_ + server_.limits().idleTimeout; clockNow() < due) {
+    // Newer settings have a longer idle time, and callers rely on it.
+    setTimer(std::chrono::ceil<Millis>(due - clockNow()), kNoResponse);
+  } else {
     server_.countIdleClosed();
     startClosing();
-  } else {
-    reject(status);
   }
 }
 
@@ -80,7 +83,7 @@
   if (phase_ != Phase::responding) {
     readRequests();
   } else if (receiveBuffer_.size() > kMaxReadAheadBytes) {
-    dropConnection();
+    channel_.setReading(false);
   }
 }
 
@@ -97,6 +100,8 @@
   while (!receiveBuffer_.empty() && (phase_ == Phase::idle || phase_ == Phase::reading)) {
     if (phase_ == Phase::idle) {
       phase_ = Phase::reading;
+      continueSent_ = false;
+      reader_ = makeReader();
       setTimer(server_.limits().headTimeout, kRequestTimeout);
     }
     const HttpProgress progress = reader_.read(receiveBuffer_);
@@ -153,8 +158,9 @@
 }
 
 ConnectionPersistence FrontConnection::connectionPersistence() const {
-  return reusable_ && !server_.draining() ? ConnectionPersistence::keep
-                                          : ConnectionPersistence::close;
+  // A request that the caller has sent already is answered first.
+  return reusable_ && (!server_.draining() || holdsInput()) ? ConnectionPersistence::keep
+                                                            : ConnectionPersistence::close;
 }
 
 void FrontConnection::respond(int status, const HttpFields& fields, std::string_view body) {
@@ -226,22 +232,40 @@
     startClosing();
     return;
   }
+  startIdle();
+  channel_.setReading(true);
+  readRequests();
+}
+
+void FrontConnection::startIdle() {
   phase_ = Phase::idle;
-  continueSent_ = false;
-  reader_ = makeReader();
+  idleSince_ = clockNow();
   setTimer(server_.limits().idleTimeout, kNoResponse);
-  readRequests();
 }
 
 void FrontConnection::startClosing() {
   phase_ = Phase::closing;
   receiveBuffer_.clear();
+  channel_.setReading(true);
   channel_.shutdownSend();
-  setTimer(kLingerTime, kNoResponse);
+  setTimer(channel_.unsent() > 0 ? server_.limits().idleTimeout : kLingerTime, kNoResponse);
+}
+
+void FrontConnection::onChannelDrained() {
+  if (phase_ == Phase::closing) setTimer(kLingerTime, kNoResponse);
+}
+
+bool FrontConnection::holdsInput() const {
+  return !receiveBuffer_.empty() || !channel_.isOpenAndIdle();
+}
+
+bool FrontConnection::busy() const {
+  if (exchange_ != nullptr || phase_ == Phase::reading || channel_.unsent() > 0) return true;
+  return phase_ == Phase::idle && holdsInput();
 }
 
 void FrontConnection::closeIfIdle() {
-  if (phase_ == Phase::idle) startClosing();
+  if (phase_ == Phase::idle && !busy()) startClosing();
 }
 
 }  // namespace Hallchute
--- a/Hallchute/src/Net/EventLoop.cpp
+++ b/Hallchute/src/Net/EventLoop.cpp
@@ -24,7 +24,7 @@
 
 // Callers pass poll() flags, which go to epoll unchanged.
 static_assert(POLLIN == EPOLLIN && POLLOUT == EPOLLOUT);
-static_assert(POLLERR == EPOLLERR && POLLHUP == EPOLLHUP);
+static_assert(POLLERR == EPOLLERR && POLLHUP == EPOLLHUP && POLLRDHUP == EPOLLRDHUP);
 
 std::uint64_t eventKey(int socket, std::uint32_t generation) {
   return (static_cast<std::uint64_t>(generation) << 32U) | static_cast<std::uint32_t>(socket);
@@ -49,8 +49,9 @@
   thread_ = std::this_thread::get_id();
   while (!stopping_) {
     const std::optional<Instant> handledUntil = handleSockets();
+    if (!handledUntil) continue;
     runPosted();
-    if (handledUntil) runTimers(*handledUntil);
+    runTimers(*handledUntil);
   }
   runPosted();
   thread_ = std::thread::id();
@@ -158,6 +159,7 @@
   std::array<epoll_event, kMaxEventsPerPoll> ready;
   const Instant start = clockNow();
   int timeout = static_cast<int>(untilNextTimer().count());
+  const std::size_t watched = sockets_.size();
   std::size_t handled = 0;
   int count = 0;
   do {
@@ -169,7 +171,7 @@
     handled += static_cast<std::size_t>(count);
     timeout = 0;
     // epoll returns ready sockets in turn, so that none is left out although others stay ready.
-  } while (count == kMaxEventsPerPoll && handled <= sockets_.size());
+  } while (count == kMaxEventsPerPoll && handled <= watched);
   return start;
 }
 
