Share the answers and waits of tests with scripted upstreams

The same heads, events, rejections and loops that wait for arrivals and cancelled runs stood in six test files. They are in AnswerScripts.h and ScriptedUpstream now; the limits that checks depend on are as before (a cancelled run within 500 ms), waits for arrivals take the longest of the former ones (5 s).

--- a/test/CrashQuarantineTest.cpp
+++ b/test/CrashQuarantineTest.cpp
@@ -9,6 +9,7 @@
 #include <thread>
 #include <vector>
 
+#include "AnswerScripts.h"
 #include "GatewayRig.h"
 #include "Hallchute/Duty"
 #include "ScriptedUpstream.h"
@@ -22,13 +23,8 @@
 constexpr int kMaxAttempts = 20;
 /// How long a caller waits that leaves before the upstream ends.
 constexpr Millis kLeaveDelay{100};
-/// A cancelled run ends within this time.
-constexpr Millis kCancelLimit{500};
 const UpstreamScript kCrash{"", UpstreamScript::Then::reset};
-const UpstreamScript kAnswer{
-    "HTTP/1.1 200 OK\r\nHallchute-Attempt-Id: {id}\r\nHallchute-Replica-Signature: s\r\n"
-    "Content-Length: 2\r\n\r\nok",
-    UpstreamScript::Then::keep};
+const UpstreamScript kAnswer{kPlainAnswer};
 
 Instant at(int ms) {
   return kStart + Millis(ms);
@@ -42,20 +38,6 @@
   return history;
 }
 
-void awaitRequests(const ScriptedUpstream& upstream, std::size_t count) {
-  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
-  while (upstream.requests().size() < count && std::chrono::steady_clock::now() < end) {
-    std::this_thread::sleep_for(Millis(5));
-  }
-}
-
-void awaitCancelled(const ScriptedUpstream& upstream, int runs) {
-  const auto limit = std::chrono::steady_clock::now() + kCancelLimit;
-  while (upstream.cancelled() < runs && std::chrono::steady_clock::now() < limit) {
-    std::this_thread::sleep_for(Millis(5));
-  }
-}
-
 /// A gateway in front of upstreams that all follow the same scripts.
 class Pool {
  public:
@@ -224,10 +206,10 @@
           callers.push_back(std::make_unique<RawCaller>(rig.address()));
           callers.back()->send(requestText("POST", "", c == 0 ? "bad" : std::to_string(c)));
         }
-        awaitRequests(*upstream, callers.size());
+        upstream->awaitRequests(callers.size());
         for (int c = 0; c <= others; ++c) {
           callers[static_cast<std::size_t>(c)]->close();
-          awaitCancelled(*upstream, c + 1);
+          upstream->awaitCancelled(c + 1);
         }
         CPPUNIT_ASSERT_EQUAL_MESSAGE(row.label, others + 1, upstream->cancelled());
         switch (row.then) {
--- a/test/LateChoiceTest.cpp
+++ b/test/LateChoiceTest.cpp
@@ -10,6 +10,7 @@
 #include <thread>
 #include <vector>
 
+#include "AnswerScripts.h"
 #include "GatewayRig.h"
 #include "ScriptedUpstream.h"
 
@@ -22,15 +23,6 @@
 /// Longer than a stream may be silent; an upstream that ends then does so while a replacement is
 /// chosen.
 constexpr Millis kSilence{1'400};
-const std::string kStreamHead =
-    "HTTP/1.1 200 OK\r\nHallchute-Attempt-Id: {id}\r\nHallchute-Replica-Signature: s\r\n"
-    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-const std::string kEnd = "0\r\n\r\n";
-
-std::string event(int id) {
-  return "f\r\nid: " + std::to_string(id) + "\ndata: a\n\n\r\n";
-}
-
 /// Grants the first slot at once and decides on others after a while, as a coordinator that is slow
 /// to answer.
 class SlowSlots final : public SlotExchange {
@@ -72,8 +64,8 @@
  public:
   /// The upstream at work ends while a replacement is being chosen, and no slot is free.
   void aRequestEndsOnceNothingIsAtWork() {
-    ScriptedUpstream first({{kStreamHead + event(1), Then::close, kSilence}});
-    ScriptedUpstream second({{kStreamHead + event(2) + kEnd}});
+    ScriptedUpstream first({{kStreamHead + eventChunk(1), Then::close, kSilence}});
+    ScriptedUpstream second({{kStreamHead + eventChunk(2) + kStreamEnd}});
     const auto start = std::chrono::steady_clock::now();
     const std::string answer = ask(first, second, SlotVerdict::full, 3);
     const auto took = std::chrono::duration_cast<Millis>(std::chrono::steady_clock::now() - start);
@@ -83,47 +75,48 @@
 
   /// Two runs are allowed, and the second begins only after the first has ended.
   void aChoiceThatIsVoidIsNoRun() {
-    ScriptedUpstream first({{kStreamHead + event(1), Then::close, kSilence, event(2)}});
-    ScriptedUpstream second({{kStreamHead + event(3) + kEnd}});
+    ScriptedUpstream first({{kStreamHead + eventChunk(1), Then::close, kSilence, eventChunk(2)}});
+    ScriptedUpstream second({{kStreamHead + eventChunk(3) + kStreamEnd}});
     const std::string answer = ask(first, second, SlotVerdict::granted, 2);
-    CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with(event(1) + event(2) + event(3) + kEnd));
+    CPPUNIT_ASSERT_MESSAGE(
+        answer, answer.ends_with(eventChunk(1) + eventChunk(2) + eventChunk(3) + kStreamEnd));
   }
 
   void anUpstreamThatRejectedWhileAnotherWasSilentTakesItsPlaceLater() {
-    ScriptedUpstream first({{kStreamHead + event(1), Then::close, kSilence, event(2)}});
-    ScriptedUpstream second(
-        {{"HTTP/1.1 503 X\r\nHallchute-Attempt-Id: {id}\r\nHallchute-Not-Executed: 1\r\n"
-          "Content-Length: 0\r\n\r\n"},
-         {kStreamHead + event(3) + kEnd}});
+    ScriptedUpstream first({{kStreamHead + eventChunk(1), Then::close, kSilence, eventChunk(2)}});
+    ScriptedUpstream second({{kRejection}, {kStreamHead + eventChunk(3) + kStreamEnd}});
     const std::string answer = ask(first, second, SlotVerdict::granted, 3, false);
-    CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with(event(1) + event(2) + event(3) + kEnd));
+    CPPUNIT_ASSERT_MESSAGE(
+        answer, answer.ends_with(eventChunk(1) + eventChunk(2) + eventChunk(3) + kStreamEnd));
   }
 
   void aCancelledReplacementTakesItsPlaceLater() {
-    ScriptedUpstream first({{kStreamHead + event(1), Then::close, kSilence, event(2)}});
-    ScriptedUpstream second({{"", Then::hang, kTimeLimit}, {kStreamHead + event(3) + kEnd}});
+    ScriptedUpstream first({{kStreamHead + eventChunk(1), Then::close, kSilence, eventChunk(2)}});
+    ScriptedUpstream second(
+        {{"", Then::hang, kTimeLimit}, {kStreamHead + eventChunk(3) + kStreamEnd}});
     const std::string answer = ask(first, second, SlotVerdict::granted, 3, false);
-    CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with(event(1) + event(2) + event(3) + kEnd));
+    CPPUNIT_ASSERT_MESSAGE(
+        answer, answer.ends_with(eventChunk(1) + eventChunk(2) + eventChunk(3) + kStreamEnd));
   }
 
   /// The replacement needs a while to its first event, as one that reads a long prompt.
   void noUpstreamWorksLongBesideOneThatGoesOn() {
-    ScriptedUpstream first({{kStreamHead + event(1), Then::hang, kTimeLimit}});
-    ScriptedUpstream second(
-        {{"", Then::keep, Millis(900), kStreamHead + event(2), Millis(600), event(3) + kEnd}});
+    ScriptedUpstream first({{kStreamHead + eventChunk(1), Then::hang, kTimeLimit}});
+    ScriptedUpstream second({{"", Then::keep, Millis(900), kStreamHead + eventChunk(2), Millis(600),
+                              eventChunk(3) + kStreamEnd}});
     GatewayRig rig;
     SlowSlots slots(rig.loop(), SlotVerdict::granted);
     prepare(rig, slots, first, second, 3);
     RawCaller caller(rig.address());
     caller.send(requestText("POST", "Connection: close\r\n", "body"));
-    caller.read(event(2));
+    caller.read(eventChunk(2));
     const auto goesOn = std::chrono::steady_clock::now();
     while (first.cancelled() == 0 && std::chrono::steady_clock::now() < goesOn + kTimeLimit) {
       std::this_thread::sleep_for(Millis(2));
     }
     const auto beside = std::chrono::steady_clock::now() - goesOn;
     CPPUNIT_ASSERT(beside <= Millis(400));
-    CPPUNIT_ASSERT(caller.readAll(kTimeLimit).ends_with(event(3) + kEnd));
+    CPPUNIT_ASSERT(caller.readAll(kTimeLimit).ends_with(eventChunk(3) + kStreamEnd));
     rig.loop().call([&] { rig.engine().setSlotExchange(nullptr); });
   }
 
--- a/test/LateLoopTest.cpp
+++ b/test/LateLoopTest.cpp
@@ -14,6 +14,7 @@
 #include <thread>
 #include <vector>
 
+#include "AnswerScripts.h"
 #include "GatewayRig.h"
 #include "ScriptedUpstream.h"
 
@@ -43,11 +44,6 @@
   std::array<int, 2> ends{};
 };
 
-std::string streamHead() {
-  return "HTTP/1.1 200 OK\r\nHallchute-Attempt-Id: {id}\r\nHallchute-Replica-Signature: s\r\n"
-         "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-}
-
 /// Runs on the loop's thread while it waits, as a stop of the process ends the wait.
 std::function<void()> whileInterrupted;
 
@@ -172,11 +168,7 @@
   }
 
   void answersTheRequestThatAnIdleConnectionHolds() {
-    const UpstreamScript answer{
-        "HTTP/1.1 200 OK\r\nHallchute-Attempt-Id: {id}\r\nHallchute-Replica-Signature: s\r\n"
-        "Content-Length: 2\r\n\r\nok",
-        Then::keep};
-    ScriptedUpstream upstream({answer});
+    ScriptedUpstream upstream({{kPlainAnswer}});
     GatewayRig rig;
     rig.setSettings(settingsWith(plainRoute(WorkKind::once)));
     rig.setUpstreams({upstreamAt("i-1", upstream.address())});
@@ -201,8 +193,8 @@
     route.maxRuns = 3;
     route.timeLimit = Millis(10'000);
     // Two thirds of the daemon's shortest silence pass before the second event.
-    const UpstreamScript script{streamHead() + "f\r\nid: 1\ndata: a\n\n\r\n", Then::keep,
-                                Millis(800), "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n"};
+    const UpstreamScript script{kStreamHead + eventChunk(1), Then::keep, Millis(800),
+                                eventChunk(2) + kStreamEnd};
     ScriptedUpstream first({script});
     ScriptedUpstream second({script});
     GatewayRig rig;
--- a/test/LostRequestTest.cpp
+++ b/test/LostRequestTest.cpp
@@ -8,6 +8,7 @@
 #include <thread>
 #include <vector>
 
+#include "AnswerScripts.h"
 #include "GatewayRig.h"
 #include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Traffic/ForwardedRequest.h"
@@ -20,9 +21,7 @@
 using namespace Hallchute;
 using Then = UpstreamScript::Then;
 
-const std::string kSigned =
-    "HTTP/1.1 200 OK\r\nHallchute-Attempt-Id: {id}\r\nHallchute-Replica-Signature: s\r\n";
-const UpstreamScript kAnswer{kSigned + "Content-Length: 2\r\n\r\nok"};
+const UpstreamScript kAnswer{kPlainAnswer};
 const UpstreamScript kLateAnswer{"", Then::keep, Millis(400), kAnswer.bytes};
 const std::string kBodyEnd = "\r\n\r\nok";
 
@@ -55,11 +54,6 @@
     rig.setUpstreams({});
   }
 
-  /// Waits until the upstream has received that many requests.
-  void awaitArrivals(std::size_t count) const {
-    for (int i = 0; i < 200 && upstream.requests().size() < count; ++i) sleepFor(Millis(10));
-  }
-
   ScriptedUpstream upstream;
   Route route;
   GatewayRig rig;
@@ -101,7 +95,7 @@
     Daemon daemon({kLateAnswer, kAnswer});
     RawCaller caller(daemon.rig.address());
     caller.send(requestText("POST", "", "one") + requestText("POST", "", "two"));
-    daemon.awaitArrivals(1);
+    daemon.upstream.awaitRequests(1);
     daemon.rig.drain();
     const std::string answers = caller.readAll();
     CPPUNIT_ASSERT_EQUAL_MESSAGE(answers, 2, answersIn(answers));
@@ -112,7 +106,7 @@
     Daemon daemon({kLateAnswer, kAnswer});
     RawCaller caller(daemon.rig.address());
     caller.send(requestText("POST", "", "one"));
-    daemon.awaitArrivals(1);
+    daemon.upstream.awaitRequests(1);
     caller.send(requestText("POST", "Connection: close\r\n", std::string(1U << 20U, 'b')));
     const std::string answers = caller.readAll();
     CPPUNIT_ASSERT_EQUAL_MESSAGE(answers, 2, answersIn(answers));
@@ -122,7 +116,7 @@
     Daemon daemon({{"", Then::hang}});
     RawCaller caller(daemon.rig.address());
     caller.send(requestText("POST", "", "one"));
-    daemon.awaitArrivals(1);
+    daemon.upstream.awaitRequests(1);
     caller.send(requestText("POST", "", std::string(100'000, 'b')));
     sleepFor(Millis(100));
     caller.close();
@@ -191,7 +185,7 @@
 
   void aSlowCallerGetsAllOfItsLastAnswer() {
     constexpr std::size_t kBytes = 8U << 20U;
-    Daemon daemon({{kSigned + "Content-Length: " + std::to_string(kBytes) + "\r\n\r\n" +
+    Daemon daemon({{kSignedHead + "Content-Length: " + std::to_string(kBytes) + "\r\n\r\n" +
                     std::string(kBytes, 'b')}});
     RawCaller caller(daemon.rig.address());
     caller.send(requestText("POST", "Connection: close\r\n", "one"));
@@ -205,7 +199,7 @@
       Daemon daemon({kLateAnswer}, kind);
       RawCaller caller(daemon.rig.address());
       caller.send(requestText("POST", "", "one"));
-      daemon.awaitArrivals(1);
+      daemon.upstream.awaitRequests(1);
       daemon.takeAllAway();
       const std::string answer = caller.read(kBodyEnd);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(answer, 1, answersIn(answer));
@@ -250,7 +244,7 @@
       for (int i = 0; i < row.before; ++i) {
         others.emplace_back(daemon.rig.address()).send(requestText("POST", "", "body"));
       }
-      daemon.awaitArrivals(others.size());
+      daemon.upstream.awaitRequests(others.size());
       RawCaller caller(daemon.rig.address());
       caller.send(requestText("POST", row.fields, "body"));
       sleepFor(Millis(100));
--- a/test/ScriptedUpstream.cpp
+++ b/test/ScriptedUpstream.cpp
@@ -21,6 +21,16 @@
 namespace {
 
 const Poco::Timespan kTurn(0, 20'000);
+constexpr std::chrono::seconds kArrivalLimit{5};
+constexpr std::chrono::milliseconds kCancelLimit{500};
+
+template <typename Condition>
+void awaitFor(std::chrono::milliseconds limit, Condition condition) {
+  const auto end = std::chrono::steady_clock::now() + limit;
+  while (!condition() && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+}
 
 }  // namespace
 
@@ -42,6 +52,15 @@
   return requests_;
 }
 
+void ScriptedUpstream::awaitRequests(std::size_t count) const {
+  awaitFor(kArrivalLimit, [&] { return requests().size() >= count; });
+}
+
+int ScriptedUpstream::awaitCancelled(int count) const {
+  awaitFor(kCancelLimit, [&] { return cancelled() >= count; });
+  return cancelled();
+}
+
 void ScriptedUpstream::accept() {
   while (!stopping_) {
     if (!listener_.poll(kTurn, Poco::Net::Socket::SELECT_READ)) continue;
--- a/test/ScriptedUpstream.h
+++ b/test/ScriptedUpstream.h
@@ -43,6 +43,11 @@
   std::vector<std::string> requests() const;
   /// \brief Connections that the other side ended while a script hung.
   int cancelled() const { return cancelled_; }
+  /// \brief Waits until that many requests have arrived, five seconds at most.
+  void awaitRequests(std::size_t count) const;
+  /// \brief Waits until that many connections have been cancelled, half a second at most.
+  /// \returns how many have.
+  int awaitCancelled(int count) const;
 
  private:
   void accept();
--- a/test/SilentUpstreamTest.cpp
+++ b/test/SilentUpstreamTest.cpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "AnswerScripts.h"
 #include "GatewayRig.h"
 #include "ScriptedUpstream.h"
 #include "UnusedAddress.h"
@@ -19,33 +20,20 @@
 using Then = UpstreamScript::Then;
 
 constexpr Millis kTimeLimit{12'000};
-const std::string kSigned = "Hallchute-Attempt-Id: {id}\r\nHallchute-Replica-Signature: s\r\n";
-const std::string kStreamHead = "HTTP/1.1 200 OK\r\n" + kSigned +
-                                "Content-Type: text/event-stream\r\n"
-                                "Transfer-Encoding: chunked\r\n\r\n";
-const std::string kPlainAnswer = "HTTP/1.1 200 OK\r\n" + kSigned + "Content-Length: 2\r\n\r\nok";
-const std::string kEnd = "0\r\n\r\n";
-
-std::string event(int id) {
-  return "f\r\nid: " + std::to_string(id) + "\ndata: a\n\n\r\n";
-}
-
 const RetryAllowance kRetries{0.2, 1e6, Millis(10'000)};
 const RetryAllowance kNoRetries{0, 0, Millis(10'000)};
-const UpstreamScript kRejects{
-    "HTTP/1.1 503 X\r\nHallchute-Attempt-Id: {id}\r\nHallchute-Not-Executed: 1\r\n"
-    "Content-Length: 0\r\n\r\n"};
+const UpstreamScript kRejects{kRejection};
 const UpstreamScript kBreaks{"", Then::reset};
 
 /// An upstream that is silent before or in the midst of a stream and goes on.
 UpstreamScript silentBefore(Millis silence) {
-  return {"", Then::keep, silence, kStreamHead + event(1) + event(2) + kEnd};
+  return {"", Then::keep, silence, kStreamHead + eventChunk(1) + eventChunk(2) + kStreamEnd};
 }
 UpstreamScript silentMidway(Millis silence) {
-  return {kStreamHead + event(1), Then::keep, silence, event(2) + kEnd};
+  return {kStreamHead + eventChunk(1), Then::keep, silence, eventChunk(2) + kStreamEnd};
 }
 UpstreamScript resumesAfter(Millis silence) {
-  return {"", Then::keep, silence, kStreamHead + event(2) + kEnd};
+  return {"", Then::keep, silence, kStreamHead + eventChunk(2) + kStreamEnd};
 }
 
 struct Row {
@@ -73,7 +61,7 @@
     constexpr Millis kSecond{1'500};
     constexpr Millis kLong{4'500};
     constexpr Millis kPromptly{2'000};
-    const UpstreamScript dead{kStreamHead + event(1), Then::hang};
+    const UpstreamScript dead{kStreamHead + eventChunk(1), Then::hang};
     const std::vector<Row> rows{
         {"no retry left",
          WorkKind::stream,
@@ -172,17 +160,18 @@
   }
 
   void aReplacedRunIsCancelledOnceItsReplacementAnswers() {
-    ScriptedUpstream first({{kStreamHead + event(1), Then::keep, kTimeLimit, event(2) + kEnd}});
+    ScriptedUpstream first(
+        {{kStreamHead + eventChunk(1), Then::keep, kTimeLimit, eventChunk(2) + kStreamEnd}});
     ScriptedUpstream second({resumesAfter(Millis(0))});
-    CPPUNIT_ASSERT(ask(kRetries, first, second).ends_with(kEnd));
-    CPPUNIT_ASSERT_EQUAL(1, cancelledAtLast(first));
+    CPPUNIT_ASSERT(ask(kRetries, first, second).ends_with(kStreamEnd));
+    CPPUNIT_ASSERT_EQUAL(1, first.awaitCancelled(1));
   }
 
   void aReplacementIsCancelledOnceTheFirstRunGoesOn() {
     ScriptedUpstream first({silentMidway(Millis(1'600))});
     ScriptedUpstream second({resumesAfter(kTimeLimit)});
-    CPPUNIT_ASSERT(ask(kRetries, first, second).ends_with(kEnd));
-    CPPUNIT_ASSERT_EQUAL(1, cancelledAtLast(second));
+    CPPUNIT_ASSERT(ask(kRetries, first, second).ends_with(kStreamEnd));
+    CPPUNIT_ASSERT_EQUAL(1, second.awaitCancelled(1));
     CPPUNIT_ASSERT_EQUAL(0, first.cancelled());
   }
 
@@ -214,12 +203,6 @@
     return answerOf(rig, WorkKind::stream,
                     {recordOf(0, first.address()), recordOf(1, second.address())});
   }
-  static int cancelledAtLast(const ScriptedUpstream& upstream) {
-    for (int turn = 0; turn < 50 && upstream.cancelled() == 0; ++turn) {
-      std::this_thread::sleep_for(Millis(10));
-    }
-    return upstream.cancelled();
-  }
   static std::string failureOf(const Row& row) {
     std::vector<std::unique_ptr<ScriptedUpstream>> upstreams;
     upstreams.push_back(std::make_unique<ScriptedUpstream>(std::vector{row.first}));
@@ -244,7 +227,8 @@
     return row.name + ": " + std::to_string(arrivals) + " arrivals, " + answer + "\n";
   }
   static bool isWholeStream(const std::string& answer) {
-    return answer.find("\r\n\r\n" + event(1) + event(2) + kEnd) != std::string::npos;
+    return answer.find("\r\n\r\n" + eventChunk(1) + eventChunk(2) + kStreamEnd) !=
+           std::string::npos;
   }
 };
 
--- a/test/StopLossTest.cpp
+++ b/test/StopLossTest.cpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <thread>
 
+#include "AnswerScripts.h"
 #include "ScriptedUpstream.h"
 #include "standin/ObjectStoreStandin.h"
 #include "standin/StandinServer.h"
@@ -19,6 +20,11 @@
 
 namespace {
 
+using Hallchute::eventChunk;
+using Hallchute::kPlainAnswer;
+using Hallchute::kSignedHead;
+using Hallchute::kStreamEnd;
+using Hallchute::kStreamHead;
 using Hallchute::RawCaller;
 using Hallchute::requestText;
 using Hallchute::ScriptedUpstream;
@@ -27,13 +33,6 @@
 using Then = UpstreamScript::Then;
 using Json = Poco::JSON::Object;
 
-const std::string kSigned =
-    "HTTP/1.1 200 OK\r\nHallchute-Attempt-Id: {id}\r\nHallchute-Replica-Signature: s\r\n";
-const std::string kStreamHead =
-    kSigned + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-const std::string kEvent = "f\r\nid: 1\ndata: a\n\n\r\n";
-const std::string kLastEvent = "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
-
 void sleepFor(milliseconds time) {
   std::this_thread::sleep_for(time);
 }
@@ -113,8 +112,9 @@
 
  public:
   void aSilentUpstreamsAnswersCompleteWithinTheGrace() {
-    StoppingDaemon daemon("127.8.1.1", "streaming",
-                          {kStreamHead + kEvent, Then::keep, milliseconds(5'000), kLastEvent});
+    StoppingDaemon daemon(
+        "127.8.1.1", "streaming",
+        {kStreamHead + eventChunk(1), Then::keep, milliseconds(5'000), eventChunk(2) + kStreamEnd});
     RawCaller early(daemon.gateway.callers);
     RawCaller late(daemon.gateway.callers);
     early.send(requestText("POST", "", "body"));
@@ -124,14 +124,15 @@
     late.send(requestText("POST", "", "body"));
     for (RawCaller* caller : {&early, &late}) {
       const std::string answer = caller->readAll(milliseconds(9'000));
-      CPPUNIT_ASSERT_MESSAGE(answer + daemon.gateway.output(), answer.ends_with(kLastEvent));
+      CPPUNIT_ASSERT_MESSAGE(answer + daemon.gateway.output(),
+                             answer.ends_with(eventChunk(2) + kStreamEnd));
     }
   }
 
   void aSlowCallerGetsAllOfItsAnswer() {
     constexpr std::size_t kBytes = 8U << 20U;
     StoppingDaemon daemon("127.8.1.2", "safe",
-                          {kSigned + "Content-Length: " + std::to_string(kBytes) + "\r\n\r\n" +
+                          {kSignedHead + "Content-Length: " + std::to_string(kBytes) + "\r\n\r\n" +
                            std::string(kBytes, 'b')});
     RawCaller caller(daemon.gateway.callers);
     daemon.stop();
@@ -144,7 +145,7 @@
 
   /// Its body began to arrive while new requests were taken.
   void aRequestThatArrivesSlowlyIsAnswered() {
-    StoppingDaemon daemon("127.8.1.3", "safe", {kSigned + "Content-Length: 2\r\n\r\nok"});
+    StoppingDaemon daemon("127.8.1.3", "safe", {kPlainAnswer});
     RawCaller caller(daemon.gateway.callers);
     daemon.stop();
     const std::string request = requestText("POST", "", "body");
