--- a/Hallchute/src/Gateway/UpstreamPick.cpp
+++ b/Hallchute/src/Gateway/UpstreamPick.cpp
@@ -66,6 +66,7 @@
   if (criteria.tried.contains(entry.record.id)) return Tier::ineligible;
   if (criteria.version && !table.runsVersion(entry, *criteria.version, now))
     return Tier::ineligible;
+  if (criteria.excludedVersions.contains(entry.record.version)) return Tier::ineligible;
   if (!table.limits().maySend(entry.record.id, now)) return Tier::ineligible;
   if (entry.unlistedSince) {
     return now - *entry.unlistedSince <= kUsableAfterUnlisted ? Tier::unlisted : Tier::ineligible;
@@ -197,6 +198,15 @@
                                    : pickByAffinity(eligible, criteria);
 }
 
+std::optional<PredictedStart> predictStart(const UpstreamTable& table,
+                                           const UpstreamCriteria& criteria,
+                                           std::uint64_t promptTokens, Instant now) {
+  const UpstreamEntry* upstream = pickUpstream(table, criteria, now);
+  if (upstream == nullptr) return std::nullopt;
+  return PredictedStart{upstream, table.predictedQueueDelay(*upstream),
+                        table.predictedFirstEvent(*upstream, promptTokens)};
+}
+
 const UpstreamEntry* cacheSource(const UpstreamTable& table, const UpstreamCriteria& criteria,
                                  const UpstreamEntry& chosen, Instant now) {
   const bool recentlyListed = now - chosen.listedSince < kCacheFillTime;
--- a/Hallchute/src/Gateway/UpstreamPick.h
+++ b/Hallchute/src/Gateway/UpstreamPick.h
@@ -28,6 +28,17 @@
   /// The only software version that may run the request, as it continues a stream; empty if it
   /// can't be told, so that none may. Nothing: any version.
   std::optional<SoftwareVersion> version{};
+  /// Software versions that may not run the request.
+  std::set<SoftwareVersion> excludedVersions{};
+};
+
+/// \brief An upstream and when it is expected to start a request. \ingroup Gateway
+struct PredictedStart {
+  const UpstreamEntry* upstream = nullptr;
+  /// Time until the upstream begins to process the prompt.
+  Millis queueDelay{0};
+  /// Time until the first event of the response.
+  Millis firstEvent{0};
 };
 
 /// \brief Selects the upstream for a request; null if none is eligible. \ingroup Gateway
@@ -43,6 +54,13 @@
 const UpstreamEntry* pickUpstream(const UpstreamTable& table, const UpstreamCriteria& criteria,
                                   Instant now);
 
+/// \brief The upstream that pickUpstream() selects, with its predicted times; nothing if none is
+/// eligible. Cost: as pickUpstream().
+/// \param promptTokens length of the whole prompt; 0 for a plain request.
+std::optional<PredictedStart> predictStart(const UpstreamTable& table,
+                                           const UpstreamCriteria& criteria,
+                                           std::uint64_t promptTokens, Instant now);
+
 /// \brief Selects the upstream that has probably cached the prompt prefix which \p chosen lacks:
 /// the previous first choice for the affinity key, if it is draining or overloaded or was
 /// superseded when \p chosen was listed; null if \p chosen has probably cached the prefix itself.
--- a/Hallchute/src/Gateway/UpstreamTable.cpp
+++ b/Hallchute/src/Gateway/UpstreamTable.cpp
@@ -288,6 +288,15 @@
   return !keepsId || !entry.mayHaveEndedAt || now - *entry.mayHaveEndedAt >= kRestartListingTime;
 }
 
+Millis UpstreamTable::predictedQueueDelay(const UpstreamEntry& /*entry*/) const {
+  return Millis(0);
+}
+
+Millis UpstreamTable::predictedFirstEvent(const UpstreamEntry& /*entry*/,
+                                          std::uint64_t /*promptTokens*/) const {
+  return Millis(0);
+}
+
 UpstreamLoads UpstreamTable::ownLoads() const {
   UpstreamLoads loads;
   for (const auto& [id, entry] : entries_) {
--- a/Hallchute/src/Gateway/UpstreamTable.h
+++ b/Hallchute/src/Gateway/UpstreamTable.h
@@ -130,6 +130,11 @@
   LimitLedger& rejectionLimits() { return rejectionLimits_; }
   /// \brief Whether the upstream certainly runs that version of its software.
   bool runsVersion(const UpstreamEntry& entry, const SoftwareVersion& version, Instant now) const;
+  /// \brief Time until an upstream would begin to process a prompt, by its backlog and estimated
+  /// speed; zero if nothing is known of its service.
+  Millis predictedQueueDelay(const UpstreamEntry& entry) const;
+  /// \brief Time until the first event of a response, queue included.
+  Millis predictedFirstEvent(const UpstreamEntry& entry, std::uint64_t promptTokens) const;
   /// \brief Counts a request that is sent against the limits.
   void noteSent(const UpstreamId& upstream, Instant now) { limits_.noteSent(upstream, now); }
 
