Hedge slow requests that may be repeated, off by default

A request without data for longer than the 95th percentile of its route at this daemon is also sent to a second upstream; the first to send data answers, the other is cancelled. Bounded by hedging.percent of a route's requests in a minute and by half of the retry budget; denied while the service is overloaded.

--- a/Hallchute/src/Gateway/RetryWindow.cpp
+++ b/Hallchute/src/Gateway/RetryWindow.cpp
@@ -18,6 +18,9 @@
 /// an upstream. Within it, retries of one window arrive in the next.
 constexpr Millis kTransitTime{1'000};
 
+/// Part of the budget that hedges may use.
+constexpr double kHedgeShare = 0.5;
+
 void dropBefore(std::deque<Instant>& times, Instant start) {
   while (!times.empty() && times.front() < start) times.pop_front();
 }
@@ -38,19 +41,32 @@
   return kEarnedInWindow * (allowance.ratio * requests + fromSlack);
 }
 
-bool RetryWindow::takeRetry(const RetryAllowance& allowance, const RetrySlack& slack, Instant now) {
-  const Millis memory = allowance.window + kTransitTime;
-  dropBefore(retries_, now - memory);
-  retries_.push_back(now);
-  // Any window that begins with an earlier retry must have room for this one.
-  for (std::size_t i = 0; i < retries_.size(); ++i) {
-    const auto spent = static_cast<double>(retries_.size() - i);
-    const Instant earning = retries_[i] - allowance.window + kTransitTime;
-    if (spent <= earnedSince(allowance, slack, earning, now)) continue;
-    retries_.pop_back();
-    return false;
+bool RetryWindow::withinBudget(const std::deque<Instant>& spent, double share,
+                               const RetryAllowance& allowance, const RetrySlack& slack,
+                               Instant now) const {
+  for (std::size_t i = 0; i < spent.size(); ++i) {
+    const auto count = static_cast<double>(spent.size() - i);
+    const Instant earning = spent[i] - allowance.window + kTransitTime;
+    if (count > share * earnedSince(allowance, slack, earning, now)) return false;
   }
   return true;
 }
 
+bool RetryWindow::takeRetry(const RetryAllowance& allowance, const RetrySlack& slack, Instant now) {
+  dropBefore(retries_, now - allowance.window - kTransitTime);
+  retries_.push_back(now);
+  const bool allowed = withinBudget(retries_, 1, allowance, slack, now);
+  if (!allowed) retries_.pop_back();
+  return allowed;
+}
+
+bool RetryWindow::takeHedge(const RetryAllowance& allowance, const RetrySlack& slack, Instant now) {
+  dropBefore(hedges_, now - allowance.window - kTransitTime);
+  hedges_.push_back(now);
+  const bool allowed =
+      withinBudget(hedges_, kHedgeShare, allowance, slack, now) && takeRetry(allowance, slack, now);
+  if (!allowed) hedges_.pop_back();
+  return allowed;
+}
+
 }  // namespace Hallchute
--- a/Hallchute/src/Gateway/RetryWindow.h
+++ b/Hallchute/src/Gateway/RetryWindow.h
@@ -43,16 +43,26 @@
   /// \brief Records a retry if the budget allows it.
   /// \returns whether it does.
   bool takeRetry(const RetryAllowance& allowance, const RetrySlack& slack, Instant now);
+  /// \brief Records a hedge if the budget allows it, and half of the budget allows all hedges, so
+  /// that retries of failed requests keep the other half. A hedge counts as a retry.
+  /// \returns whether it does.
+  bool takeHedge(const RetryAllowance& allowance, const RetrySlack& slack, Instant now);
   /// \brief What takeRetry() last compared: the requests and retries that it remembers.
   std::size_t requestCount() const { return requests_.size(); }
   std::size_t retryCount() const { return retries_.size(); }
 
  private:
+  /// Whether each window that begins with one of \p spent has room for all that follow, within
+  /// the fraction \p share of the budget.
+  bool withinBudget(const std::deque<Instant>& spent, double share, const RetryAllowance& allowance,
+                    const RetrySlack& slack, Instant now) const;
   double earnedSince(const RetryAllowance& allowance, const RetrySlack& slack, Instant from,
                      Instant now) const;
 
   std::deque<Instant> requests_;
+  /// Hedges included.
   std::deque<Instant> retries_;
+  std::deque<Instant> hedges_;
 };
 
 }  // namespace Hallchute
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -140,6 +140,7 @@
   options.domain = startup_.domain;
   options.ownIp = startup_.ownIp;
   options.retries = {bounds.retryRatio, bounds.retrySlack, bounds.retryWindow};
+  options.hedges = {startup_.hedging.percent, startup_.hedging.minDelay};
   options.quotas = {bounds.quotaOverdraftRatio, bounds.quotaSlack, bounds.quotaWindow};
   options.usageWindow = bounds.usageWindow;
   return options;
--- a/Hallchute/src/Node/NodeStartup.cpp
+++ b/Hallchute/src/Node/NodeStartup.cpp
@@ -19,6 +19,9 @@
 constexpr double kMaxMs = kMaxSeconds * 1'000;
 /// A host without a limit names the largest value there is.
 constexpr std::int64_t kMaxDescriptors = std::numeric_limits<std::int64_t>::max();
+/// Beyond it hedges are a second load rather than an exception.
+constexpr double kMaxHedgePercent = 50;
+constexpr double kMinHedgeDelayMs = 1;
 constexpr double kMaxProcessors = 1'000'000;
 constexpr double kMaxRetrySlack = 1'000'000;
 /// More than any organisation's quota for a window.
@@ -54,6 +57,13 @@
   if (bounds.usageWindow <= Millis(0)) reader.report("usageWindowS", "must be above 0");
 }
 
+void readHedging(JsonReader& reader, NodeHedging& hedging) {
+  hedging.percent = reader.number("percent", 0, kMaxHedgePercent, hedging.percent);
+  const auto fallback = static_cast<double>(hedging.minDelay.count());
+  const double minDelay = reader.number("minDelayMs", kMinHedgeDelayMs, kMaxMs, fallback);
+  hedging.minDelay = Millis(static_cast<Millis::rep>(minDelay));
+}
+
 /// 0 and negative numbers name no limit.
 std::size_t readDescriptors(JsonReader& reader, std::size_t fallback) {
   const std::int64_t number =
@@ -105,6 +115,7 @@
   });
   root.object("duties", [&](JsonReader& reader) { readDuties(reader, startup); });
   root.object("bounds", [&](JsonReader& reader) { readBounds(reader, startup.bounds); });
+  root.object("hedging", [&](JsonReader& reader) { readHedging(reader, startup.hedging); });
   root.finish();
   return startup;
 }
--- a/Hallchute/src/Node/NodeStartup.h
+++ b/Hallchute/src/Node/NodeStartup.h
@@ -41,6 +41,14 @@
   Millis usageDue{10'000};
 };
 
+/// \brief The operator's limits on hedged requests. \ingroup Node
+struct NodeHedging {
+  /// Hedges per hundred requests of a route within a minute; 0 turns hedging off.
+  double percent = 0;
+  /// Least time without data before a request is hedged.
+  Millis minDelay{50};
+};
+
 /// \brief The start-up configuration of a gateway daemon. \ingroup Node
 struct NodeStartup {
   DaemonId daemon;
@@ -62,6 +70,7 @@
   /// How many file descriptors the process may have open.
   std::size_t descriptors = 1'024;
   NodeBounds bounds;
+  NodeHedging hedging;
   /// Processing capacity of the host in thousandths of a processor.
   std::uint32_t capacity = 1'000;
   std::string logLevel = "info";
--- a/Hallchute/src/Relay/RelayAction.h
+++ b/Hallchute/src/Relay/RelayAction.h
@@ -17,6 +17,8 @@
   bool retry = false;
   /// The stream resumes after the last forwarded event.
   bool resume = false;
+  /// The upstream at work isn't known to be in trouble; see RelayEvents::HedgeDue.
+  bool hedge = false;
   bool operator==(const Dispatch&) const = default;
 };
 /// Close the exchanges with all upstreams but the one that the event came from, so that they stop
--- a/Hallchute/src/Relay/RelayEvent.h
+++ b/Hallchute/src/Relay/RelayEvent.h
@@ -29,6 +29,8 @@
 struct ConnectionBroken {};
 /// The upstreams at work on the request sent no data within the expected time.
 struct UpstreamSilent {};
+/// The only upstream at work has sent no data for so long that the request is worth a second one.
+struct HedgeDue {};
 struct CallerDisconnected {};
 /// The deadline of the request passed.
 struct DeadlineExceeded {};
@@ -36,11 +38,12 @@
 }  // namespace RelayEvents
 
 /// \ingroup Relay
-using RelayEvent = std::variant<RelayEvents::Begin, RelayEvents::NoUpstreamAvailable,
-                                RelayEvents::NotSent, RelayEvents::NotExecuted,
-                                RelayEvents::StreamEventReceived, RelayEvents::ResponseComplete,
-                                RelayEvents::ConnectionBroken, RelayEvents::UpstreamSilent,
-                                RelayEvents::CallerDisconnected, RelayEvents::DeadlineExceeded>;
+using RelayEvent =
+    std::variant<RelayEvents::Begin, RelayEvents::NoUpstreamAvailable, RelayEvents::NotSent,
+                 RelayEvents::NotExecuted, RelayEvents::StreamEventReceived,
+                 RelayEvents::ResponseComplete, RelayEvents::ConnectionBroken,
+                 RelayEvents::UpstreamSilent, RelayEvents::HedgeDue,
+                 RelayEvents::CallerDisconnected, RelayEvents::DeadlineExceeded>;
 
 }  // namespace Hallchute
 
--- a/Hallchute/src/Relay/RelayStateMachine.cpp
+++ b/Hallchute/src/Relay/RelayStateMachine.cpp
@@ -29,10 +29,10 @@
   return started_ ? terms_.resumable : terms_.repeatable;
 }
 
-RelayAction RelayStateMachine::dispatch() {
+RelayAction RelayStateMachine::dispatch(bool hedge) {
   const bool retry = deliveries_ > 0 || dispatches_ > 0;
   ++dispatches_;
-  return RelayActions::Dispatch{retry, started_};
+  return RelayActions::Dispatch{retry, started_, hedge};
 }
 
 void RelayStateMachine::cancelAll(Actions& actions) {
@@ -57,7 +57,12 @@
   return end({RelayActions::Refuse{}});
 }
 
+bool RelayStateMachine::leavesHedgedPartner() {
+  return std::exchange(hedging_, false) && atWork();
+}
+
 RelayStateMachine::Actions RelayStateMachine::afterRejection() {
+  if (leavesHedgedPartner()) return {};
   ++rejections_;
   const bool mayContinue = !started_ || terms_.resumable;
   if (rejections_ < kMaxRejections && mayContinue) return {dispatch()};
@@ -65,6 +70,7 @@
 }
 
 RelayStateMachine::Actions RelayStateMachine::afterFailedRun() {
+  if (leavesHedgedPartner()) return {};
   if (mayRunAgain()) return {dispatch()};
   return atWork() ? Actions{} : giveUp(false);
 }
@@ -77,6 +83,7 @@
 
 RelayStateMachine::Actions RelayStateMachine::on(const RelayEvents::NoUpstreamAvailable&) {
   if (atWork()) --dispatches_;
+  hedging_ = false;
   return atWork() ? Actions{} : giveUp(false);
 }
 
@@ -97,6 +104,7 @@
   if (!atWork()) return {};
   Actions actions;
   cancelOthers(actions);
+  hedging_ = false;
   rejections_ = 0;
   const bool first = !std::exchange(started_, true);
   actions.push_back(RelayActions::ForwardEvent{first});
@@ -135,6 +143,12 @@
   return {dispatch()};
 }
 
+RelayStateMachine::Actions RelayStateMachine::on(const RelayEvents::HedgeDue&) {
+  if (!atWork() || started_ || dispatches_ > 1 || !mayRunAgain()) return {};
+  hedging_ = true;
+  return {dispatch(true)};
+}
+
 RelayStateMachine::Actions RelayStateMachine::on(const RelayEvents::CallerDisconnected&) {
   Actions actions;
   cancelAll(actions);
--- a/Hallchute/src/Relay/RelayStateMachine.h
+++ b/Hallchute/src/Relay/RelayStateMachine.h
@@ -31,6 +31,9 @@
 /// A silent upstream is replaced only once its replacement has sent data: until then both are at
 /// work, and either may go on. While one is at work the request ends only if its caller leaves or
 /// its deadline passes.
+///
+/// A request is hedged before any data came, beside one upstream. When one of the two rejects the
+/// request or fails, the other goes on alone; the rejection doesn't count towards a refusal.
 class RelayStateMachine {
  public:
   explicit RelayStateMachine(RelayPolicy terms) : terms_(terms) {}
@@ -57,14 +60,17 @@
   Actions on(const RelayEvents::ResponseComplete& event);
   Actions on(const RelayEvents::ConnectionBroken& event);
   Actions on(const RelayEvents::UpstreamSilent& event);
+  Actions on(const RelayEvents::HedgeDue& event);
   Actions on(const RelayEvents::CallerDisconnected& event);
   Actions on(const RelayEvents::DeadlineExceeded& event);
   bool atWork() const { return phase_ == Phase::running && dispatches_ > 0; }
-  RelayAction dispatch();
+  RelayAction dispatch(bool hedge = false);
   void cancelAll(Actions& actions);
   void cancelOthers(Actions& actions);
   Actions afterRejection();
   Actions afterFailedRun();
+  /// Whether the dispatch that ended leaves another one of a hedged request at work.
+  bool leavesHedgedPartner();
   Actions giveUp(bool deadlineExceeded);
   Actions end(Actions actions);
 
@@ -73,6 +79,8 @@
   bool started_ = false;
   /// A complete error response was received; it is forwarded if no later attempt succeeds.
   bool hasFallbackResponse_ = false;
+  /// Two dispatches are at work as the request was hedged.
+  bool hedging_ = false;
   /// Dispatches that have not ended.
   int dispatches_ = 0;
   /// Ended dispatches that may have run.
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -86,7 +86,8 @@
       prober_(loop, upstreams_, pool_, metrics),
       pool_(loop, options_.ownIp, prober_, metrics),
       quota_(clockNow(), options_.quotas),
-      usage_(options_.usageWindow) {
+      usage_(options_.usageWindow),
+      hedges_(options_.hedges) {
   loop_.every(kSweepPeriod, [this] { sweep(); });
 }
 
@@ -390,6 +391,14 @@
   return false;
 }
 
+bool TrafficEngine::takeHedge(const ServiceName& service) {
+  const bool allowed = retryWindows_[service].takeHedge(options_.retries, retrySlack_, clockNow());
+  if (allowed) {
+    metrics_.add("hallchute_retries_total", "service=\"" + service.str() + "\",allowed=\"true\"");
+  }
+  return allowed;
+}
+
 void TrafficEngine::refundQuota(const OrganisationName& organisation, double amount) {
   quota_.refund(organisation, amount);
 }
--- a/Hallchute/src/Traffic/TrafficEngine.h
+++ b/Hallchute/src/Traffic/TrafficEngine.h
@@ -17,6 +17,7 @@
 #include "Hallchute/src/Front/FrontHandler.h"
 #include "Hallchute/src/Gateway/AbandonedRuns.h"
 #include "Hallchute/src/Gateway/CrashLedger.h"
+#include "Hallchute/src/Gateway/HedgePolicy.h"
 #include "Hallchute/src/Gateway/QuotaFleet.h"
 #include "Hallchute/src/Gateway/QuotaLedger.h"
 #include "Hallchute/src/Gateway/RetrySlack.h"
@@ -99,6 +100,14 @@
   OriginExchange* originExchange() const { return originExchange_; }
   /// \brief Sets how slots of upstreams are taken; null, or must outlive this.
   void setSlotExchange(SlotExchange* exchange) { selector_.setExchange(exchange); }
+  /// \brief Sets the predicate that tells whether requests of a service wait to be dispatched;
+  /// empty: none do.
+  void setRequestsWait(std::function<bool(const ServiceName&)> waits) {
+    requestsWait_ = std::move(waits);
+  }
+  bool requestsWait(const ServiceName& service) const {
+    return requestsWait_ && requestsWait_(service);
+  }
   /// \brief Makes a dispatch for another daemon. \param assist a number for cancelAssist().
   void assist(std::uint64_t assist, ForwardedRequest request,
               std::function<void(const ForwardedReply&)> reply);
@@ -137,6 +146,9 @@
   /// \brief Connections that this daemon may open to one upstream of \p service.
   std::size_t connectionShare(const ServiceName& service) const;
   bool takeRetry(const ServiceName& service, std::string_view requestId);
+  HedgePolicy& hedges() { return hedges_; }
+  /// \brief Takes a hedge from the service's retry budget. \returns whether there was one.
+  bool takeHedge(const ServiceName& service);
   void refundQuota(const OrganisationName& organisation, double amount);
   void noteRun(const OrganisationName& organisation);
   /// \brief Records that a stream began at an upstream, and reports it if callers need that.
@@ -185,6 +197,8 @@
   AbandonedRuns abandoned_;
   std::map<ServiceName, RetryWindow> retryWindows_;
   RetrySlack retrySlack_;
+  HedgePolicy hedges_;
+  std::function<bool(const ServiceName&)> requestsWait_;
   std::unordered_map<std::uint64_t, std::shared_ptr<TrafficSession>> sessions_;
   std::uint64_t nextSessionId_ = 1;
   std::unordered_map<std::uint64_t, std::shared_ptr<AssistedDispatch>> assists_;
--- a/Hallchute/src/Traffic/TrafficOptions.h
+++ b/Hallchute/src/Traffic/TrafficOptions.h
@@ -8,6 +8,7 @@
 
 #include "Hallchute/src/Core/Id.h"
 #include "Hallchute/src/Core/Time.h"
+#include "Hallchute/src/Gateway/HedgePolicy.h"
 #include "Hallchute/src/Gateway/QuotaLedger.h"
 #include "Hallchute/src/Gateway/RetryWindow.h"
 
@@ -19,6 +20,7 @@
   /// Source address of connections to upstreams.
   std::string ownIp;
   RetryAllowance retries;
+  HedgeLimits hedges;
   QuotaTolerance quotas;
   /// Length of a usage window.
   Millis usageWindow{5'000};
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -104,6 +104,7 @@
       service_(RouteTable::pickTarget(*admission_.route, admission_.request.firstAttempt().str())),
       relay_(
           {admission_.route->mayRepeat(), admission_.route->resumable, admission_.route->maxRuns}),
+      hedge_(engine, *admission_.route, service_, admission_.request.id.str()),
       deadline_(exchange_->receivedAt() + timeLimitOf(*admission_.route, admission_.request)) {
   selection_.service = service_;
   if (admission_.route->sharesPrompts) {
@@ -122,6 +123,7 @@
   exchange_->onCallerDisconnected = [weak = weak_from_this()] {
     if (const auto session = weak.lock()) session->handleEvent(RelayEvents::CallerDisconnected{});
   };
+  hedge_.noteRequest();
   const Millis left = remaining();
   deadlineTimer_ = engine_.loop().after(left, [this] {
     deadlineTimer_ = 0;
@@ -205,6 +207,7 @@
 void TrafficSession::stopTimers() {
   engine_.loop().cancel(std::exchange(deadlineTimer_, 0));
   engine_.loop().cancel(std::exchange(silenceTimer_, 0));
+  hedge_.disarm();
 }
 
 void TrafficSession::handleEvent(const RelayEvent& event, SessionDispatch* source) {
@@ -290,7 +293,10 @@
 
 /// Without one the dispatch isn't made.
 bool TrafficSession::takeRetry(const RelayActions::Dispatch& action) {
-  if (!action.retry || engine_.takeRetry(service_, selection_.requestId)) return true;
+  const bool allowed = action.hedge
+                           ? hedge_.takeFromBudget()
+                           : !action.retry || engine_.takeRetry(service_, selection_.requestId);
+  if (allowed) return true;
   handleEvent(RelayEvents::NoUpstreamAvailable{});
   return false;
 }
@@ -301,7 +307,12 @@
     handleEvent(RelayEvents::NoUpstreamAvailable{});
     return;
   }
-  if (!takeRetry(action) || dispatchTo(*upstream, action.resume, slot)) return;
+  if (!takeRetry(action) || dispatchTo(*upstream, action, slot)) return;
+  if (action.hedge) {
+    hedge_.deny("noConnection");
+    handleEvent(RelayEvents::NotSent{});
+    return;
+  }
   // This daemon's share of the upstream's connections is in use; others may have room in theirs.
   // What may not repeat tries another upstream instead, as it could be lost between daemons.
   if (engine_.forwarder() == nullptr || !admission_.route->mayRepeat()) {
@@ -339,23 +350,46 @@
   return dispatches_.empty() ? nullptr : dispatches_.back().get();
 }
 
-bool TrafficSession::dispatchTo(const UpstreamEntry& upstream, bool resume,
+bool TrafficSession::dispatchTo(const UpstreamEntry& upstream, const RelayActions::Dispatch& action,
                                 const HeldSlotPtr& slot) {
   SessionDispatch& dispatch = addDispatch();
-  const bool sent = dispatch.sendTo(
-      engine_, upstream,
-      {exchange_->head(), exchange_->body(), dispatchTerms(resume), selection_, admission_.suspects,
-       admission_.request.promptTokens.value_or(0), admission_.route->mayRepeat(), slot});
+  const bool sent =
+      dispatch.sendTo(engine_, upstream,
+                      {exchange_->head(), exchange_->body(), dispatchTerms(action.resume),
+                       selection_, admission_.suspects, admission_.request.promptTokens.value_or(0),
+                       admission_.route->mayRepeat(), slot});
   noteUpstream(dispatch);
   if (!sent) {
     dispatches_.pop_back();
     return false;
   }
   ++dispatchCount_;
+  if (action.hedge) {
+    // The first upstream is silent as soon as it would be without a hedge.
+    hedge_.noteSent(dispatch, *dispatches_.front());
+    return true;
+  }
   restartSilenceTimer();
+  if (dispatchCount_ == 1 && !admission_.request.resumesStream()) {
+    hedge_.arm([this] { handleHedgeDue(); });
+  }
   return true;
 }
 
+void TrafficSession::handleHedgeDue() {
+  if (choosing_ || relay_.started() || !relay_.mayRunAgain()) return;
+  // After a rejection or a failure no request is hedged: the service has little room.
+  const SessionDispatch& first = *dispatches_.front();
+  if (dispatches_.size() > 1 || !first.isOpen()) return;
+  const bool answerArrives = first.head().status != 0 && !first.isStream();
+  if (answerArrives) return;
+  const UpstreamEntry* second = engine_.paths().lost(service_)
+                                    ? nullptr
+                                    : pickUpstream(engine_.upstreamTable(), selection_, clockNow());
+  if (!hedge_.mayHedge(second, admission_.request.promptTokens.value_or(0))) return;
+  handleEvent(RelayEvents::HedgeDue{});
+}
+
 /// Sends the request through another daemon, as this one has no connection for it.
 void TrafficSession::forwardToPeer(bool resume) {
   ForwardedRequest request;
@@ -428,15 +462,23 @@
   });
 }
 
+bool TrafficSession::isOverdue(const SessionDispatch& dispatch) const {
+  if (!dispatch.isOpen()) return false;
+  // The timer goes by the dispatch that was made before the hedge.
+  return !hedge_.isHedge(dispatch) || clockNow() - dispatch.startedAt() >= silenceTimeout();
+}
+
 /// The upstreams at work are kept until another one sends data: they may go on.
 void TrafficSession::handleSilence() {
   if (!relay_.mayRunAgain()) return;
-  if (pickUpstream(engine_.upstreamTable(), selection_, clockNow()) == nullptr) {
+  const bool overdue = std::any_of(dispatches_.begin(), dispatches_.end(),
+                                   [this](const auto& dispatch) { return isOverdue(*dispatch); });
+  if (!overdue || pickUpstream(engine_.upstreamTable(), selection_, clockNow()) == nullptr) {
     startSilenceTimer(kReplacementRetryDelay);
     return;
   }
   for (const auto& dispatch : dispatches_) {
-    if (dispatch->isOpen() && !dispatch->silent()) {
+    if (isOverdue(*dispatch) && !dispatch->silent()) {
       dispatch->noteSilent();
       LogLine(LogLevel::info, "upstream.silent")
           .with("request", selection_.requestId)
@@ -476,6 +518,7 @@
     std::optional<StreamEvent> event = dispatch.events().next();
     if (!event) return;
     recordRunStart(dispatch);
+    noteFirstData();
     if (alreadyForwarded(*event)) continue;
     event_ = std::move(*event);
     dispatch.noteData();
@@ -501,6 +544,14 @@
   if (admission_.organisation != nullptr) engine_.noteRun(admission_.organisation->name);
 }
 
+/// Measures the first upstream only: what the second one takes begins later.
+void TrafficSession::noteFirstData() {
+  const SessionDispatch& first = *dispatches_.front();
+  const bool measured = relay_.started() || admission_.request.resumesStream() || !first.isOpen();
+  if (measured || first.peer() != nullptr) return;
+  hedge_.noteFirstData(std::chrono::duration_cast<Millis>(clockNow() - first.startedAt()));
+}
+
 void TrafficSession::answerEnded(SessionDispatch& dispatch) {
   const UpstreamResponse& answer = dispatch.response();
   const HttpHead& head = dispatch.head();
@@ -538,6 +589,7 @@
     return;
   }
   const bool failed = head.status >= kServerError;
+  if (isSuccess(head.status)) noteFirstData();
   endDispatch(dispatch, failed ? DispatchResult::failed : DispatchResult::answered, true);
   if (isSuccess(head.status)) noteCompleted(dispatch);
   if (failed) {
@@ -585,6 +637,7 @@
                                  bool keepChannel) {
   if (!dispatch.isOpen()) return;
   recordUnansweredRun(dispatch, result);
+  hedge_.noteEnded(dispatch, result, source_);
   dispatch.end(result, keepChannel);
   if (!anyOpen()) engine_.loop().cancel(std::exchange(silenceTimer_, 0));
 }
@@ -688,6 +741,7 @@
       .with("upstream", reported == nullptr ? std::string() : reported->upstream().id.str())
       .with("version", reported == nullptr ? std::string() : reported->version().str())
       .with("dispatches", dispatchCount_)
+      .with("hedge", hedge_.outcome())
       .with("settings", admission_.routes->settings().version)
       .with("organisation", admission_.organisation == nullptr
                                 ? std::string()
--- a/Hallchute/src/Traffic/TrafficSession.h
+++ b/Hallchute/src/Traffic/TrafficSession.h
@@ -21,6 +21,7 @@
 #include "Hallchute/src/Relay/RelayStateMachine.h"
 #include "Hallchute/src/Traffic/HeldSlot.h"
 #include "Hallchute/src/Traffic/SessionDispatch.h"
+#include "Hallchute/src/Traffic/SessionHedge.h"
 
 namespace Hallchute {
 
@@ -90,7 +91,11 @@
   void dispatch(const RelayActions::Dispatch& action, const UpstreamEntry* upstream,
                 const HeldSlotPtr& slot);
   bool takeRetry(const RelayActions::Dispatch& action);
-  bool dispatchTo(const UpstreamEntry& upstream, bool resume, const HeldSlotPtr& slot);
+  bool dispatchTo(const UpstreamEntry& upstream, const RelayActions::Dispatch& action,
+                  const HeldSlotPtr& slot);
+  /// Sends the request to a second upstream if the policy allows it.
+  void handleHedgeDue();
+  void noteFirstData();
   void forwardToPeer(bool resume);
   SessionDispatch& addDispatch();
   void noteUpstream(const SessionDispatch& dispatch);
@@ -105,6 +110,8 @@
   void restartSilenceTimer();
   void startSilenceTimer(Millis timeout);
   void handleSilence();
+  /// Whether a dispatch has been at work for long enough to be called silent.
+  bool isOverdue(const SessionDispatch& dispatch) const;
   /// The dispatch that answers, or the last one.
   const SessionDispatch* reportedDispatch() const;
   void stopTimers();
@@ -120,6 +127,7 @@
   ServiceName service_;
   UpstreamCriteria selection_;
   RelayStateMachine relay_;
+  SessionHedge hedge_;
   Instant deadline_;
 
   /// In order; those that have ended are kept, as they may be calling this session.
--- a/test/GatewayStartupFileTest.cpp
+++ b/test/GatewayStartupFileTest.cpp
@@ -23,6 +23,7 @@
 class GatewayStartupFileTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(GatewayStartupFileTest);
   CPPUNIT_TEST(limitsOfRealHostsAreAccepted);
+  CPPUNIT_TEST(hedgingIsOffUnlessAValidPercentageIsSet);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -53,6 +54,34 @@
       CPPUNIT_ASSERT_EQUAL_MESSAGE(row.members, row.capacity, startup.capacity);
     }
   }
+
+  /// Guards against hedges that nobody has asked for, and against a bound that is none.
+  void hedgingIsOffUnlessAValidPercentageIsSet() {
+    struct Row {
+      std::string members;
+      double percent;
+      Millis minDelay;
+      std::string finding;
+    };
+    const std::array rows{
+        Row{"", 0, Millis(50), ""},
+        Row{R"(,"hedging":{})", 0, Millis(50), ""},
+        Row{R"(,"hedging":{"percent":5})", 5, Millis(50), ""},
+        Row{R"(,"hedging":{"percent":2.5,"minDelayMs":20})", 2.5, Millis(20), ""},
+        Row{R"(,"hedging":{"percent":60})", 0, Millis(50), "/hedging/percent"},
+        Row{R"(,"hedging":{"percent":-1})", 0, Millis(50), "/hedging/percent"},
+        Row{R"(,"hedging":{"minDelayMs":0})", 0, Millis(50), "/hedging/minDelayMs"},
+        Row{R"(,"hedging":{"share":5})", 0, Millis(50), "/hedging/share"},
+    };
+    for (const Row& row : rows) {
+      Findings findings;
+      const NodeStartup startup = readNodeStartup(startupText(row.members), findings);
+      const std::string path = findings.empty() ? "" : findings.front().path;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.members, row.finding, path);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.members, row.percent, startup.hedging.percent);
+      CPPUNIT_ASSERT_MESSAGE(row.members, row.minDelay == startup.hedging.minDelay);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayStartupFileTest);
--- a/test/RelayTest.cpp
+++ b/test/RelayTest.cpp
@@ -18,12 +18,17 @@
 namespace Actions = RelayActions;
 
 /// Every event that can follow a dispatch, in all variants.
-const std::array<RelayEvent, 10> kEvents{
-    Events::NoUpstreamAvailable{},  Events::NotSent{},
-    Events::NotExecuted{},          Events::StreamEventReceived{},
-    Events::ResponseComplete{true}, Events::ResponseComplete{false},
-    Events::ConnectionBroken{},     Events::UpstreamSilent{},
-    Events::CallerDisconnected{},   Events::DeadlineExceeded{}};
+const std::array<RelayEvent, 11> kEvents{Events::NoUpstreamAvailable{},
+                                         Events::NotSent{},
+                                         Events::NotExecuted{},
+                                         Events::StreamEventReceived{},
+                                         Events::ResponseComplete{true},
+                                         Events::ResponseComplete{false},
+                                         Events::ConnectionBroken{},
+                                         Events::UpstreamSilent{},
+                                         Events::HedgeDue{},
+                                         Events::CallerDisconnected{},
+                                         Events::DeadlineExceeded{}};
 
 /// Checks the invariants of one RelayStateMachine for events in any order.
 class InvariantChecker {
@@ -97,6 +102,7 @@
     if (mayRun >= policy_.maxRuns) return "runs at more than maxRuns upstreams";
     if (finalResponses_ > 0) return "dispatch after the final response";
     if (mayRun > 0 && !action.retry) return "a repeated run is not marked as a retry";
+    if (action.hedge && (started_ || running_ != 1)) return "hedges without one silent upstream";
     ++running_;
     return {};
   }
@@ -151,6 +157,7 @@
 class RelayTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RelayTest);
   CPPUNIT_TEST(everySequenceKeepsTheInvariants);
+  CPPUNIT_TEST(oneOfAHedgedPairGoesOnAlone);
   CPPUNIT_TEST(splitsEventsByTable);
   CPPUNIT_TEST_SUITE_END();
 
@@ -171,6 +178,26 @@
     CPPUNIT_ASSERT(steps > 100'000);
   }
 
+  /// Guards against a hedge that causes further dispatches, or costs a request its answer.
+  void oneOfAHedgedPairGoesOnAlone() {
+    const std::array<RelayEvent, 5> ends{Events::NotSent{}, Events::NotExecuted{},
+                                         Events::NoUpstreamAvailable{}, Events::ConnectionBroken{},
+                                         Events::ResponseComplete{false}};
+    for (const RelayEvent& end : ends) {
+      RelayStateMachine relay({true, false, 3});
+      relay.step(Events::Begin{});
+      const std::vector<RelayAction> hedge = relay.step(Events::HedgeDue{});
+      CPPUNIT_ASSERT(hedge == std::vector<RelayAction>({Actions::Dispatch{true, false, true}}));
+      CPPUNIT_ASSERT(relay.step(end).empty());
+      CPPUNIT_ASSERT(!relay.ended());
+      // The rejection of the hedge doesn't count: two more upstreams may reject the request.
+      for (int i = 0; i < 2; ++i) CPPUNIT_ASSERT(!relay.step(Events::NotExecuted{}).empty());
+      CPPUNIT_ASSERT(!relay.ended());
+      const std::vector<RelayAction> last = relay.step(Events::ResponseComplete{true});
+      CPPUNIT_ASSERT(last == std::vector<RelayAction>({Actions::ForwardResponse{}}));
+    }
+  }
+
   void splitsEventsByTable() {
     struct Row {
       std::vector<std::string> parts;
--- a/test/SettingsTemplateTest.cpp
+++ b/test/SettingsTemplateTest.cpp
@@ -47,12 +47,14 @@
             "limits":{"cpu-share":0.25,"max-fds":4100},"seeds":["127.9.0.1:7"],
             "listen":{"front":"127.9.0.1:5","readiness":"127.9.0.1:6","control":"127.9.0.1:7"},
             "platform":{"address":"127.9.0.2:5"},"cloud-api":{"address":"127.9.0.2:6"},
-            "bounds":{"contact-ms":3000,"grace-s":8,"retry-budget":0.2,"budget-slack":52}})");
+            "bounds":{"contact-ms":3000,"grace-s":8,"retry-budget":0.2,"budget-slack":52,
+            "hedge-percent":5}})");
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, startup.domains.size());
     CPPUNIT_ASSERT_EQUAL(std::size_t{4'100}, startup.descriptors);
     CPPUNIT_ASSERT(startup.seeds == std::vector<std::string>{"127.9.0.1:7"});
     CPPUNIT_ASSERT_EQUAL(std::string("127.9.0.2:6"), startup.dutyAddress);
     CPPUNIT_ASSERT_EQUAL(0.2, startup.bounds.retryRatio);
+    CPPUNIT_ASSERT_EQUAL(5.0, startup.hedging.percent);
     CPPUNIT_ASSERT(Hallchute::Millis(8'000) == startup.bounds.grace);
     CPPUNIT_ASSERT(startup.reportsUsage);
   }
@@ -68,6 +70,7 @@
     CPPUNIT_ASSERT_EQUAL(defaults.capacity, startup.capacity);
     CPPUNIT_ASSERT(startup.seeds.empty());
     CPPUNIT_ASSERT(!startup.reportsUsage);
+    CPPUNIT_ASSERT_EQUAL(0.0, startup.hedging.percent);
   }
 
  private:
