--- a/app/main.cpp
+++ b/app/main.cpp
@@ -10,12 +10,17 @@
 #include <vector>
 
 #include "Hallchute/Cli"
+#include "platform/CheckConfigCommand.h"
 #include "platform/GatewayCommand.h"
 
 int main(int argc, char** argv) {
   Hallchute::registerCommand({"gateway",
                               "serve the platform's traffic as a gateway: [--config=FILE]",
                               Hallchute::gatewayCommand});
+  Hallchute::registerCommand({"check-config",
+                              "check a gateway's configuration before it is stored: --file=FILE "
+                              "[--against=FILE|--store=IP:PORT] [--json]",
+                              Hallchute::checkConfigCommand});
   absl::SetProgramUsageMessage(std::string(Hallchute::usageText()));
   if (argc == 2 && std::string_view(argv[1]) == "--help") {
     std::cout << Hallchute::usageText();
