--- a/Hallchute/src/Fleet/FleetView.cpp
+++ b/Hallchute/src/Fleet/FleetView.cpp
@@ -462,4 +462,15 @@
   return loads;
 }
 
+Millis FleetView::loadsAge(Instant now) const {
+  Instant oldest = now;
+  for (const auto& [daemon, peer] : roster_.peers()) {
+    if (FleetPeer::isRecent(peer.reportedAt, now, FleetPeer::kLivenessTimeout) &&
+        countsInSums(peer.report, now)) {
+      oldest = std::min(oldest, peer.reportedAt);
+    }
+  }
+  return std::chrono::duration_cast<Millis>(now - oldest);
+}
+
 }  // namespace Hallchute
--- a/Hallchute/src/Fleet/ReportSums.cpp
+++ b/Hallchute/src/Fleet/ReportSums.cpp
@@ -29,8 +29,7 @@
   for (const auto& [upstream, load] : part) {
     const auto it = total.find(upstream);
     if (it == total.end()) continue;
-    it->second.requests -= load.requests;
-    it->second.pendingPrefillTokens -= load.pendingPrefillTokens;
+    it->second -= load;
     if (it->second == UpstreamLoad{}) total.erase(it);
   }
 }
--- a/Hallchute/src/Gateway/UpstreamPick.h
+++ b/Hallchute/src/Gateway/UpstreamPick.h
@@ -20,6 +20,10 @@
   std::string affinity;
   /// Tokens of the shared prefix: an upstream that hasn't cached them recomputes them.
   std::uint64_t sharedTokens = 0;
+  /// Tokens of the whole prompt; 0 if unknown.
+  std::uint64_t promptTokens = 0;
+  /// Target time to the first event; zero if there is none.
+  Millis objective{0};
   /// Upstreams that were tried before.
   std::set<UpstreamId> tried;
   FailureDomainName ownDomain;
--- a/Hallchute/src/Gateway/UpstreamTable.cpp
+++ b/Hallchute/src/Gateway/UpstreamTable.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <set>
 
+#include "Hallchute/src/Gateway/GatewaySettings.h"
+
 namespace Hallchute {
 namespace {
 
@@ -26,6 +28,22 @@
 constexpr Millis kRestartListingTime{5'000};
 /// Time for which an upstream is kept after the directory stopped listing it.
 constexpr Millis kUnlistedRetention{10'000};
+/// Work of a request without a prompt.
+constexpr double kRequestWork = 1'000;
+/// Least fraction of a time to the first event that counts as processing, the rest being the pause
+/// before the first event.
+constexpr double kMinProcessingFraction = 0.25;
+
+Millis toMillis(double ms) {
+  return Millis(static_cast<Millis::rep>(ms));
+}
+
+/// Work that an upstream does before it begins to process a request dispatched now.
+double workAhead(const UpstreamEntry& entry) {
+  if (entry.readsPrompts) return static_cast<double>(entry.pendingPrefillTokens());
+  const double slots = std::max<std::uint32_t>(1, entry.record.slots);
+  return std::max(0.0, entry.load() + 1 - slots) / slots * kRequestWork;
+}
 
 }  // namespace
 
@@ -67,6 +85,8 @@
       entry = std::move(fresh);
     }
     if ((!known && !initial) || restarted) entry.listedSince = now;
+    if (record.warmupRemaining != entry.record.warmupRemaining)
+      entry.warmUntil = now + record.warmupRemaining;
     entry.record = record;
     if (!restarted && record.incarnation == 0) entry.record.incarnation = before;
     entry.unlistedSince.reset();
@@ -150,7 +170,9 @@
 
 void UpstreamTable::noteDispatched(const UpstreamId& upstream, std::uint64_t promptTokens) {
   const auto it = entries_.find(upstream);
-  if (it != entries_.end()) it->second.own += {1, promptTokens};
+  if (it == entries_.end()) return;
+  it->second.own += {1, promptTokens};
+  if (promptTokens > 0) it->second.readsPrompts = true;
 }
 
 void UpstreamTable::notePromptDone(const UpstreamId& upstream, std::uint64_t promptTokens,
@@ -236,6 +258,7 @@
     const auto it = loads.find(id);
     entry.peerLoad = it == loads.end() ? UpstreamLoad{} : it->second;
   }
+  if (usesEstimates_) estimateSpeeds(now);
 }
 
 void UpstreamTable::sweep(Instant now) {
@@ -288,19 +311,88 @@
   return !keepsId || !entry.mayHaveEndedAt || now - *entry.mayHaveEndedAt >= kRestartListingTime;
 }
 
-Millis UpstreamTable::predictedQueueDelay(const UpstreamEntry& /*entry*/) const {
-  return Millis(0);
+double UpstreamTable::workUntilResponse(const UpstreamEntry& entry, std::uint64_t promptTokens) {
+  const double own = entry.readsPrompts ? static_cast<double>(promptTokens) : kRequestWork;
+  return workAhead(entry) + own;
+}
+
+Millis UpstreamTable::predictedQueueDelay(const UpstreamEntry& entry) const {
+  const double speed = entry.estimate.workPerMs;
+  return speed > 0 ? toMillis(workAhead(entry) / speed) : Millis(0);
+}
+
+Millis UpstreamTable::predictedFirstEvent(const UpstreamEntry& entry,
+                                          std::uint64_t promptTokens) const {
+  const double speed = entry.estimate.workPerMs;
+  if (speed <= 0) return Millis(0);
+  return toMillis(workUntilResponse(entry, promptTokens) / speed + entry.estimate.pauseMs);
+}
+
+DispatchForecast UpstreamTable::forecast(const UpstreamEntry& entry,
+                                         std::uint64_t promptTokens) const {
+  return {workUntilResponse(entry, promptTokens), entry.estimate.workPerMs,
+          predictedFirstEvent(entry, promptTokens), reportAge_};
+}
+
+void UpstreamTable::noteMemoryTaken(const UpstreamIncarnation& upstream, std::uint64_t tokens) {
+  UpstreamEntry* const entry = findIncarnation(upstream.id, upstream.incarnation);
+  if (entry != nullptr && usesEstimates_) entry->own.memoryTokens += tokens;
 }
 
-Millis UpstreamTable::predictedFirstEvent(const UpstreamEntry& /*entry*/,
-                                          std::uint64_t /*promptTokens*/) const {
-  return Millis(0);
+void UpstreamTable::noteMemoryFreed(const UpstreamIncarnation& upstream, std::uint64_t tokens) {
+  UpstreamEntry* const entry = findIncarnation(upstream.id, upstream.incarnation);
+  if (entry == nullptr) return;
+  std::uint64_t& taken = entry->own.memoryTokens;
+  taken -= std::min(taken, tokens);
+}
+
+void UpstreamTable::noteProcessed(const UpstreamIncarnation& upstream, double work, Millis time,
+                                  Instant now) {
+  UpstreamEntry* const entry = findIncarnation(upstream.id, upstream.incarnation);
+  if (entry == nullptr || !usesEstimates_) return;
+  const auto ms = static_cast<double>(time.count());
+  const double processing = std::max(ms * kMinProcessingFraction, ms - entry->estimate.pauseMs);
+  entry->observed.addWork(work, toMillis(std::max(1.0, processing)), now);
+}
+
+void UpstreamTable::notePauses(const UpstreamIncarnation& upstream, std::uint64_t pauses,
+                               Millis time, Instant now) {
+  UpstreamEntry* const entry = findIncarnation(upstream.id, upstream.incarnation);
+  if (entry == nullptr || !usesEstimates_ || pauses == 0) return;
+  entry->observed.addPauses(static_cast<double>(pauses), time, now);
+}
+
+void UpstreamTable::setServices(std::span<const GatewayService> services) {
+  serviceMemory_.clear();
+  for (const GatewayService& service : services) {
+    if (service.engine) serviceMemory_[service.name] = service.engine->cacheTokens;
+  }
+}
+
+/// Only the reports of others and observations change estimates, so that a choice looks nothing up.
+void UpstreamTable::estimateSpeeds(Instant now) {
+  estimates_.begin();
+  for (auto& [id, entry] : entries_) {
+    entry.observed.writeTo(entry.own, now);
+    const auto memory = serviceMemory_.find(entry.record.service);
+    entry.memoryTokens = memory == serviceMemory_.end() ? 0 : memory->second;
+    if (entry.memoryTokens > 0 || entry.pendingPrefillTokens() > 0) entry.readsPrompts = true;
+    UpstreamLoad all = entry.own;
+    all += entry.peerLoad;
+    estimates_.add(entry.record.service, all);
+  }
+  for (auto& [id, entry] : entries_) {
+    UpstreamLoad all = entry.own;
+    all += entry.peerLoad;
+    entry.estimate = estimates_.estimate(entry.record.service, all, now < entry.warmUntil,
+                                         entry.estimate.weight);
+  }
 }
 
 UpstreamLoads UpstreamTable::ownLoads() const {
   UpstreamLoads loads;
   for (const auto& [id, entry] : entries_) {
-    if (entry.own.requests > 0) loads[id] = entry.own;
+    if (entry.own != UpstreamLoad{}) loads[id] = entry.own;
   }
   return loads;
 }
--- a/Hallchute/src/Gateway/UpstreamTable.h
+++ b/Hallchute/src/Gateway/UpstreamTable.h
@@ -12,13 +12,19 @@
 #include <string_view>
 #include <vector>
 
+#include "Hallchute/src/Gateway/DispatchForecast.h"
 #include "Hallchute/src/Gateway/LimitLedger.h"
+#include "Hallchute/src/Gateway/ObservedWork.h"
 #include "Hallchute/src/Gateway/ServiceLimit.h"
+#include "Hallchute/src/Gateway/UpstreamEstimate.h"
+#include "Hallchute/src/Gateway/UpstreamEstimates.h"
 #include "Hallchute/src/Gateway/UpstreamLoad.h"
 #include "Hallchute/src/Gateway/UpstreamRecord.h"
 
 namespace Hallchute {
 
+struct GatewayService;
+
 /// \brief Outcome of a dispatch to an upstream. \ingroup Gateway
 enum class DispatchResult {
   /// A response was received, possibly an error caused by the request itself.
@@ -61,6 +67,17 @@
   UpstreamLoad own;
   /// Load from the other daemons, as last reported.
   UpstreamLoad peerLoad;
+  /// What this daemon observed of its speed.
+  ObservedWork observed;
+  UpstreamEstimate estimate;
+  /// Warms up until then.
+  Instant warmUntil{};
+  /// Whether its work is counted in prompt tokens.
+  bool readsPrompts = false;
+  /// Tokens that its memory holds; 0 if unknown.
+  std::uint64_t memoryTokens = 0;
+  /// Requests in flight from which on it is expected to reject further ones; 0 if unknown.
+  std::uint32_t room = 0;
 
   std::uint32_t load() const { return own.requests + peerLoad.requests; }
   std::uint64_t pendingPrefillTokens() const {
@@ -98,6 +115,29 @@
   std::optional<Millis> backoffLeft(const ServiceName& service, Instant now) const;
   /// \brief Records that the upstream's address now belongs to another upstream.
   void noteAddressReused(const UpstreamId& upstream, Instant now);
+  /// \brief Sets whether speeds are estimated and used for placement. Without it nothing is
+  /// observed, and the predicted times are zero.
+  void setUsesEstimates(bool uses) { usesEstimates_ = uses; }
+  bool usesEstimates() const { return usesEstimates_; }
+  /// \brief Sets the memory of the services' upstreams, from the settings.
+  void setServices(std::span<const GatewayService> services);
+  /// \brief Sets the age of the oldest report among the other daemons' loads.
+  void setReportAge(Millis age) { reportAge_ = age; }
+  /// \brief Records the memory that a request needs while it is in flight, in tokens.
+  void noteMemoryTaken(const UpstreamIncarnation& upstream, std::uint64_t tokens);
+  void noteMemoryFreed(const UpstreamIncarnation& upstream, std::uint64_t tokens);
+  /// \brief What is expected of a request that is dispatched now.
+  DispatchForecast forecast(const UpstreamEntry& entry, std::uint64_t promptTokens) const;
+  /// \brief Records the work that was ahead of a response, its own included, and the time from
+  /// dispatch to its first event; for a plain response, to its end.
+  /// \param work from workUntilResponse(), at the dispatch.
+  void noteProcessed(const UpstreamIncarnation& upstream, double work, Millis time, Instant now);
+  /// \brief Records the pauses between the events of a stream.
+  void notePauses(const UpstreamIncarnation& upstream, std::uint64_t pauses, Millis time,
+                  Instant now);
+  /// \brief The work that an upstream does until it responds to a request dispatched now, in the
+  /// units of UpstreamLoad.
+  static double workUntilResponse(const UpstreamEntry& entry, std::uint64_t promptTokens);
   /// \brief Sets the other daemons' loads, to be called once a report period.
   void setPeerLoads(const UpstreamLoads& loads, Instant now);
   /// \brief Records what an answer says of the limit on rejections. Processes of the service that
@@ -150,11 +190,17 @@
   /// Null if the upstream is unknown or its current incarnation differs.
   UpstreamEntry* findIncarnation(const UpstreamId& upstream,
                                  std::optional<std::uint64_t> incarnation);
+  void estimateSpeeds(Instant now);
   void noteFailure(UpstreamEntry& entry, Instant now);
   void noteUnreachable(const UpstreamEntry& entry, Instant now);
 
   std::map<UpstreamId, UpstreamEntry> entries_;
   std::map<FailureDomainName, DomainOutage> outages_;
+  bool usesEstimates_ = false;
+  Millis reportAge_{0};
+  UpstreamEstimates estimates_;
+  /// Memory of the services' upstreams, in tokens.
+  std::map<ServiceName, std::uint64_t> serviceMemory_;
   LimitLedger limits_;
   LimitLedger rejectionLimits_;
   /// Limits on rejections that services had before this daemon started, until an upstream answers.
--- a/Hallchute/src/Node/FleetWire.h
+++ b/Hallchute/src/Node/FleetWire.h
@@ -19,7 +19,8 @@
   return std::tie(m.daemon, m.address, m.incarnation, m.domain, m.capacity, m.lostPaths);
 }
 inline auto wireFields(UpstreamLoad& m) {
-  return std::tie(m.requests, m.pendingPrefillTokens);
+  return std::tie(m.requests, m.pendingPrefillTokens, m.memoryTokens, m.recentWork, m.recentWorkMs,
+                  m.recentPauses, m.recentPauseMicros);
 }
 inline auto wireFields(UpstreamIncarnation& m) {
   return std::tie(m.id, m.incarnation);
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -142,6 +142,7 @@
   options.retries = {bounds.retryRatio, bounds.retrySlack, bounds.retryWindow};
   options.quotas = {bounds.quotaOverdraftRatio, bounds.quotaSlack, bounds.quotaWindow};
   options.usageWindow = bounds.usageWindow;
+  options.estimatesSpeeds = startup_.placement.estimates;
   return options;
 }
 
@@ -360,6 +361,7 @@
                                fleet_.quotaFleet(now),    fleet_.clock().offset(),
                                crashLimit(now),           fleet_.limitFleet(now),
                                directoryCurrent(now),     fleet_.retrySharers(now)};
+  trafficView.loadsAge = fleet_.loadsAge(now);
   // The others no longer count on a daemon that is leaving.
   if (leaving_) trafficView.limitFleet.active = false;
   if (leaving_) trafficView.retrySharers = 0;
--- a/Hallchute/src/Node/NodeStartup.cpp
+++ b/Hallchute/src/Node/NodeStartup.cpp
@@ -105,6 +105,9 @@
   });
   root.object("duties", [&](JsonReader& reader) { readDuties(reader, startup); });
   root.object("bounds", [&](JsonReader& reader) { readBounds(reader, startup.bounds); });
+  root.object("placement", [&](JsonReader& reader) {
+    startup.placement.estimates = reader.boolean("estimates", startup.placement.estimates);
+  });
   root.finish();
   return startup;
 }
--- a/Hallchute/src/Node/NodeStartup.h
+++ b/Hallchute/src/Node/NodeStartup.h
@@ -41,6 +41,12 @@
   Millis usageDue{10'000};
 };
 
+/// \brief How requests are placed on upstreams. \ingroup Node
+struct PlacementOptions {
+  /// Whether upstreams' speeds are estimated and used.
+  bool estimates = false;
+};
+
 /// \brief The start-up configuration of a gateway daemon. \ingroup Node
 struct NodeStartup {
   DaemonId daemon;
@@ -62,6 +68,7 @@
   /// How many file descriptors the process may have open.
   std::size_t descriptors = 1'024;
   NodeBounds bounds;
+  PlacementOptions placement;
   /// Processing capacity of the host in thousandths of a processor.
   std::uint32_t capacity = 1'000;
   std::string logLevel = "info";
--- a/Hallchute/src/Traffic/AssistedDispatch.cpp
+++ b/Hallchute/src/Traffic/AssistedDispatch.cpp
@@ -114,7 +114,10 @@
 void AssistedDispatch::upstreamBody(std::string_view bytes) {
   if (events_) {
     events_->add(bytes);
-    while (events_->next()) dispatch_->noteBegan();
+    while (events_->next()) {
+      dispatch_->noteBegan();
+      dispatch_->noteEvent();
+    }
   }
   reply_(ForwardedReplies::Body{std::string(bytes)});
 }
--- a/Hallchute/src/Traffic/SessionDispatch.cpp
+++ b/Hallchute/src/Traffic/SessionDispatch.cpp
@@ -20,6 +20,7 @@
   std::unique_ptr<UpstreamDispatch> exchange =
       UpstreamDispatch::start(engine, upstream, std::move(request), *this);
   if (exchange == nullptr) return false;
+  forecast_ = exchange->forecast();
   exchange_ = std::move(exchange);
   return true;
 }
--- a/Hallchute/src/Traffic/SessionDispatch.h
+++ b/Hallchute/src/Traffic/SessionDispatch.h
@@ -78,6 +78,8 @@
   const UpstreamIncarnation& upstream() const { return upstream_; }
   const SoftwareVersion& version() const { return version_; }
   Instant startedAt() const { return startedAt_; }
+  /// \brief What this daemon expected of the upstream; default if another daemon chose it.
+  const DispatchForecast& forecast() const { return forecast_; }
   /// \brief What the head of the answer says of the upstream; set by the session.
   const UpstreamResponse& response() const { return response_; }
   void setResponse(UpstreamResponse response) { response_ = std::move(response); }
@@ -105,6 +107,7 @@
   UpstreamIncarnation upstream_;
   SoftwareVersion version_;
   Instant startedAt_;
+  DispatchForecast forecast_;
   UpstreamResponse response_;
   HttpHead head_;
   std::string body_;
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -87,6 +87,7 @@
       pool_(loop, options_.ownIp, prober_, metrics),
       quota_(clockNow(), options_.quotas),
       usage_(options_.usageWindow) {
+  upstreams_.setUsesEstimates(options_.estimatesSpeeds);
   loop_.every(kSweepPeriod, [this] { sweep(); });
 }
 
@@ -108,6 +109,7 @@
       .with("routes", routes->settings().routes.size());
   routes_ = std::move(routes);
   quota_.setOrganisations(routes_->settings().organisations, clockNow());
+  upstreams_.setServices(routes_->settings().services);
 }
 
 void TrafficEngine::setUpstreams(std::span<const UpstreamRecord> records) {
@@ -178,6 +180,7 @@
   daemonCount_ = std::max<std::size_t>(1, view.expectedDaemons);
   retrySlack_.setSharers(view.retrySharers, clockNow());
   clockOffset_ = view.clockOffset;
+  upstreams_.setReportAge(view.loadsAge);
   upstreams_.setPeerLoads(view.loads, clockNow());
   quota_.setFleet(view.quota, clockNow());
   crashes_.setLimit(view.crashLimit);
--- a/Hallchute/src/Traffic/TrafficEngine.h
+++ b/Hallchute/src/Traffic/TrafficEngine.h
@@ -67,6 +67,8 @@
   /// Number of daemons that share the slack of the retry budget; 0 if this one has no share yet, or
   /// no more.
   std::size_t retrySharers = 0;
+  /// Age of the oldest report among the loads.
+  Millis loadsAge{0};
 };
 
 /// \brief Admits callers' requests and runs a session for each. Used on the traffic thread only.
--- a/Hallchute/src/Traffic/TrafficOptions.h
+++ b/Hallchute/src/Traffic/TrafficOptions.h
@@ -22,6 +22,8 @@
   QuotaTolerance quotas;
   /// Length of a usage window.
   Millis usageWindow{5'000};
+  /// Whether upstreams' speeds are estimated and used for placement.
+  bool estimatesSpeeds = false;
 };
 
 }  // namespace Hallchute
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -40,6 +40,8 @@
 constexpr double kMaxSilentFraction = 0.4;
 /// Time until another upstream is looked for again after none could be had.
 constexpr Millis kReplacementRetryDelay{400};
+/// Speeds are logged per second.
+constexpr double kMsPerSecond = 1'000;
 constexpr int kServerError = 500;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
@@ -112,6 +114,8 @@
   }
   selection_.ownDomain = engine_.options().domain;
   selection_.requestId = admission_.request.id.str();
+  selection_.promptTokens = admission_.request.promptTokens.value_or(0);
+  selection_.objective = admission_.route->latencyObjective;
 }
 
 TrafficSession::~TrafficSession() {
@@ -345,7 +349,8 @@
   const bool sent = dispatch.sendTo(
       engine_, upstream,
       {exchange_->head(), exchange_->body(), dispatchTerms(resume), selection_, admission_.suspects,
-       admission_.request.promptTokens.value_or(0), admission_.route->mayRepeat(), slot});
+       admission_.request.promptTokens.value_or(0), admission_.route->mayRepeat(), slot,
+       admission_.request.maxOutputTokens});
   noteUpstream(dispatch);
   if (!sent) {
     dispatches_.pop_back();
@@ -476,6 +481,7 @@
     std::optional<StreamEvent> event = dispatch.events().next();
     if (!event) return;
     recordRunStart(dispatch);
+    if (UpstreamDispatch* direct = dispatch.direct()) direct->noteEvent();
     if (alreadyForwarded(*event)) continue;
     event_ = std::move(*event);
     dispatch.noteData();
@@ -678,6 +684,8 @@
   const auto total = std::chrono::duration_cast<Millis>(now - exchange_->receivedAt());
   const auto first = firstOutputAt_.value_or(now) - exchange_->receivedAt();
   const SessionDispatch* reported = reportedDispatch();
+  const DispatchForecast forecast =
+      reported == nullptr ? DispatchForecast() : reported->forecast();
   LogLine(LogLevel::info, "request.end")
       .with("request", selection_.requestId)
       .with("content", describe(admission_.suspects.content))
@@ -693,6 +701,9 @@
                                 ? std::string()
                                 : admission_.organisation->name.str())
       .with("quotaTaken", static_cast<std::uint64_t>(admission_.quotaTaken))
+      .with("predictedMs", forecast.firstEvent)
+      .with("workPerS", static_cast<std::uint64_t>(forecast.workPerMs * kMsPerSecond))
+      .with("reportAgeMs", forecast.reportAge)
       .with("firstMs", std::chrono::duration_cast<Millis>(first))
       .with("totalMs", total);
   const std::string labels =
--- a/Hallchute/src/Traffic/UpstreamDispatch.cpp
+++ b/Hallchute/src/Traffic/UpstreamDispatch.cpp
@@ -3,6 +3,7 @@
 
 #include "Hallchute/src/Traffic/UpstreamDispatch.h"
 
+#include <string>
 #include <utility>
 
 #include "Hallchute/src/Http/HttpWriter.h"
@@ -56,6 +57,7 @@
   const UpstreamIncarnation incarnation{record.id, record.incarnation};
   std::unique_ptr<UpstreamDispatch> dispatch(
       new UpstreamDispatch(engine, incarnation, record.service, std::move(channel), request));
+  dispatch->forecast_ = engine.upstreamTable().forecast(upstream, request.promptTokens);
   request.terms.upstream = record.id;
   request.terms.cacheSource = cacheSourceAddress(engine, request.criteria, upstream);
   dispatch->send(request, listener);
@@ -72,7 +74,8 @@
       suspects_(request.suspects),
       promptTokens_(request.promptTokens),
       slot_(request.slot),
-      startedAt_(clockNow()) {}
+      startedAt_(clockNow()),
+      memoryTokens_(request.promptTokens == 0 ? 0 : request.promptTokens + request.outputTokens) {}
 
 UpstreamDispatch::~UpstreamDispatch() = default;
 
@@ -80,6 +83,7 @@
   const HttpFields fields = engine_.codec().dispatchFields(request.head, request.terms);
   engine_.upstreamTable().noteSent(upstream_.id, startedAt_);
   engine_.upstreamTable().noteDispatched(upstream_.id, promptTokens_);
+  engine_.upstreamTable().noteMemoryTaken(upstream_, memoryTokens_);
   channel_->start(requestBytes(request.head.method, request.head.target, fields, request.body),
                   request.head.method == "HEAD", listener);
 }
@@ -103,6 +107,38 @@
   suspects_.parts.clear();
 }
 
+void UpstreamDispatch::noteEvent() {
+  const Instant now = clockNow();
+  if (events_ == 0) {
+    firstEventAt_ = now;
+    noteProcessed(now);
+  }
+  ++events_;
+  lastEventAt_ = now;
+}
+
+void UpstreamDispatch::noteProcessed(Instant now) {
+  const auto time = std::chrono::duration_cast<Millis>(now - startedAt_);
+  engine_.upstreamTable().noteProcessed(upstream_, forecast_.work, time, now);
+  if (forecast_.workPerMs <= 0) return;
+  const Millis error = time > forecast_.firstEvent ? time - forecast_.firstEvent
+                                                   : forecast_.firstEvent - time;
+  const std::string_view side = time > forecast_.firstEvent ? "late" : "early";
+  engine_.metrics().time(
+      "hallchute_prediction_error_ms",
+      "service=\"" + service_.str() + "\",side=\"" + std::string(side) + "\"", error);
+}
+
+/// An answer that is no stream is measured as a whole.
+void UpstreamDispatch::noteSpeed(DispatchResult result, Instant now) {
+  if (events_ > 1) {
+    const auto pauses = std::chrono::duration_cast<Millis>(lastEventAt_ - firstEventAt_);
+    engine_.upstreamTable().notePauses(upstream_, events_ - 1, pauses, now);
+  }
+  if (events_ == 0 && result == DispatchResult::answered) noteProcessed(now);
+  engine_.upstreamTable().noteMemoryFreed(upstream_, std::exchange(memoryTokens_, 0));
+}
+
 void UpstreamDispatch::notePromptDone() {
   engine_.upstreamTable().notePromptDone(upstream_.id, std::exchange(promptTokens_, 0),
                                          upstream_.incarnation);
@@ -131,6 +167,7 @@
   noteIfAbandoned(result);
   notePromptDone();
   const Instant now = clockNow();
+  noteSpeed(result, now);
   engine_.upstreamTable().noteEnded(upstream_.id, result, now, upstream_.incarnation);
   if (slot_ != nullptr) slot_->release(slotOutcome(result));
   engine_.metrics().time("hallchute_dispatch_ms", "service=\"" + service_.str() + "\"",
--- a/Hallchute/src/Traffic/UpstreamDispatch.h
+++ b/Hallchute/src/Traffic/UpstreamDispatch.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "Hallchute/src/Gateway/CrashSuspects.h"
+#include "Hallchute/src/Gateway/DispatchForecast.h"
 #include "Hallchute/src/Gateway/UpstreamPick.h"
 #include "Hallchute/src/Gateway/UpstreamTable.h"
 #include "Hallchute/src/Ports/TrafficCodec.h"
@@ -33,6 +34,8 @@
   bool repeatable = false;
   /// The slot of the upstream that the request has taken; null if it needs none.
   HeldSlotPtr slot{};
+  /// Maximum tokens of the response, which occupy the upstream's memory besides the prompt.
+  std::uint64_t outputTokens = 0;
 };
 
 /// \brief One exchange with an upstream, and what it teaches about the upstream's load, health and
@@ -56,6 +59,10 @@
   void noteAnswer(const UpstreamResponse& answer);
   /// \brief Records that the answer has begun: a later crash isn't due to a part of the prompt.
   void noteBegan();
+  /// \brief Records an event of a stream, by which the upstream's speed is measured.
+  void noteEvent();
+  /// \brief What was expected of the upstream at the dispatch.
+  const DispatchForecast& forecast() const { return forecast_; }
   /// \brief Records that the upstream sends no data although it should.
   void noteSilent() const;
   /// \brief Records a failed exchange as a crash if the upstream's process seems to have ended.
@@ -70,6 +77,9 @@
   /// Records that the upstream has processed the prompt, or won't.
   void notePromptDone();
   void noteIfAbandoned(DispatchResult result);
+  /// Records the time to the first event, or to the end of a plain response.
+  void noteProcessed(Instant now);
+  void noteSpeed(DispatchResult result, Instant now);
 
   TrafficEngine& engine_;
   UpstreamIncarnation upstream_;
@@ -79,6 +89,11 @@
   std::uint64_t promptTokens_;
   HeldSlotPtr slot_;
   Instant startedAt_;
+  DispatchForecast forecast_;
+  std::uint64_t memoryTokens_;
+  std::uint64_t events_ = 0;
+  Instant firstEventAt_{};
+  Instant lastEventAt_{};
 };
 
 }  // namespace Hallchute
