--- a/Hallchute/src/Gateway/ObservedWork.cpp
+++ b/Hallchute/src/Gateway/ObservedWork.cpp
@@ -12,8 +12,8 @@
 namespace Hallchute {
 namespace {
 
-/// Units of the reported sums: a daemon's share of an upstream's pauses may be below one.
-constexpr double kPauseUnits = 1'000;
+/// Units of the reported counts: a daemon's share of an upstream's responses may be below one.
+constexpr double kCountUnits = 1'000;
 constexpr double kMicrosPerMs = 1'000;
 
 std::uint64_t rounded(double value) {
@@ -32,6 +32,7 @@
   at_ = std::max(at_, now);
   work_ *= factor;
   workMs_ *= factor;
+  responses_ *= factor;
   pauses_ *= factor;
   pauseMs_ *= factor;
 }
@@ -40,6 +41,7 @@
   decay(now);
   work_ += work;
   workMs_ += static_cast<double>(time.count());
+  ++responses_;
 }
 
 void ObservedWork::addPauses(double pauses, Millis time, Instant now) {
@@ -52,7 +54,8 @@
   const double factor = decayAt(now);
   load.recentWork = rounded(work_ * factor);
   load.recentWorkMs = rounded(workMs_ * factor);
-  load.recentPauses = rounded(pauses_ * factor * kPauseUnits);
+  load.recentResponses = rounded(responses_ * factor * kCountUnits);
+  load.recentPauses = rounded(pauses_ * factor * kCountUnits);
   load.recentPauseMicros = rounded(pauseMs_ * factor * kMicrosPerMs);
 }
 
--- a/Hallchute/src/Gateway/ObservedWork.h
+++ b/Hallchute/src/Gateway/ObservedWork.h
@@ -35,6 +35,7 @@
   Instant at_{};
   double work_ = 0;
   double workMs_ = 0;
+  double responses_ = 0;
   double pauses_ = 0;
   double pauseMs_ = 0;
 };
--- a/Hallchute/src/Gateway/UpstreamEstimates.h
+++ b/Hallchute/src/Gateway/UpstreamEstimates.h
@@ -26,13 +26,16 @@
   /// \brief Adds an upstream's observations to the mean of its service.
   void add(const ServiceName& service, const UpstreamLoad& observed);
   /// \param cold whether the upstream is still warming up, so that it is slower than the mean.
-  /// \param previousWeight its weight so far, which only a clear change replaces.
+  /// \param previous its estimate of the period before.
   UpstreamEstimate estimate(const ServiceName& service, const UpstreamLoad& observed, bool cold,
-                            double previousWeight) const;
+                            const UpstreamEstimate& previous) const;
 
  private:
-  /// Sums over the upstreams of a service, weighted by how much of each was observed.
+  /// Sums over the upstreams of a service; those of speeds are weighted by how much of each
+  /// upstream was observed.
   struct Mean {
+    double responses = 0;
+    double responseMs = 0;
     double speeds = 0;
     double speedWeights = 0;
     double pauses = 0;
@@ -41,6 +44,8 @@
     double workPerMs = 0;
     /// The last known mean, in milliseconds.
     double pause = 0;
+    /// Weight of the mean in the estimate of an upstream, in milliseconds of observations.
+    double priorMs = 0;
   };
 
   std::map<ServiceName, Mean> means_;
--- a/Hallchute/src/Gateway/UpstreamLoad.h
+++ b/Hallchute/src/Gateway/UpstreamLoad.h
@@ -28,6 +28,8 @@
   std::uint64_t recentWork = 0;
   /// Decaying sum of the milliseconds that this took.
   std::uint64_t recentWorkMs = 0;
+  /// Decaying sum of these responses, in thousandths of a response.
+  std::uint64_t recentResponses = 0;
   /// Decaying sum of the pauses between events of streams, in thousandths of a pause.
   std::uint64_t recentPauses = 0;
   /// Decaying sum of their lengths in microseconds.
@@ -39,6 +41,7 @@
     memoryTokens += more.memoryTokens;
     recentWork += more.recentWork;
     recentWorkMs += more.recentWorkMs;
+    recentResponses += more.recentResponses;
     recentPauses += more.recentPauses;
     recentPauseMicros += more.recentPauseMicros;
     return *this;
@@ -50,6 +53,7 @@
     memoryTokens -= part.memoryTokens;
     recentWork -= part.recentWork;
     recentWorkMs -= part.recentWorkMs;
+    recentResponses -= part.recentResponses;
     recentPauses -= part.recentPauses;
     recentPauseMicros -= part.recentPauseMicros;
     return *this;
--- a/Hallchute/src/Gateway/UpstreamPick.h
+++ b/Hallchute/src/Gateway/UpstreamPick.h
@@ -72,6 +72,14 @@
 const UpstreamEntry* cacheSource(const UpstreamTable& table, const UpstreamCriteria& criteria,
                                  const UpstreamEntry& chosen, Instant now);
 
+/// \brief The prompt tokens that \p chosen is expected to process for a request: without the
+/// shared ones if it has probably cached them, so that an upstream's measured speed doesn't depend
+/// on how often its cache is hit. All tokens if the table doesn't use estimates. Cost: as
+/// cacheSource().
+/// \param promptTokens length of the whole prompt.
+std::uint64_t tokensToProcess(const UpstreamTable& table, const UpstreamCriteria& criteria,
+                              std::uint64_t promptTokens, const UpstreamEntry& chosen, Instant now);
+
 }  // namespace Hallchute
 
 #endif  // HALLCHUTE_GATEWAY_UPSTREAMPICK_H
--- a/Hallchute/src/Gateway/UpstreamTable.cpp
+++ b/Hallchute/src/Gateway/UpstreamTable.cpp
@@ -34,14 +34,31 @@
 /// before the first event.
 constexpr double kMinProcessingFraction = 0.25;
 
+/// Requests that an upstream is taken to queue, as a multiple of its slots, until it rejects one or
+/// holds more: with as many, responses are late at any deployment known.
+constexpr double kAssumedQueueRatio = 1;
+/// Fraction of the known queue that is used: reports are half a second old.
+constexpr double kUsedQueueFraction = 0.9;
+/// Step by which the known queue grows towards a longer one that was seen.
+constexpr double kQueueGrowth = 0.2;
+
 Millis toMillis(double ms) {
   return Millis(static_cast<Millis::rep>(ms));
 }
 
+double slotsOf(const UpstreamEntry& entry) {
+  return std::max<std::uint32_t>(1, entry.record.slots);
+}
+
+/// Requests in flight beyond the upstream's slots, as a multiple of these.
+double queueRatio(const UpstreamEntry& entry) {
+  return entry.load() / slotsOf(entry) - 1;
+}
+
 /// Work that an upstream does before it begins to process a request dispatched now.
 double workAhead(const UpstreamEntry& entry) {
   if (entry.readsPrompts) return static_cast<double>(entry.pendingPrefillTokens());
-  const double slots = std::max<std::uint32_t>(1, entry.record.slots);
+  const double slots = slotsOf(entry);
   return std::max(0.0, entry.load() + 1 - slots) / slots * kRequestWork;
 }
 
@@ -199,6 +216,7 @@
   UpstreamEntry* const found = findIncarnation(upstream, incarnation);
   if (found == nullptr) return;
   UpstreamEntry& entry = *found;
+  if (result == DispatchResult::rejected) noteFull(entry);
   if (entry.own.requests > 0) --entry.own.requests;
   switch (result) {
     case DispatchResult::answered:
@@ -352,6 +370,7 @@
   if (entry == nullptr || !usesEstimates_) return;
   const auto ms = static_cast<double>(time.count());
   const double processing = std::max(ms * kMinProcessingFraction, ms - entry->estimate.pauseMs);
+  noteAccepted(*entry);
   entry->observed.addWork(work, toMillis(std::max(1.0, processing)), now);
 }
 
@@ -369,6 +388,19 @@
   }
 }
 
+void UpstreamTable::noteFull(const UpstreamEntry& entry) {
+  const bool full = entry.record.state == UpstreamState::ready && entry.load() > entry.record.slots;
+  if (!usesEstimates_ || !full) return;
+  double& ratio = queueRatios_.try_emplace(entry.record.service, kAssumedQueueRatio).first->second;
+  ratio = std::min(ratio, queueRatio(entry));
+}
+
+void UpstreamTable::noteAccepted(const UpstreamEntry& entry) {
+  if (entry.load() <= entry.room || entry.room == 0) return;
+  double& ratio = queueRatios_.try_emplace(entry.record.service, kAssumedQueueRatio).first->second;
+  ratio += kQueueGrowth * std::max(0.0, queueRatio(entry) - ratio);
+}
+
 /// Only the reports of others and observations change estimates, so that a choice looks nothing up.
 void UpstreamTable::estimateSpeeds(Instant now) {
   estimates_.begin();
@@ -376,6 +408,9 @@
     entry.observed.writeTo(entry.own, now);
     const auto memory = serviceMemory_.find(entry.record.service);
     entry.memoryTokens = memory == serviceMemory_.end() ? 0 : memory->second;
+    const auto queue = queueRatios_.find(entry.record.service);
+    const double ratio = queue == queueRatios_.end() ? kAssumedQueueRatio : queue->second;
+    entry.room = static_cast<std::uint32_t>(slotsOf(entry) * (1 + kUsedQueueFraction * ratio));
     if (entry.memoryTokens > 0 || entry.pendingPrefillTokens() > 0) entry.readsPrompts = true;
     UpstreamLoad all = entry.own;
     all += entry.peerLoad;
@@ -384,8 +419,8 @@
   for (auto& [id, entry] : entries_) {
     UpstreamLoad all = entry.own;
     all += entry.peerLoad;
-    entry.estimate = estimates_.estimate(entry.record.service, all, now < entry.warmUntil,
-                                         entry.estimate.weight);
+    entry.estimate =
+        estimates_.estimate(entry.record.service, all, now < entry.warmUntil, entry.estimate);
   }
 }
 
--- a/Hallchute/src/Gateway/UpstreamTable.h
+++ b/Hallchute/src/Gateway/UpstreamTable.h
@@ -83,6 +83,7 @@
   std::uint64_t pendingPrefillTokens() const {
     return own.pendingPrefillTokens + peerLoad.pendingPrefillTokens;
   }
+  std::uint64_t memoryInUse() const { return own.memoryTokens + peerLoad.memoryTokens; }
 };
 
 /// \brief The upstreams with their state, load and recent failures. Not thread-safe; no I/O, no
@@ -191,6 +192,10 @@
   UpstreamEntry* findIncarnation(const UpstreamId& upstream,
                                  std::optional<std::uint64_t> incarnation);
   void estimateSpeeds(Instant now);
+  /// Learns from a rejected request how many an upstream queues.
+  void noteFull(const UpstreamEntry& entry);
+  /// Learns from a response with how many others it was in flight.
+  void noteAccepted(const UpstreamEntry& entry);
   void noteFailure(UpstreamEntry& entry, Instant now);
   void noteUnreachable(const UpstreamEntry& entry, Instant now);
 
@@ -201,6 +206,8 @@
   UpstreamEstimates estimates_;
   /// Memory of the services' upstreams, in tokens.
   std::map<ServiceName, std::uint64_t> serviceMemory_;
+  /// Requests that upstreams of a service are known to queue, as a multiple of their slots.
+  std::map<ServiceName, double> queueRatios_;
   LimitLedger limits_;
   LimitLedger rejectionLimits_;
   /// Limits on rejections that services had before this daemon started, until an upstream answers.
--- a/Hallchute/src/Node/FleetWire.h
+++ b/Hallchute/src/Node/FleetWire.h
@@ -20,7 +20,7 @@
 }
 inline auto wireFields(UpstreamLoad& m) {
   return std::tie(m.requests, m.pendingPrefillTokens, m.memoryTokens, m.recentWork, m.recentWorkMs,
-                  m.recentPauses, m.recentPauseMicros);
+                  m.recentResponses, m.recentPauses, m.recentPauseMicros);
 }
 inline auto wireFields(UpstreamIncarnation& m) {
   return std::tie(m.id, m.incarnation);
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -346,11 +346,11 @@
 bool TrafficSession::dispatchTo(const UpstreamEntry& upstream, bool resume,
                                 const HeldSlotPtr& slot) {
   SessionDispatch& dispatch = addDispatch();
-  const bool sent = dispatch.sendTo(
-      engine_, upstream,
-      {exchange_->head(), exchange_->body(), dispatchTerms(resume), selection_, admission_.suspects,
-       admission_.request.promptTokens.value_or(0), admission_.route->mayRepeat(), slot,
-       admission_.request.maxOutputTokens});
+  const bool sent =
+      dispatch.sendTo(engine_, upstream,
+                      {exchange_->head(), exchange_->body(), dispatchTerms(resume), selection_,
+                       admission_.suspects, admission_.request.promptTokens.value_or(0),
+                       admission_.route->mayRepeat(), slot, admission_.request.maxOutputTokens});
   noteUpstream(dispatch);
   if (!sent) {
     dispatches_.pop_back();
@@ -684,8 +684,7 @@
   const auto total = std::chrono::duration_cast<Millis>(now - exchange_->receivedAt());
   const auto first = firstOutputAt_.value_or(now) - exchange_->receivedAt();
   const SessionDispatch* reported = reportedDispatch();
-  const DispatchForecast forecast =
-      reported == nullptr ? DispatchForecast() : reported->forecast();
+  const DispatchForecast forecast = reported == nullptr ? DispatchForecast() : reported->forecast();
   LogLine(LogLevel::info, "request.end")
       .with("request", selection_.requestId)
       .with("content", describe(admission_.suspects.content))
--- a/Hallchute/src/Traffic/UpstreamDispatch.cpp
+++ b/Hallchute/src/Traffic/UpstreamDispatch.cpp
@@ -57,7 +57,10 @@
   const UpstreamIncarnation incarnation{record.id, record.incarnation};
   std::unique_ptr<UpstreamDispatch> dispatch(
       new UpstreamDispatch(engine, incarnation, record.service, std::move(channel), request));
-  dispatch->forecast_ = engine.upstreamTable().forecast(upstream, request.promptTokens);
+  const std::uint64_t tokens = tokensToProcess(engine.upstreamTable(), request.criteria,
+                                               request.promptTokens, upstream, clockNow());
+  dispatch->promptTokens_ = tokens;
+  dispatch->forecast_ = engine.upstreamTable().forecast(upstream, tokens);
   request.terms.upstream = record.id;
   request.terms.cacheSource = cacheSourceAddress(engine, request.criteria, upstream);
   dispatch->send(request, listener);
@@ -121,12 +124,12 @@
   const auto time = std::chrono::duration_cast<Millis>(now - startedAt_);
   engine_.upstreamTable().noteProcessed(upstream_, forecast_.work, time, now);
   if (forecast_.workPerMs <= 0) return;
-  const Millis error = time > forecast_.firstEvent ? time - forecast_.firstEvent
-                                                   : forecast_.firstEvent - time;
+  const Millis error =
+      time > forecast_.firstEvent ? time - forecast_.firstEvent : forecast_.firstEvent - time;
   const std::string_view side = time > forecast_.firstEvent ? "late" : "early";
-  engine_.metrics().time(
-      "hallchute_prediction_error_ms",
-      "service=\"" + service_.str() + "\",side=\"" + std::string(side) + "\"", error);
+  engine_.metrics().time("hallchute_prediction_error_ms",
+                         "service=\"" + service_.str() + "\",side=\"" + std::string(side) + "\"",
+                         error);
 }
 
 /// An answer that is no stream is measured as a whole.
