--- a/Hallchute/src/Node/NodeStartup.h
+++ b/Hallchute/src/Node/NodeStartup.h
@@ -49,6 +49,12 @@
   Millis minDelay{50};
 };
 
+/// \brief How requests are placed on upstreams. \ingroup Node
+struct PlacementOptions {
+  /// Whether upstreams' speeds are estimated and used.
+  bool estimates = false;
+};
+
 /// \brief The start-up configuration of a gateway daemon. \ingroup Node
 struct NodeStartup {
   DaemonId daemon;
@@ -71,6 +77,7 @@
   std::size_t descriptors = 1'024;
   NodeBounds bounds;
   NodeHedging hedging;
+  PlacementOptions placement;
   /// Processing capacity of the host in thousandths of a processor.
   std::uint32_t capacity = 1'000;
   std::string logLevel = "info";
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -88,6 +88,7 @@
       quota_(clockNow(), options_.quotas),
       usage_(options_.usageWindow),
       hedges_(options_.hedges) {
+  upstreams_.setUsesEstimates(options_.estimatesSpeeds);
   loop_.every(kSweepPeriod, [this] { sweep(); });
 }
 
@@ -109,6 +110,7 @@
       .with("routes", routes->settings().routes.size());
   routes_ = std::move(routes);
   quota_.setOrganisations(routes_->settings().organisations, clockNow());
+  upstreams_.setServices(routes_->settings().services);
 }
 
 void TrafficEngine::setUpstreams(std::span<const UpstreamRecord> records) {
@@ -179,6 +181,7 @@
   daemonCount_ = std::max<std::size_t>(1, view.expectedDaemons);
   retrySlack_.setSharers(view.retrySharers, clockNow());
   clockOffset_ = view.clockOffset;
+  upstreams_.setReportAge(view.loadsAge);
   upstreams_.setPeerLoads(view.loads, clockNow());
   quota_.setFleet(view.quota, clockNow());
   crashes_.setLimit(view.crashLimit);
