--- a/Hallchute/src/Cli/Command.cpp
+++ b/Hallchute/src/Cli/Command.cpp
@@ -61,7 +61,8 @@
       text += line + std::string(row.help) + "\n";
     }
     text +=
-        "\nFlags of all but serve, gateway and check-config: --operator=IP:PORT (or HALLCHUTE_OPERATOR),\n"
+        "\nFlags of all but serve, gateway and check-config: --operator=IP:PORT (or "
+        "HALLCHUTE_OPERATOR),\n"
         "--token=TOKEN (or HALLCHUTE_TOKEN), --json for the daemon's own words.\n"
         "Exit codes: 0 done, 2 usage, 3 findings, 4 conflict, 5 unreachable, 6 not known,\n"
         "7 refused. check-config: 0 no finding, 1 warnings, 2 errors, 3 can't be read.\n";
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -310,6 +310,7 @@
   if (!takeRetry(action) || dispatchTo(*upstream, action, slot)) return;
   if (action.hedge) {
     hedge_.deny("noConnection");
+    selection_.tried.erase(upstream->record.id);
     handleEvent(RelayEvents::NotSent{});
     return;
   }
--- a/test/HedgePolicyTest.cpp
+++ b/test/HedgePolicyTest.cpp
@@ -71,7 +71,10 @@
       for (std::size_t u = 0; u < kUpstreams; ++u) work(u, now);
       if (now % kReportPeriodMs == 0) exchangeReports(now);
       hedgeDue(now);
-      for (due += load_.requestsPerSecond / 1'000; due >= 1; due -= 1) begin(now);
+      due += load_.requestsPerSecond / 1'000;
+      const auto starting = static_cast<int>(due);
+      due -= starting;
+      for (int i = 0; i < starting; ++i) begin(now);
     }
     return result_;
   }
@@ -144,8 +147,9 @@
   void hedge(std::size_t number, int now) {
     Daemon& daemon = *daemons_[requests_[number].daemon];
     const UpstreamEntry* second = pick(number);
+    CPPUNIT_ASSERT(second != nullptr);
     HedgeConditions conditions;
-    conditions.hasUpstream = second != nullptr;
+    conditions.hasUpstream = true;
     conditions.objective = kObjective;
     // The mean work of an answer, times those ahead of this one at each slot.
     conditions.predictedFirstEvent =
