Bound heads that come field by field, chunk extensions and trailers

Beast's header limit holds for what is parsed in one piece: a head whose fields came in packets of their own was never too large. Chunk sizes with their extensions, and trailers, waited in the buffer for their end without a limit. The reader counts the bytes of a head, the bytes that wait for the end of a line, and all framing beside the body.

--- a/Hallchute/src/Front/FrontConnection.cpp
+++ b/Hallchute/src/Front/FrontConnection.cpp
@@ -130,6 +130,7 @@
     case HttpProgress::bodyTooLarge:
       reject(kContentTooLarge);
       return;
+    case HttpProgress::framingTooLarge:
     case HttpProgress::malformed:
       reject(kBadRequest);
       return;
--- a/Hallchute/src/Http/HttpReader.cpp
+++ b/Hallchute/src/Http/HttpReader.cpp
@@ -17,6 +17,12 @@
 using boost::beast::string_view;
 using Error = boost::beast::error_code;
 
+/// Bytes of chunk sizes, extensions and line ends for each byte of the body: a chunk of one byte
+/// needs five.
+constexpr std::uint64_t kFramingPerBodyByte = 16;
+/// Bytes of heads and framing beyond those, in limits of a head.
+constexpr std::uint64_t kFramingHeads = 2;
+
 std::string_view view(string_view text) {
   return {text.data(), text.size()};
 }
@@ -27,6 +33,9 @@
  public:
   HttpHead head;
   std::string body;
+  std::uint64_t bodyBytes = 0;
+  std::size_t fields = 0;
+  std::size_t maxFields = 0;
   bool badFraming = false;
 
  private:
@@ -44,6 +53,10 @@
   }
   void on_field_impl(http::field, string_view name, string_view value, Error& error) override {
     error = {};
+    if (++fields > maxFields) {
+      error = http::error::header_limit;
+      return;
+    }
     head.fields.add(view(name), view(value));
   }
   void on_header_impl(Error& error) override {
@@ -61,16 +74,20 @@
   }
   std::size_t on_body_impl(string_view bytes, Error& error) override {
     error = {};
-    body.append(bytes.data(), bytes.size());
+    keepBody(bytes);
     return bytes.size();
   }
   void on_chunk_header_impl(std::uint64_t, string_view, Error& error) override { error = {}; }
   std::size_t on_chunk_body_impl(std::uint64_t, string_view bytes, Error& error) override {
     error = {};
-    body.append(bytes.data(), bytes.size());
+    keepBody(bytes);
     return bytes.size();
   }
   void on_finish_impl(Error& error) override { error = {}; }
+  void keepBody(string_view bytes) {
+    body.append(bytes.data(), bytes.size());
+    bodyBytes += bytes.size();
+  }
 };
 
 HttpProgress progressFromError(const Error& error) {
@@ -89,10 +106,11 @@
     return std::visit(visitor, parser_);
   }
 
-  Parser(HttpMessageType messageType, HttpReaderLimits limits) {
+  Parser(HttpMessageType messageType, HttpReaderLimits limits) : limits_(limits) {
     if (messageType == HttpMessageType::responses) parser_.emplace<CollectingParser<false>>();
     visit([&](auto& parser) {
       parser.eager(true);
+      parser.maxFields = limits.fields;
       parser.header_limit(limits.headBytes);
       parser.body_limit(limits.bodyBytes);
     });
@@ -105,10 +123,12 @@
         Error error;
         const std::size_t consumed = parser.put(boost::asio::buffer(buffer), error);
         buffer.erase(0, consumed);
+        parsedBytes_ += consumed;
         if (error && error != http::error::need_more) return progressFromError(error);
         if (error || consumed == 0) break;
       }
-      return parser.is_done() ? HttpProgress::complete : HttpProgress::needsMore;
+      if (parser.is_done()) return HttpProgress::complete;
+      return progressWithin(parser.is_header_done(), parser.bodyBytes, buffer.size());
     });
   }
 
@@ -125,6 +145,21 @@
   bool started = false;
 
  private:
+  /// Beast limits what it is given in one piece: not a head whose fields come one by one, nor
+  /// chunk extensions and trailers at all.
+  /// \param unparsed bytes that wait for the end of a line, or of the trailers.
+  HttpProgress progressWithin(bool hasHead, std::uint64_t bodyBytes, std::size_t unparsed) const {
+    const std::uint64_t headLimit = limits_.headBytes;
+    const std::uint64_t all = parsedBytes_ + unparsed;
+    if (!hasHead) return all > headLimit ? HttpProgress::headTooLarge : HttpProgress::needsMore;
+    const std::uint64_t framing = all - bodyBytes;
+    const std::uint64_t allowed = kFramingHeads * headLimit + kFramingPerBodyByte * bodyBytes;
+    const bool tooLarge = unparsed > headLimit || framing > allowed;
+    return tooLarge ? HttpProgress::framingTooLarge : HttpProgress::needsMore;
+  }
+
+  HttpReaderLimits limits_;
+  std::uint64_t parsedBytes_ = 0;
   std::variant<CollectingParser<true>, CollectingParser<false>> parser_;
 };
 
--- a/Hallchute/src/Http/HttpReader.h
+++ b/Hallchute/src/Http/HttpReader.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -41,8 +42,11 @@
   complete,
   /// Not a valid HTTP message, or one with ambiguous framing.
   malformed,
+  /// The start line and the fields exceed the limit in bytes or in number.
   headTooLarge,
   bodyTooLarge,
+  /// A chunk's size and extensions, the trailers, or all of these together are too long.
+  framingTooLarge,
 };
 
 /// \brief Whether a reader parses requests or responses.
@@ -54,6 +58,8 @@
   /// Bytes of the start line and the fields together.
   std::uint32_t headBytes = 16U << 10U;
   std::uint64_t bodyBytes = 4U << 20U;
+  /// Number of fields. They are bounded by the bytes of the head in any case.
+  std::size_t fields = std::numeric_limits<std::size_t>::max();
 };
 
 /// \brief Incremental parser of one message; performs no I/O.
@@ -61,7 +67,9 @@
 ///
 /// Based on Boost.Beast's parser, as POCO's reads from blocking streams only. Strict: a message
 /// with two lengths, or with a transfer coding other than `chunked`, is malformed. Bytes after the
-/// message are left in the buffer.
+/// message are left in the buffer. The size and extensions of one chunk and the trailers are
+/// limited like a head; all of them together to that plus a multiple of the body so far, so that
+/// no message is endless whose body grows slowly or not at all.
 class HttpReader {
  public:
   HttpReader(HttpMessageType messageType, HttpReaderLimits limits);
