Bound the responses of all callers that don't read them

Each could have 8 MiB of a stream, or any plain response, in a buffer of the daemon. Together they have 16 MiB, beyond 32 KiB each; the connection with the most unread bytes is dropped.

--- a/Hallchute/src/Front/FrontConnection.cpp
+++ b/Hallchute/src/Front/FrontConnection.cpp
@@ -168,6 +168,7 @@
   const ConnectionPersistence persistence = connectionPersistence();
   reusable_ = persistence == ConnectionPersistence::keep;
   channel_.send(responseBytes(status, fields, body, persistence, !isHeadRequest_));
+  if (channel_.unsent() > 0) server_.noteUnsent();
   finishResponse();
 }
 
@@ -189,11 +190,13 @@
 void FrontConnection::sendStreamData(std::string_view bytes) {
   if (bytes.empty()) return;
   channel_.send(chunked_ ? chunkBytes(bytes) : std::string(bytes));
-  if (channel_.unsent() <= kMaxUnsentBytes) return;
-  dropConnection();
+  if (channel_.unsent() > kMaxUnsentBytes) {
+    dropConnection();
+  } else if (channel_.unsent() > 0) {
+    server_.noteUnsent();
+  }
 }
 
-/// Resets the connection of a caller that exceeds a buffer limit and notifies the handler.
 void FrontConnection::dropConnection() {
   phase_ = Phase::closing;
   channel_.abort();
--- a/Hallchute/src/Front/FrontConnection.h
+++ b/Hallchute/src/Front/FrontConnection.h
@@ -32,6 +32,10 @@
   void closeIfIdle();
   /// \brief Whether a request or response would be cut if the connection ended now.
   bool busy() const;
+  /// \brief Bytes of responses that the kernel has not accepted yet.
+  std::size_t unsent() const { return channel_.unsent(); }
+  /// \brief Resets the connection and notifies the handler if a request is in progress.
+  void dropConnection();
 
   // Called by FrontExchange.
   void respond(int status, const HttpFields& fields, std::string_view body);
@@ -56,7 +60,6 @@
   void startIdle();
   void startClosing();
   bool holdsInput() const;
-  void dropConnection();
   void notifyCallerDisconnected();
   void setTimer(Millis delay, int status);
   void stopTimer();
--- a/Hallchute/src/Front/FrontServer.cpp
+++ b/Hallchute/src/Front/FrontServer.cpp
@@ -16,6 +16,11 @@
 
 /// Length of the accept queue: when it is full, callers wait seconds for the SYN retransmission.
 constexpr int kBacklog = 1'024;
+/// Bytes of responses buffered for all callers that don't read theirs: an eighth of the smallest
+/// hosts' memory, and room for two of the largest responses.
+constexpr std::size_t kMaxUnsentBytes = std::size_t{16} << 20U;
+/// What is buffered for one caller below this isn't counted.
+constexpr std::size_t kFreeUnsentBytes = std::size_t{32} << 10U;
 
 }  // namespace
 
@@ -48,6 +53,35 @@
   loop_.post([removed] {});
 }
 
+void FrontServer::noteUnsent() {
+  if (sheds_) return;
+  sheds_ = true;
+  loop_.post([this] {
+    sheds_ = false;
+    shedUnsent();
+  });
+}
+
+void FrontServer::shedUnsent() {
+  std::size_t all = 0;
+  std::vector<FrontConnection*> large;
+  for (const auto& [id, connection] : connections_) {
+    if (connection->unsent() <= kFreeUnsentBytes) continue;
+    all += connection->unsent();
+    large.push_back(connection.get());
+  }
+  if (all <= kMaxUnsentBytes) return;
+  std::sort(large.begin(), large.end(), [](const FrontConnection* a, const FrontConnection* b) {
+    return a->unsent() > b->unsent();
+  });
+  for (FrontConnection* connection : large) {
+    if (all <= kMaxUnsentBytes) break;
+    all -= connection->unsent();
+    metrics_.add("hallchute_front_slow_callers_dropped_total", "");
+    connection->dropConnection();
+  }
+}
+
 void FrontServer::countRejected(int status) {
   metrics_.add("hallchute_front_refused_total", "status=\"" + std::to_string(status) + "\"");
 }
--- a/Hallchute/src/Front/FrontServer.h
+++ b/Hallchute/src/Front/FrontServer.h
@@ -54,8 +54,13 @@
   void remove(std::uint64_t connection);
   void countRejected(int status);
   void countIdleClosed();
+  /// \brief To be called after a response was buffered for a caller that doesn't read it. If all
+  /// callers' buffers are too large together, the largest is dropped with its connection, in the
+  /// loop's next iteration.
+  void noteUnsent();
 
  private:
+  void shedUnsent();
   void accept(const Poco::Net::StreamSocket& socket);
 
   EventLoop& loop_;
@@ -65,6 +70,7 @@
   std::unordered_map<std::uint64_t, std::unique_ptr<FrontConnection>> connections_;
   std::uint64_t nextConnection_ = 1;
   bool draining_ = false;
+  bool sheds_ = false;
   Listener listener_;
 };
 
--- a/Hallchute/src/Http/TcpChannel.cpp
+++ b/Hallchute/src/Http/TcpChannel.cpp
@@ -109,6 +109,7 @@
 
 void TcpChannel::abort() {
   ended_ = true;
+  sendBuffer_ = {};
   if (fd_ < 0) return;
   loop_.unwatch(fd_);
   const linger noLinger{1, 0};
