Bound answers of the store and the platform's calls in bytes and time

The timeout of a call started again with each byte, and POCO's client bounds neither the number of fields nor the interim responses before a head. A follower of the store could wait for such an answer for good.

--- a/Hallchute/src/Net/HttpExchange.cpp
+++ b/Hallchute/src/Net/HttpExchange.cpp
@@ -11,11 +11,16 @@
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/String.h>
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <istream>
 
 #include "Hallchute/src/Http/HttpReader.h"
+#include "Hallchute/src/Net/BoundedSocket.h"
+#include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Net/OutgoingSocket.h"
 
 namespace Hallchute {
@@ -24,7 +29,11 @@
 using Poco::Net::HTTPRequest;
 using Poco::Net::HTTPResponse;
 
-constexpr std::size_t kMaxBodyBytes = 64U << 20U;
+/// Bytes of the header, and of interim responses before it.
+constexpr std::size_t kMaxHeaderBytes = 64U << 10U;
+constexpr int kMaxHeaderFields = 256;
+/// Bytes on the connection for each byte of a body: those in chunks of few bytes need more.
+constexpr std::size_t kBytesPerBodyByte = 2;
 constexpr std::size_t kReadBytes = 16U << 10U;
 /// Bytes of a chunked body's trailers, or of the extensions of one chunk.
 constexpr std::uint32_t kMaxChunkedHeadBytes = 16U << 10U;
@@ -46,10 +55,24 @@
   return socket;
 }
 
+/// The same connection with bounds for a complete response.
+Poco::Net::StreamSocket bounded(const Poco::Net::StreamSocket& socket,
+                                const HttpEndpoint& endpoint) {
+  const int copy = ::dup(socket.impl()->sockfd());
+  if (copy < 0) throw Poco::Net::NetException("no descriptor is left", errno);
+  const std::size_t maxBytes = kMaxHeaderBytes + endpoint.maxBodyBytes * kBytesPerBodyByte;
+  const bool timed = endpoint.wholeTimeout > Millis(0);
+  const Instant deadline = timed ? clockNow() + endpoint.wholeTimeout : Instant::max();
+  Poco::Net::StreamSocket result(new BoundedSocket(copy, maxBytes, deadline));
+  result.setSendTimeout(timespan(endpoint.responseTimeout));
+  result.setReceiveTimeout(timespan(endpoint.responseTimeout));
+  return result;
+}
+
 /// \returns whether all \p length bytes were read.
-bool readBody(std::istream& in, std::streamsize length, std::string& body) {
+bool readBody(std::istream& in, std::streamsize length, std::size_t maxBytes, std::string& body) {
   std::array<char, kReadBytes> buffer;
-  while (in.good() && body.size() <= kMaxBodyBytes) {
+  while (in.good() && body.size() <= maxBytes) {
     const std::streamsize toRead = std::min(static_cast<std::streamsize>(buffer.size()),
                                             length - static_cast<std::streamsize>(body.size()));
     if (toRead <= 0) return toRead == 0;
@@ -69,15 +92,14 @@
   /// POCO's stream of a chunked body ends in the same way whether or not the last chunk has been
   /// received, and at a chunk size that isn't a number. HttpReader tells them apart.
   /// \returns whether the body was complete and valid.
-  bool readChunked(std::string& body) {
-    HttpReader reader(HttpMessageType::responses, {kMaxChunkedHeadBytes, kMaxBodyBytes});
+  bool readChunked(std::size_t maxBytes, std::string& body) {
+    HttpReader reader(HttpMessageType::responses, {kMaxChunkedHeadBytes, maxBytes});
     std::string received = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     std::array<char, kReadBytes> buffer;
     while (true) {
       const HttpProgress progress = reader.read(received);
       body += reader.takeBody();
       if (progress != HttpProgress::needsMore) return progress == HttpProgress::complete;
-      if (received.size() > kMaxChunkedHeadBytes) return false;
       const int count = read(buffer.data(), static_cast<std::streamsize>(buffer.size()));
       if (count <= 0) return false;
       received.append(buffer.data(), static_cast<std::size_t>(count));
@@ -96,8 +118,13 @@
 HttpExchange::~HttpExchange() = default;
 
 HttpResult HttpExchange::open(const HttpRequest& call) {
+  return openWith(call, false);
+}
+
+HttpResult HttpExchange::openWith(const HttpRequest& call, bool whole) {
   try {
-    session_ = std::make_unique<Session>(connect(endpoint_));
+    const Poco::Net::StreamSocket socket = connect(endpoint_);
+    session_ = std::make_unique<Session>(whole ? bounded(socket, endpoint_) : socket);
   } catch (const Poco::Exception& e) {
     return HttpNeverSent{endpoint_.address + ": " + e.displayText()};
   }
@@ -112,6 +139,7 @@
     }
     session_->sendRequest(request) << call.body << std::flush;
     response_ = std::make_unique<HTTPResponse>();
+    response_->setFieldLimit(kMaxHeaderFields);
     body_ = &session_->receiveResponse(*response_);
     HttpResponse answer;
     answer.status = response_->getStatus();
@@ -126,7 +154,7 @@
 }
 
 HttpResult HttpExchange::run(const HttpRequest& call) {
-  HttpResult result = open(call);
+  HttpResult result = openWith(call, true);
   auto* answer = std::get_if<HttpResponse>(&result);
   if (answer == nullptr) return result;
   const bool empty = call.method == HTTPRequest::HTTP_HEAD || answer->status == 204;
@@ -140,8 +168,10 @@
                          "Content-Length and isn't chunked"};
   }
   try {
-    const bool complete = chunked ? session_->readChunked(answer->body)
-                                  : readBody(*body_, response_->getContentLength64(), answer->body);
+    const std::size_t maxBytes = endpoint_.maxBodyBytes;
+    const bool complete =
+        chunked ? session_->readChunked(maxBytes, answer->body)
+                : readBody(*body_, response_->getContentLength64(), maxBytes, answer->body);
     if (!complete) return HttpMaybeSent{endpoint_.address + ": the answer was cut short"};
   } catch (const Poco::TimeoutException& e) {
     return HttpMaybeSent{endpoint_.address + ": " + e.displayText(), true};
--- a/Hallchute/src/Net/HttpExchange.h
+++ b/Hallchute/src/Net/HttpExchange.h
@@ -4,6 +4,7 @@
 #ifndef HALLCHUTE_NET_HTTPEXCHANGE_H
 #define HALLCHUTE_NET_HTTPEXCHANGE_H
 
+#include <cstddef>
 #include <cstdint>
 #include <iosfwd>
 #include <memory>
@@ -70,6 +71,11 @@
   Millis connectTimeout{500};
   /// Longest time without data while sending the request or receiving the response.
   Millis responseTimeout{5'000};
+  /// Largest body of a complete response, in bytes. Its header and framing have limits of their
+  /// own.
+  std::size_t maxBodyBytes = std::size_t{64} << 20U;
+  /// Longest time from connecting to the end of a complete response; zero for any.
+  Millis wholeTimeout{0};
 };
 
 /// \brief One HTTP exchange on its own connection.
@@ -86,6 +92,8 @@
 
   /// \brief Sends \p call and reads the complete response: its Content-Length, or all its chunks. A
   /// body that ends with the connection counts as incomplete.
+  ///
+  /// A response that exceeds the endpoint's bounds in bytes or time counts as incomplete too.
   HttpResult run(const HttpRequest& call);
   /// \brief Sends \p call and reads the response header; the body can be read from stream().
   /// \returns a response with an empty body.
@@ -97,6 +105,8 @@
  private:
   class Session;
 
+  HttpResult openWith(const HttpRequest& call, bool whole);
+
   HttpEndpoint endpoint_;
   std::unique_ptr<Session> session_;
   std::unique_ptr<Poco::Net::HTTPResponse> response_;
