--- a/test/ScriptedUpstream.cpp
+++ b/test/ScriptedUpstream.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 
 #include "standin/RawRequest.h"
 
@@ -65,7 +66,14 @@
   while (!stopping_) {
     if (!listener_.poll(kTurn, Poco::Net::Socket::SELECT_READ)) continue;
     const Poco::Net::StreamSocket socket = listener_.acceptConnection();
-    threads_.emplace_back([this, socket] { serve(socket); });
+    threads_.emplace_back([this, socket] {
+      try {
+        serve(socket);
+      } catch (const Poco::Exception&) {
+        // The other side reset the connection before all bytes of a script were sent.
+        ++cancelled_;
+      }
+    });
   }
 }
 
@@ -82,6 +90,27 @@
   return true;
 }
 
+/// \returns whether the other side kept the connection open.
+bool ScriptedUpstream::sendEndlessly(Poco::Net::StreamSocket& socket, const std::string& bytes,
+                                     std::chrono::milliseconds pace) {
+  std::size_t sent = 0;
+  std::size_t total = 0;
+  while (!stopping_ && total < kMaxEndlessBytes) {
+    const ssize_t put = ::send(socket.impl()->sockfd(), bytes.data() + sent, bytes.size() - sent,
+                               MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (put < 0 && errno != EAGAIN) return false;
+    if (put < 0) {
+      socket.poll(kTurn, Poco::Net::Socket::SELECT_WRITE);
+      continue;
+    }
+    total += static_cast<std::size_t>(put);
+    endlessBytes_ += static_cast<std::size_t>(put);
+    sent = (sent + static_cast<std::size_t>(put)) % bytes.size();
+    if (sent == 0 && pace.count() > 0 && !stayOpenFor(socket, pace)) return false;
+  }
+  return true;
+}
+
 void ScriptedUpstream::serve(Poco::Net::StreamSocket socket) {
   std::string in;
   std::array<char, 4096> buffer;
@@ -113,7 +142,8 @@
         return true;
       };
       if (!sendAfter(script.silence, script.later) ||
-          !sendAfter(script.secondSilence, script.last)) {
+          !sendAfter(script.secondSilence, script.last) ||
+          (!script.endless.empty() && !sendEndlessly(socket, script.endless, script.pace))) {
         ++cancelled_;
         return;
       }
--- a/test/ScriptedUpstream.h
+++ b/test/ScriptedUpstream.h
@@ -27,6 +27,10 @@
   std::string later{};
   std::chrono::milliseconds secondSilence{0};
   std::string last{};
+  /// Sent again and again after all that, until the other side ends the connection or
+  /// kMaxEndlessBytes have been sent; with a pause of this length between two.
+  std::string endless{};
+  std::chrono::milliseconds pace{0};
 };
 
 /// \brief A TCP server that answers the n-th request with the n-th script, byte for byte, and the
@@ -38,11 +42,16 @@
   ScriptedUpstream(const ScriptedUpstream&) = delete;
   ScriptedUpstream& operator=(const ScriptedUpstream&) = delete;
 
+  /// \brief What bounds an endless script whose connection stays open. In bytes.
+  static constexpr std::size_t kMaxEndlessBytes = std::size_t{96} << 20U;
+
   std::string address() const { return listener_.address().toString(); }
   /// \brief The complete requests received so far.
   std::vector<std::string> requests() const;
   /// \brief Connections that the other side ended while a script hung.
   int cancelled() const { return cancelled_; }
+  /// \brief Bytes of endless scripts that the kernel has accepted so far.
+  std::size_t endlessBytes() const { return endlessBytes_; }
   /// \brief Waits until that many requests have arrived, five seconds at most.
   void awaitRequests(std::size_t count) const;
   /// \brief Waits until that many connections have been cancelled, half a second at most.
@@ -52,6 +61,8 @@
  private:
   void accept();
   void serve(Poco::Net::StreamSocket socket);
+  bool sendEndlessly(Poco::Net::StreamSocket& socket, const std::string& bytes,
+                     std::chrono::milliseconds pace);
   bool stayOpenFor(Poco::Net::StreamSocket& socket, std::chrono::milliseconds time) const;
 
   Poco::Net::ServerSocket listener_;
@@ -61,6 +72,7 @@
   std::vector<std::thread> threads_;
   std::atomic<bool> stopping_{false};
   std::atomic<int> cancelled_{0};
+  std::atomic<std::size_t> endlessBytes_{0};
   std::thread acceptor_;
 };
 
