--- a/standin/ReplicaStandin.cpp
+++ b/standin/ReplicaStandin.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <array>
 #include <functional>
+#include <string>
 #include <utility>
 
 #include "standin/RawRequest.h"
@@ -23,6 +24,10 @@
 /// How often a thread looks whether the replica has crashed.
 const Poco::Timespan kTurn(0, 10'000);
 constexpr std::chrono::milliseconds kSleep{5};
+constexpr std::size_t kFloodBlockBytes = std::size_t{16} << 10U;
+constexpr std::size_t kMaxFloodBytes = std::size_t{128} << 20U;
+/// How long a caller may read nothing of a flood, as when it is suspended.
+const Poco::Timespan kFloodTimeout(2, 0);
 
 }  // namespace
 
@@ -96,6 +101,34 @@
   silentUntil_ = std::chrono::steady_clock::now() + time;
 }
 
+void ReplicaStandin::sendEndlessly(std::chrono::milliseconds time) {
+  endlessUntil_ = std::chrono::steady_clock::now() + time;
+}
+
+/// Ends when the other side closes the connection, at a crash, or after kMaxFloodBytes, so that a
+/// gateway that reads all of it is found by its memory and not by the host's.
+void ReplicaStandin::flood(Poco::Net::StreamSocket& socket, const std::string& request) const {
+  const std::string id = fieldOf(request, "Hallchute-Attempt-Id");
+  const std::string signedHead = absl::StrCat("HTTP/1.1 200 OK\r\nHallchute-Attempt-Id: ", id,
+                                              "\r\nHallchute-Replica-Signature: ", id_, "\r\n");
+  const std::string eventHead = signedHead + "Content-Type: text/event-stream\r\n\r\n";
+  const std::array<std::pair<std::string, std::string>, 4> kinds{{
+      {"HTTP/1.1 200 OK\r\nX: ", "x"},
+      {signedHead + "Transfer-Encoding: chunked\r\n\r\n1;", "x"},
+      {eventHead + "data: ", "x"},
+      {eventHead, ": x\n\n"},
+  }};
+  const auto& [head, unit] = kinds.at(std::hash<std::string>{}(id) % kinds.size());
+  std::string block;
+  while (block.size() < kFloodBlockBytes) block += unit;
+  const int fd = socket.impl()->sockfd();
+  socket.setSendTimeout(kFloodTimeout);
+  if (::send(fd, head.data(), head.size(), MSG_NOSIGNAL) < 0) return;
+  for (std::size_t sent = 0; !crashed_ && sent < kMaxFloodBytes; sent += block.size()) {
+    if (::send(fd, block.data(), block.size(), MSG_NOSIGNAL) < 0) return;
+  }
+}
+
 bool ReplicaStandin::rejects(Poco::Net::StreamSocket& socket, const std::string& request,
                              const std::string& caller) {
   const std::chrono::milliseconds retryAfter(retryAfterMs_);
@@ -206,6 +239,10 @@
     if (crashed_) return false;
     if (limit > 0) namedLimits_.push_back({std::chrono::steady_clock::now(), caller, limit});
   }
+  if (std::chrono::steady_clock::now() < endlessUntil_.load()) {
+    flood(socket, request);
+    return false;
+  }
   if (absl::StrContains(request.substr(0, request.find('\r')), " /stream/")) {
     return stream(socket, request);
   }
--- a/standin/ReplicaStandin.h
+++ b/standin/ReplicaStandin.h
@@ -109,6 +109,9 @@
   /// \brief It sends nothing for so long, not even the next event of a stream, and then goes on
   /// with all that came.
   void fallSilent(std::chrono::milliseconds time);
+  /// \brief For so long it answers each request by bytes that are no answer, until the connection
+  /// is closed: by a header line, by chunk extensions, by an event or by comments without end.
+  void sendEndlessly(std::chrono::milliseconds time);
   /// \brief Cuts the replica off from the callers at these IP addresses; an empty set heals.
   void cutOff(const std::set<std::string>& callers, CutKind kind);
 
@@ -126,6 +129,7 @@
   bool takeSlot(Poco::Net::StreamSocket& socket, const std::string& request);
   /// Waits for \p time, and until it is no longer silent.
   void wait(std::chrono::milliseconds time) const;
+  void flood(Poco::Net::StreamSocket& socket, const std::string& request) const;
   bool stream(Poco::Net::StreamSocket& socket, const std::string& request) const;
   std::string answerTo(const std::string& request, double limit) const;
 
@@ -152,6 +156,7 @@
   std::atomic<double> limit_{0};
   std::atomic<std::int64_t> retryAfterMs_{0};
   std::atomic<std::chrono::steady_clock::time_point> silentUntil_{};
+  std::atomic<std::chrono::steady_clock::time_point> endlessUntil_{};
   std::atomic<bool> crashed_{false};
   std::thread acceptor_;
 };
