--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -144,6 +144,7 @@
   options.quotas = {bounds.quotaOverdraftRatio, bounds.quotaSlack, bounds.quotaWindow};
   options.usageWindow = bounds.usageWindow;
   options.estimatesSpeeds = startup_.placement.estimates;
+  options.answers = startup_.answers;
   return options;
 }
 
--- a/Hallchute/src/Node/NodeStartup.h
+++ b/Hallchute/src/Node/NodeStartup.h
@@ -13,6 +13,7 @@
 #include "Hallchute/src/Core/Finding.h"
 #include "Hallchute/src/Core/Id.h"
 #include "Hallchute/src/Core/Time.h"
+#include "Hallchute/src/Upstream/AnswerBounds.h"
 
 namespace Hallchute {
 
@@ -78,6 +79,7 @@
   NodeBounds bounds;
   NodeHedging hedging;
   PlacementOptions placement;
+  AnswerBounds answers;
   /// Processing capacity of the host in thousandths of a processor.
   std::uint32_t capacity = 1'000;
   std::string logLevel = "info";
--- a/Hallchute/src/Traffic/AssistedDispatch.cpp
+++ b/Hallchute/src/Traffic/AssistedDispatch.cpp
@@ -111,15 +111,18 @@
   return true;
 }
 
-void AssistedDispatch::upstreamBody(std::string_view bytes) {
-  if (events_) {
-    events_->add(bytes);
-    while (events_->next()) {
-      dispatch_->noteBegan();
-      dispatch_->noteEvent();
-    }
-  }
+HeldBytes AssistedDispatch::upstreamBody(std::string_view bytes) {
   reply_(ForwardedReplies::Body{std::string(bytes)});
+  if (!events_) {
+    bodyBytes_ += bytes.size();
+    return {bodyBytes_, false};
+  }
+  events_->add(bytes);
+  while (events_->next()) {
+    dispatch_->noteBegan();
+    dispatch_->noteEvent();
+  }
+  return {events_->incompleteEvent().size(), true};
 }
 
 void AssistedDispatch::upstreamDone() {
--- a/Hallchute/src/Traffic/TrafficOptions.h
+++ b/Hallchute/src/Traffic/TrafficOptions.h
@@ -11,6 +11,7 @@
 #include "Hallchute/src/Gateway/HedgePolicy.h"
 #include "Hallchute/src/Gateway/QuotaLedger.h"
 #include "Hallchute/src/Gateway/RetryWindow.h"
+#include "Hallchute/src/Upstream/AnswerBounds.h"
 
 namespace Hallchute {
 
@@ -26,6 +27,7 @@
   Millis usageWindow{5'000};
   /// Whether upstreams' speeds are estimated and used for placement.
   bool estimatesSpeeds = false;
+  AnswerBounds answers;
 };
 
 }  // namespace Hallchute
--- a/Hallchute/src/Traffic/UpstreamDispatch.h
+++ b/Hallchute/src/Traffic/UpstreamDispatch.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <string_view>
 
 #include "Hallchute/src/Gateway/CrashSuspects.h"
@@ -76,6 +77,7 @@
   void send(const DispatchRequest& request, UpstreamListener& listener);
   /// Records that the upstream has processed the prompt, or won't.
   void notePromptDone();
+  void noteExcess() const;
   void noteIfAbandoned(DispatchResult result);
   /// Records the time to the first event, or to the end of a plain response.
   void noteProcessed(Instant now);
@@ -83,6 +85,7 @@
 
   TrafficEngine& engine_;
   UpstreamIncarnation upstream_;
+  std::string request_;
   ServiceName service_;
   std::unique_ptr<UpstreamChannel> channel_;
   CrashSuspects suspects_;
