Rollouts: stages, shares by version, evidence, and the plan that moves a service

The holder of the duties runs canary, ramp, drain and done, or rolls back; daemons learn of the stage from reports. Off unless the start-up file holds bounds.exposeShare.

--- a/Hallchute/src/Duty/DutyRecord.h
+++ b/Hallchute/src/Duty/DutyRecord.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "Hallchute/src/Duty/RolloutRecord.h"
 #include "Hallchute/src/Fleet/FleetReport.h"
 #include "Hallchute/src/Gateway/CrashHistory.h"
 #include "Hallchute/src/Gateway/ServiceLimit.h"
@@ -44,6 +45,8 @@
   /// Limits on rejections that upstreams of the services name, in order: a daemon that starts must
   /// not learn of them by causing rejections.
   std::vector<ServiceLimit> rejectionLimits{};
+  /// Rollouts that are running or have ended, by service.
+  std::vector<RolloutRecord> rollouts{};
 };
 
 /// \brief A record with its revision in the store. \ingroup Duty
--- a/Hallchute/src/Duty/DutyStateMachine.cpp
+++ b/Hallchute/src/Duty/DutyStateMachine.cpp
@@ -56,6 +56,10 @@
   return holder;
 }
 
+std::vector<RolloutRecord> DutyStateMachine::storedRollouts() const {
+  return holdsDuties_ && stored_ ? stored_->record.rollouts : std::vector<RolloutRecord>{};
+}
+
 bool DutyStateMachine::renewedWithin(Millis time, Instant now) const {
   return holdsDuties_ && now - renewedAt_ <= time;
 }
@@ -261,8 +265,11 @@
   // A holder that has just taken over may not have merged the record's into its own yet.
   const bool merged = now - acquiredAt_ >= policy_.lease;
   if (merged || !facts.rejectionLimits.empty()) updated.rejectionLimits = facts.rejectionLimits;
-  const bool urgent =
-      finaliseWindows(facts, updated) || quarantinedIn(updated) != quarantinedIn(record);
+  if (facts.rollouts) updated.rollouts = *facts.rollouts;
+  // Evaluated first, as it changes the record.
+  const bool finalised = finaliseWindows(facts, updated);
+  const bool urgent = finalised || quarantinedIn(updated) != quarantinedIn(record) ||
+                      updated.rollouts != record.rollouts;
   if (!urgent && now - checkpointedAt_ < kCheckpointInterval) return DutySteps::Nothing{};
   updated.openUsage = openWindowUsage(facts, updated);
   const bool changed =
--- a/Hallchute/src/Duty/DutyStateMachine.h
+++ b/Hallchute/src/Duty/DutyStateMachine.h
@@ -47,6 +47,8 @@
   std::vector<ServiceVersion> versions;
   /// Limits on rejections that upstreams of the services name, in order.
   std::vector<ServiceLimit> rejectionLimits;
+  /// Rollouts by service; nothing if this daemon doesn't run them.
+  std::optional<std::vector<RolloutRecord>> rollouts;
   /// Time since the Unix epoch, used only to number the windows.
   Millis wallClock{0};
 };
@@ -86,6 +88,8 @@
   /// not wait for the lease to expire.
   DutyStep release(const DutyFacts& facts) const;
   DutyHolder holder() const;
+  /// \brief The rollouts in the record as this holder last wrote or read it; empty for others.
+  std::vector<RolloutRecord> storedRollouts() const;
   /// \brief This daemon's identity as a holder, with epoch 0.
   const DutyHolder& self() const { return self_; }
 
--- a/Hallchute/src/Fleet/FleetReport.h
+++ b/Hallchute/src/Fleet/FleetReport.h
@@ -14,8 +14,10 @@
 #include "Hallchute/src/Gateway/CrashHistory.h"
 #include "Hallchute/src/Gateway/NamedLimit.h"
 #include "Hallchute/src/Gateway/QuotaLedger.h"
+#include "Hallchute/src/Gateway/RolloutStage.h"
 #include "Hallchute/src/Gateway/UpstreamTable.h"
 #include "Hallchute/src/Gateway/UsageLedger.h"
+#include "Hallchute/src/Gateway/VersionEvidence.h"
 
 namespace Hallchute {
 
@@ -123,6 +125,10 @@
   bool membersUnchanged = false;
   /// The sender is shutting down.
   bool leaving = false;
+  /// Stages of rollouts, as the sender knows them; see VersionShares::report().
+  std::vector<RolloutStage> rollouts;
+  /// Evidence of running rollouts from the daemons in the scope.
+  VersionEvidences evidence;
 };
 
 }  // namespace Hallchute
--- a/Hallchute/src/Fleet/FleetView.cpp
+++ b/Hallchute/src/Fleet/FleetView.cpp
@@ -96,6 +96,7 @@
   peer.report.crashes.clear();
   peer.report.limits.clear();
   peer.report.rejectionLimits.clear();
+  peer.report.rollouts.clear();
   peer.reportedAt = now;
   peer.lastSeenAt = now;
   peer.clockOffset = report.wallClock - std::chrono::duration_cast<Millis>(now.time_since_epoch());
@@ -377,6 +378,7 @@
 
 void FleetView::addPeerTotals(FleetReport& report, const FleetPeer& source) const {
   addLoads(report.loads, source.report.loads);
+  addEvidence(report.evidence, source.report.evidence);
   for (const UpstreamIncarnation& upstream : source.report.draining) {
     if (std::find(report.draining.begin(), report.draining.end(), upstream) ==
         report.draining.end()) {
@@ -416,8 +418,10 @@
   const FleetReport& lastReport = receiver.report;
   subtract(report.spent, receiver.spentAsMember);
   subtract(report.usage, usage_.usageSince(lastReport.self));
-  if (receiver.reportedAt != Instant{} && countsInSums(lastReport, now))
+  if (receiver.reportedAt != Instant{} && countsInSums(lastReport, now)) {
     subtract(report.loads, lastReport.loads);
+    subtract(report.evidence, lastReport.evidence);
+  }
   if (round.standby == lastReport.self.daemon) report.incarnations = round.incarnations;
   // The successor learns only from this report what this daemon serves while shutting down.
   if (report.leaving) report.incarnations.push_back(ownUsage(round));
@@ -451,6 +455,17 @@
   return std::min(1.0, live / static_cast<double>(expectedCount(now)));
 }
 
+VersionEvidences FleetView::evidenceElsewhere(Instant now) const {
+  VersionEvidences evidence;
+  for (const auto& [daemon, peer] : roster_.peers()) {
+    if (FleetPeer::isRecent(peer.reportedAt, now, FleetPeer::kLivenessTimeout) &&
+        countsInSums(peer.report, now)) {
+      addEvidence(evidence, peer.report.evidence);
+    }
+  }
+  return evidence;
+}
+
 UpstreamLoads FleetView::loadsElsewhere(Instant now) const {
   UpstreamLoads loads;
   for (const auto& [daemon, peer] : roster_.peers()) {
--- a/Hallchute/src/Fleet/FleetView.h
+++ b/Hallchute/src/Fleet/FleetView.h
@@ -116,6 +116,9 @@
   /// others may be undiscovered.
   double liveFraction(Instant now) const;
   UpstreamLoads loadsElsewhere(Instant now) const;
+  /// \brief Evidence of running rollouts from all other daemons with a recent report. Counts fall
+  /// when a daemon is lost.
+  VersionEvidences evidenceElsewhere(Instant now) const;
   /// \brief Usage of all daemons and their earlier incarnations, without this incarnation's own.
   /// The time is ignored, as counted usage doesn't expire.
   UsageByWindow usageElsewhere(Instant) const { return usage_.elsewhere(); }
--- a/Hallchute/src/Gateway/UpstreamPick.cpp
+++ b/Hallchute/src/Gateway/UpstreamPick.cpp
@@ -66,7 +66,10 @@
   if (criteria.tried.contains(entry.record.id)) return Tier::ineligible;
   if (criteria.version && !table.runsVersion(entry, *criteria.version, now))
     return Tier::ineligible;
-  if (criteria.excludedVersions.contains(entry.record.version)) return Tier::ineligible;
+  // A stream that must continue at its version does so whatever is excluded.
+  const bool excluded = criteria.excludedVersions.contains(entry.record.version) ||
+                        criteria.excludedUpstreams.contains(entry.record.id);
+  if (excluded && !criteria.version) return Tier::ineligible;
   if (!table.limits().maySend(entry.record.id, now)) return Tier::ineligible;
   if (entry.unlistedSince) {
     return now - *entry.unlistedSince <= kUsableAfterUnlisted ? Tier::unlisted : Tier::ineligible;
--- a/Hallchute/src/Gateway/UpstreamPick.h
+++ b/Hallchute/src/Gateway/UpstreamPick.h
@@ -30,6 +30,8 @@
   std::optional<SoftwareVersion> version{};
   /// Software versions that may not run the request.
   std::set<SoftwareVersion> excludedVersions{};
+  /// Upstreams that may not run the request for other reasons than an earlier try.
+  std::set<UpstreamId> excludedUpstreams{};
 };
 
 /// \brief An upstream and when it is expected to start a request. \ingroup Gateway
--- a/Hallchute/src/Node/DutyRunner.cpp
+++ b/Hallchute/src/Node/DutyRunner.cpp
@@ -164,6 +164,7 @@
   const DutyStep step = keeper_.next(input.facts, clockNow());
   std::visit([&](const auto& s) { perform(s, input); }, step);
   updateHolder();
+  if (keeper_.holdsDuties()) callbacks_.onHeld(keeper_.holder().epoch, keeper_.storedRollouts());
 }
 
 void DutyRunner::release(const DutyFacts& facts) {
--- a/Hallchute/src/Node/DutyRunner.h
+++ b/Hallchute/src/Node/DutyRunner.h
@@ -57,6 +57,10 @@
     std::function<void(std::vector<ServiceVersion>)> onEarlierVersions;
     /// Reports the limits on rejections that services had before this daemon started, if any.
     std::function<void(std::vector<ServiceLimit>)> onEarlierLimits;
+    /// Reports after each iteration of the holder the epoch under which it holds the duties and the
+    /// rollouts that the record has.
+    std::function<void(std::uint64_t, const std::vector<RolloutRecord>&)> onHeld =
+        [](std::uint64_t, const std::vector<RolloutRecord>&) {};
   };
 
   DutyRunner(DutyPort& port, DutyRunnerOptions options, FleetMember self, Callbacks callbacks,
--- a/Hallchute/src/Node/FleetWire.h
+++ b/Hallchute/src/Node/FleetWire.h
@@ -39,10 +39,21 @@
 inline auto wireFields(NamedLimit& m) {
   return std::tie(m.upstream, m.limited, m.perSecond, m.namedAt);
 }
+inline auto wireFields(RolloutStage& m) {
+  return std::tie(m.service, m.target, m.previous, m.order, m.phase, m.share, m.epoch, m.step,
+                  m.age);
+}
+inline auto wireFields(EvidenceKey& m) {
+  return std::tie(m.service, m.order, m.version, m.route);
+}
+inline auto wireFields(VersionEvidence& m) {
+  return std::tie(m.answers, m.failures, m.firstEvents);
+}
 inline auto wireFields(FleetReport& m) {
   return std::tie(m.self, m.scope, m.wallClock, m.settingsVersion, m.upstreamsVersion, m.storeAge,
                   m.spent, m.loads, m.usage, m.draining, m.duties, m.crashes, m.limits,
-                  m.rejectionLimits, m.members, m.incarnations, m.membersUnchanged, m.leaving);
+                  m.rejectionLimits, m.members, m.incarnations, m.membersUnchanged, m.leaving,
+                  m.rollouts, m.evidence);
 }
 inline auto wireFields(UpstreamRecord& m) {
   return std::tie(m.id, m.service, m.address, m.domain, m.slots, m.state, m.reclaimable,
--- a/Hallchute/src/Node/ForwardingWire.cpp
+++ b/Hallchute/src/Node/ForwardingWire.cpp
@@ -18,7 +18,7 @@
 }
 inline auto wireFields(UpstreamCriteria& m) {
   return std::tie(m.service, m.affinity, m.sharedTokens, m.tried, m.ownDomain, m.requestId,
-                  m.version);
+                  m.version, m.excludedVersions, m.excludedUpstreams);
 }
 inline auto wireFields(DispatchMetadata& m) {
   return std::tie(m.remaining, m.upstream, m.organisation, m.urgency, m.lastEventId, m.cacheSource);
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -42,6 +42,7 @@
 constexpr Millis kLoggedTimerDelay{100};
 /// Number of past usage windows to keep, as their reports may still be due.
 constexpr std::int64_t kUsageWindowsKept = 8;
+constexpr double kPermille = 1'000;
 
 Millis watchTimeout(const NodeBounds& bounds) {
   return std::clamp(bounds.contact - kWatchMargin, kWatchMargin, kMaxWatchTimeout);
@@ -57,6 +58,18 @@
   return sum;
 }
 
+/// \p known with the stages that this daemon has just decided on, which its traffic thread adopts
+/// a moment later.
+std::vector<RolloutStage> withDecided(std::vector<RolloutStage> known,
+                                      const std::vector<RolloutStage>& decided) {
+  std::erase_if(known, [&](const RolloutStage& stage) {
+    return std::any_of(decided.begin(), decided.end(),
+                       [&](const RolloutStage& d) { return d.service == stage.service; });
+  });
+  known.insert(known.end(), decided.begin(), decided.end());
+  return known;
+}
+
 FleetMember memberOf(const NodeStartup& startup) {
   return {startup.daemon, startup.peerListen, static_cast<std::uint64_t>(wallClockMs()),
           startup.domain, startup.capacity};
@@ -107,12 +120,14 @@
                     CrashLedger::kMaxCrashes,
                     {},
                     false});
+  startRollouts();
   startDuties();
 }
 
 GatewayNode::~GatewayNode() {
   // The duty thread calls into the control loop, so that one must end last.
   duties_.reset();
+  if (rollouts_) rollouts_->stop();
   storeCopy_.stop();
   controlLoop_.stop();
   if (controlThread_.joinable()) controlThread_.join();
@@ -142,9 +157,61 @@
   options.retries = {bounds.retryRatio, bounds.retrySlack, bounds.retryWindow};
   options.quotas = {bounds.quotaOverdraftRatio, bounds.quotaSlack, bounds.quotaWindow};
   options.usageWindow = bounds.usageWindow;
+  options.rollouts = bounds.exposeShare.has_value();
   return options;
 }
 
+void GatewayNode::startRollouts() {
+  const NodeBounds& bounds = startup_.bounds;
+  if (!bounds.exposeShare || ports_.rollouts == nullptr || ports_.rolloutStatus == nullptr) return;
+  const RolloutPolicy policy{*bounds.exposeShare, static_cast<std::uint64_t>(bounds.exposeSlack),
+                             bounds.rollback};
+  rollouts_ = std::make_unique<RolloutRunner>(
+      RolloutPorts{*ports_.rollouts, *ports_.rolloutStatus, ports_.readRollout}, policy, self_,
+      watchTimeout(bounds), metrics_);
+}
+
+void GatewayNode::mergeStages(std::vector<RolloutStage> stages) {
+  if (stages.empty() || !startup_.bounds.exposeShare) return;
+  trafficLoop_.post([this, stages = std::move(stages)] {
+    for (const RolloutStage& stage : engine_.versionShares().merge(stages, clockNow())) {
+      LogLine(LogLevel::info, "rollout.adopted")
+          .with("service", stage.service.str())
+          .with("target", stage.target.str())
+          .with("phase", describe(stage.phase))
+          .with("sharePermille", static_cast<std::uint64_t>(stage.share * kPermille))
+          .with("step", static_cast<std::uint64_t>(stage.step))
+          .with("epoch", stage.epoch)
+          .with("ageMs", stage.age);
+    }
+  });
+}
+
+/// Loads of upstreams that are no longer listed can't be told by version and aren't counted.
+RolloutView GatewayNode::rolloutView(Instant now) const {
+  RolloutView view;
+  view.holder = latestHolder(now);
+  view.wallClock = fleet_.clock().at(now);
+  view.stages = localReport_.rollouts;
+  if (!duties_ || view.holder.daemon != self_.daemon) return view;
+  UpstreamLoads loads = fleet_.loadsElsewhere(now);
+  for (const auto& [upstream, load] : localReport_.loads) loads[upstream] += load;
+  VersionEvidences evidence = fleet_.evidenceElsewhere(now);
+  addEvidence(evidence, localReport_.evidence);
+  for (const UpstreamRecord& record : storeCopy_.upstreams()) {
+    VersionFleet& version = view.facts[record.service].versions[record.version];
+    if (record.state == UpstreamState::ready) ++version.upstreams;
+    const auto load = loads.find(record.id);
+    if (load != loads.end()) version.inFlight += load->second.requests;
+  }
+  for (auto& [service, facts] : view.facts) {
+    facts.wallClock = view.wallClock;
+    facts.evidence = evidence;
+    facts.reportLag = fleet_.reportLag(now);
+  }
+  return view;
+}
+
 void GatewayNode::startDuties() {
   if (ports_.duties == nullptr || !startup_.reportsUsage) return;
   const NodeBounds& bounds = startup_.bounds;
@@ -158,7 +225,10 @@
           [this](std::vector<ServiceVersion> versions) {
             noteEarlierVersions(std::move(versions));
           },
-          [this](std::vector<ServiceLimit> limits) { noteEarlierLimits(std::move(limits)); }},
+          [this](std::vector<ServiceLimit> limits) { noteEarlierLimits(std::move(limits)); },
+          [this](std::uint64_t epoch, const std::vector<RolloutRecord>& stored) {
+            if (rollouts_) rollouts_->noteHeld(epoch, stored);
+          }},
       metrics_);
 }
 
@@ -272,6 +342,7 @@
     }
     facts.reportedHolder = latestHolder(now);
     facts.storeAge = storeCopy_.age(now);
+    if (rollouts_) facts.rollouts = rollouts_->records();
   });
   return input;
 }
@@ -315,7 +386,9 @@
                     engine_.upstreamTable().rejectionLimits().report(forwards_, clockNow()),
                     engine_.paths().lostServices(),
                     engine_.origins().recentVersions(clockNow()),
-                    engine_.upstreams().serviceRejectionLimits()};
+                    engine_.upstreams().serviceRejectionLimits(),
+                    engine_.versionShares().report(clockNow()),
+                    engine_.versionShares().evidence()};
   for (const auto& [id, entry] : engine_.upstreams().entries()) {
     if (entry.record.state != UpstreamState::draining) continue;
     local.draining.emplace_back(id, entry.leaving.value_or(entry.record.incarnation));
@@ -346,6 +419,13 @@
   report.crashes = local.crashes;
   report.limits = local.limits;
   report.rejectionLimits = local.rejectionLimits;
+  report.evidence = local.evidence;
+  report.rollouts = local.rollouts;
+  if (rollouts_) {
+    const std::vector<RolloutStage> decided = rollouts_->tick(rolloutView(now));
+    mergeStages(decided);
+    report.rollouts = withDecided(std::move(report.rollouts), decided);
+  }
   report.leaving = leaving_;
   // Forwards the holder reported by others, as not every daemon receives the holder's own reports.
   report.duties = latestHolder(now);
@@ -408,6 +488,7 @@
   storeCopy_.noteReport(report, now);
   mergeCrashes(report.crashes);
   mergeLimits(report);
+  mergeStages(report.rollouts);
   if (update.newIncarnation) {
     LogLine(LogLevel::info, "fleet.member")
         .with("peer", report.self.daemon.str())
@@ -446,6 +527,7 @@
     controlLoop_.run();
   });
   storeCopy_.start();
+  if (rollouts_) rollouts_->start();
   if (duties_) duties_->start();
   LogLine(LogLevel::info, "daemon.start")
       .with("callers", startup_.callerListen)
--- a/Hallchute/src/Node/GatewayNode.h
+++ b/Hallchute/src/Node/GatewayNode.h
@@ -20,6 +20,7 @@
 #include "Hallchute/src/Node/NodeStartup.h"
 #include "Hallchute/src/Node/OriginLink.h"
 #include "Hallchute/src/Node/PageHandlers.h"
+#include "Hallchute/src/Node/RolloutRunner.h"
 #include "Hallchute/src/Node/SlotLink.h"
 #include "Hallchute/src/Node/StoreCopy.h"
 #include "Hallchute/src/Observability/Metrics.h"
@@ -64,12 +65,17 @@
     std::vector<ServiceName> lostPaths;
     std::vector<ServiceVersion> versions;
     std::vector<ServiceLimit> serviceLimits;
+    std::vector<RolloutStage> rollouts;
+    VersionEvidences evidence;
   };
 
   /// Without metrics the daemon still serves.
   void serveMetrics();
   TrafficOptions trafficOptions() const;
   void startDuties();
+  void startRollouts();
+  void mergeStages(std::vector<RolloutStage> stages);
+  RolloutView rolloutView(Instant now) const;
   /// \p limits with as many connections as there are descriptors for.
   FrontLimits callerLimits(FrontLimits limits) const;
   FrontLimits pageLimits() const;
@@ -131,6 +137,8 @@
   Instant fleetLogged_{};
   Millis loggedClockAhead_{0};
 
+  /// Null unless this daemon takes part in rollouts.
+  std::unique_ptr<RolloutRunner> rollouts_;
   std::unique_ptr<DutyRunner> duties_;
   std::thread controlThread_;
   std::atomic<bool> stopRequested_{false};
--- a/Hallchute/src/Node/NodePorts.h
+++ b/Hallchute/src/Node/NodePorts.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "Hallchute/src/Core/Finding.h"
+#include "Hallchute/src/Duty/RolloutRecord.h"
 #include "Hallchute/src/Gateway/GatewaySettings.h"
 #include "Hallchute/src/Gateway/UpstreamRecord.h"
 #include "Hallchute/src/Ports/ObjectSource.h"
@@ -16,6 +17,7 @@
 namespace Hallchute {
 
 class DutyPort;
+class RolloutPort;
 class TrafficCodec;
 
 /// \brief The interfaces that a platform adapter provides to a gateway daemon. \ingroup Node
@@ -32,6 +34,10 @@
   std::function<std::optional<UpstreamRecord>(const SourceObject&, Findings&)> readUpstream;
   /// Null where the deployment has no duties.
   DutyPort* duties = nullptr;
+  /// Has one object per rollout; null where operators can't order any, as the next two.
+  ObjectSource* rollouts = nullptr;
+  RolloutPort* rolloutStatus = nullptr;
+  std::function<std::optional<RolloutOrder>(const SourceObject&, Findings&)> readRollout{};
 };
 
 }  // namespace Hallchute
--- a/Hallchute/src/Node/NodeStartup.cpp
+++ b/Hallchute/src/Node/NodeStartup.cpp
@@ -21,6 +21,7 @@
 constexpr std::int64_t kMaxDescriptors = std::numeric_limits<std::int64_t>::max();
 constexpr double kMaxProcessors = 1'000'000;
 constexpr double kMaxRetrySlack = 1'000'000;
+constexpr double kMaxExposeSlack = 1'000'000;
 /// More than any organisation's quota for a window.
 constexpr double kMaxQuotaSlackTokens = 1e9;
 /// Enough for the log, the event loops, the store and peers.
@@ -51,6 +52,11 @@
   bounds.quotaSlack = reader.number("quotaSlack", 0, kMaxQuotaSlackTokens, bounds.quotaSlack);
   bounds.usageWindow = seconds(reader, "usageWindowS", bounds.usageWindow);
   bounds.usageDue = seconds(reader, "usageDueS", bounds.usageDue);
+  if (reader.has("exposeShare")) bounds.exposeShare = reader.number("exposeShare", 0, 1, 0);
+  bounds.exposeSlack = reader.number("exposeSlack", 0, kMaxExposeSlack, bounds.exposeSlack);
+  bounds.rollback = millis(reader, "rollbackMs", bounds.rollback);
+  if (bounds.exposeShare && *bounds.exposeShare <= 0)
+    reader.report("exposeShare", "must be above 0");
   if (bounds.usageWindow <= Millis(0)) reader.report("usageWindowS", "must be above 0");
 }
 
--- a/Hallchute/src/Node/NodeStartup.h
+++ b/Hallchute/src/Node/NodeStartup.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,6 +40,12 @@
   Millis usageWindow{5'000};
   /// From the end of a usage window to the deadline of its report.
   Millis usageDue{10'000};
+  /// Share of a service's requests that a bad version may get during its rollout, and the number
+  /// beyond it; without a share, this daemon takes no part in rollouts.
+  std::optional<double> exposeShare;
+  double exposeSlack = 0;
+  /// From a version's 50th bad answer to the last request that it may get.
+  Millis rollback{5'000};
 };
 
 /// \brief The start-up configuration of a gateway daemon. \ingroup Node
--- a/Hallchute/src/Ports/ObjectSource.h
+++ b/Hallchute/src/Ports/ObjectSource.h
@@ -23,6 +23,8 @@
   std::uint64_t revision = 0;
   JsonObject content;
   bool deleted = false;
+  /// What programs report of the object; null if there is none.
+  JsonObject status{};
 };
 
 /// \brief Objects, and the store revision that they reflect. \ingroup Ports
--- a/Hallchute/src/Traffic/SessionDispatch.h
+++ b/Hallchute/src/Traffic/SessionDispatch.h
@@ -68,6 +68,10 @@
   /// \brief Whether no data has come since noteSilent().
   bool silent() const { return silent_; }
   void noteData() { silent_ = false; }
+  /// \brief Records that the first event, or a whole plain answer, has come. \returns whether it is
+  /// the first call.
+  bool noteFirstEvent() { return !std::exchange(hasFirstEvent_, true); }
+  bool hasFirstEvent() const { return hasFirstEvent_; }
   /// \brief Whether the request reached an upstream, as far as is known. During a network partition
   /// it is not delivered; resetting the connection discards it.
   bool delivered() const;
@@ -111,6 +115,7 @@
   EventSplitter events_;
   bool isStream_ = false;
   bool silent_ = false;
+  bool hasFirstEvent_ = false;
   std::optional<DispatchResult> result_;
 };
 
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -86,7 +86,8 @@
       prober_(loop, upstreams_, pool_, metrics),
       pool_(loop, options_.ownIp, prober_, metrics),
       quota_(clockNow(), options_.quotas),
-      usage_(options_.usageWindow) {
+      usage_(options_.usageWindow),
+      versionShares_(options_.rollouts) {
   loop_.every(kSweepPeriod, [this] { sweep(); });
 }
 
@@ -121,6 +122,7 @@
   }
   noteReplacedProcesses(records, now);
   origins_.noteListed(records, now);
+  versionShares_.noteListed(records, now);
   reportStreams(origins_.takeUnreported(now));
   for (const UpstreamId& removed : upstreams_.replace(records, now)) {
     const UpstreamEntry* entry = upstreams_.find(removed);
@@ -374,6 +376,17 @@
   return std::max(kMinConnections, share);
 }
 
+void TrafficEngine::excludeVersions(UpstreamCriteria& criteria, bool repeated) const {
+  if (!versionShares_.enabled()) return;
+  const Instant now = clockNow();
+  const VersionChoice choice =
+      versionShares_.choose({criteria.service, criteria.requestId, repeated}, now);
+  choice.exclusion.apply(criteria);
+  // The target's upstreams may be few, and full or ejected.
+  if (choice.fallback && pickUpstream(upstreams_, criteria, now) == nullptr)
+    choice.fallback->apply(criteria);
+}
+
 bool TrafficEngine::takeRetry(const ServiceName& service, std::string_view requestId) {
   RetryWindow& window = retryWindows_[service];
   const bool allowed = window.takeRetry(options_.retries, retrySlack_, clockNow());
--- a/Hallchute/src/Traffic/TrafficEngine.h
+++ b/Hallchute/src/Traffic/TrafficEngine.h
@@ -25,6 +25,7 @@
 #include "Hallchute/src/Gateway/StreamOrigins.h"
 #include "Hallchute/src/Gateway/UpstreamTable.h"
 #include "Hallchute/src/Gateway/UsageLedger.h"
+#include "Hallchute/src/Gateway/VersionShares.h"
 #include "Hallchute/src/Traffic/ForwardedReply.h"
 #include "Hallchute/src/Traffic/PathProber.h"
 #include "Hallchute/src/Traffic/TrafficOptions.h"
@@ -124,6 +125,7 @@
   const UpstreamTable& upstreams() const { return upstreams_; }
   CrashLedger& crashes() { return crashes_; }
   StreamOrigins& origins() { return origins_; }
+  VersionShares& versionShares() { return versionShares_; }
   const PathMonitor& paths() const { return prober_.paths(); }
 
   // For TrafficSession.
@@ -137,6 +139,9 @@
   /// \brief Connections that this daemon may open to one upstream of \p service.
   std::size_t connectionShare(const ServiceName& service) const;
   bool takeRetry(const ServiceName& service, std::string_view requestId);
+  /// \brief Draws the software version that may run a request, by the rollouts in force.
+  /// \param repeated whether the request has been dispatched before.
+  void excludeVersions(UpstreamCriteria& criteria, bool repeated) const;
   void refundQuota(const OrganisationName& organisation, double amount);
   void noteRun(const OrganisationName& organisation);
   /// \brief Records that a stream began at an upstream, and reports it if callers need that.
@@ -183,6 +188,7 @@
   UsageLedger usage_;
   CrashLedger crashes_;
   AbandonedRuns abandoned_;
+  VersionShares versionShares_;
   std::map<ServiceName, RetryWindow> retryWindows_;
   RetrySlack retrySlack_;
   std::unordered_map<std::uint64_t, std::shared_ptr<TrafficSession>> sessions_;
--- a/Hallchute/src/Traffic/TrafficOptions.h
+++ b/Hallchute/src/Traffic/TrafficOptions.h
@@ -22,6 +22,8 @@
   QuotaTolerance quotas;
   /// Length of a usage window.
   Millis usageWindow{5'000};
+  /// Whether rollouts decide on the versions that serve.
+  bool rollouts = false;
 };
 
 }  // namespace Hallchute
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -271,6 +271,7 @@
     return;
   }
   refreshVersion();
+  engine_.excludeVersions(selection_, dispatchCount_ > 0);
   const bool forwards = engine_.forwarder() != nullptr && engine_.paths().lost(service_);
   if (!forwards) {
     choosing_ = true;
@@ -496,6 +497,11 @@
 
 void TrafficSession::recordRunStart(SessionDispatch& dispatch) {
   if (UpstreamDispatch* direct = dispatch.direct()) direct->noteBegan();
+  if (dispatch.noteFirstEvent()) {
+    engine_.versionShares().noteOutcome(
+        {service_, dispatch.version(), admission_.route->name,
+         std::chrono::duration_cast<Millis>(clockNow() - dispatch.startedAt())});
+  }
   if (std::exchange(runCounted_, true)) return;
   if (!firstOutputAt_) firstOutputAt_ = clockNow();
   if (admission_.organisation != nullptr) engine_.noteRun(admission_.organisation->name);
@@ -585,10 +591,39 @@
                                  bool keepChannel) {
   if (!dispatch.isOpen()) return;
   recordUnansweredRun(dispatch, result);
+  noteVersionOutcome(dispatch, result);
   dispatch.end(result, keepChannel);
   if (!anyOpen()) engine_.loop().cancel(std::exchange(silenceTimer_, 0));
 }
 
+/// A request that never reached the upstream says nothing of it. One that was given up after its
+/// objective without an event had a first event that late at least.
+void TrafficSession::noteVersionOutcome(const SessionDispatch& dispatch, DispatchResult result) {
+  if (!dispatch.delivered()) return;
+  VersionOutcome outcome{service_, dispatch.version(), admission_.route->name, std::nullopt};
+  switch (result) {
+    case DispatchResult::answered:
+      outcome.ended = true;
+      break;
+    case DispatchResult::failed:
+    case DispatchResult::broken:
+      outcome.ended = true;
+      outcome.failed = true;
+      break;
+    case DispatchResult::silent:
+    case DispatchResult::abandoned: {
+      const auto waited = std::chrono::duration_cast<Millis>(clockNow() - dispatch.startedAt());
+      if (dispatch.hasFirstEvent() || waited < admission_.route->latencyObjective) return;
+      outcome.firstEvent = waited;
+      break;
+    }
+    case DispatchResult::rejected:
+    case DispatchResult::unreachable:
+      return;
+  }
+  engine_.versionShares().noteOutcome(outcome);
+}
+
 /// Counts a run without an answer if the upstream had enough time to start it.
 void TrafficSession::recordUnansweredRun(const SessionDispatch& dispatch, DispatchResult result) {
   if (result == DispatchResult::rejected || result == DispatchResult::unreachable) return;
--- a/Hallchute/src/Traffic/TrafficSession.h
+++ b/Hallchute/src/Traffic/TrafficSession.h
@@ -99,6 +99,8 @@
   void forwardEvents(SessionDispatch& dispatch);
   void recordRunStart(SessionDispatch& dispatch);
   void noteCompleted(const SessionDispatch& dispatch);
+  /// Counts the end of a dispatch as evidence of its upstream's software version.
+  void noteVersionOutcome(const SessionDispatch& dispatch, DispatchResult result);
   void recordUnansweredRun(const SessionDispatch& dispatch, DispatchResult result);
   void endDispatch(SessionDispatch& dispatch, DispatchResult result, bool keepChannel);
   Millis silenceTimeout() const;
