--- a/Hallchute/src/Duty/RolloutPlan.cpp
+++ b/Hallchute/src/Duty/RolloutPlan.cpp
@@ -317,7 +317,8 @@
   const bool idle = idleSince_ && wallClock_ - *idleSince_ >= facts.reportLag;
   if (heard && idle) {
     conclude(RolloutPhase::done, "drained");
-  } else if (timeLimit() - wallClock_ <= statusMargin()) {
+  } else if (timeLimit() - wallClock_ <= kMinStatusMargin) {
+    // Requests that are still in flight may break off, but the order is late otherwise.
     conclude(RolloutPhase::done, "timeLimit");
   }
 }
