--- a/Hallchute/src/Duty/RolloutPlan.cpp
+++ b/Hallchute/src/Duty/RolloutPlan.cpp
@@ -270,6 +270,11 @@
       advanceCanary(facts);
       return;
     case RolloutPhase::ramp: {
+      // A successor that took over late leaves out the rest of the ramp.
+      if (timeLimit() - wallClock_ <= statusMargin() + drainTime() / 2) {
+        propose(RolloutPhase::drain, 1, "behind");
+        return;
+      }
       if (wallClock_ - *since_ < kRampStep) return;
       const auto* const next =
           std::upper_bound(kRampShares.begin(), kRampShares.end(), inForce_.share);
@@ -302,7 +307,9 @@
     conclude(RolloutPhase::rolledBack, "unanswered");
     return;
   }
-  propose(RolloutPhase::ramp, kRampShares.front(), evidence_.enough() ? "time" : "littleEvidence");
+  const bool behind = left < -rampTime();
+  const double share = behind ? kRampShares.back() : kRampShares.front();
+  propose(RolloutPhase::ramp, share, evidence_.enough() ? "time" : "littleEvidence");
 }
 
 void RolloutPlan::advanceDrain(const RolloutFacts& facts) {
--- a/standin/ObjectStoreStandin.cpp
+++ b/standin/ObjectStoreStandin.cpp
@@ -19,13 +19,15 @@
 constexpr int kConflict = 409;
 
 Poco::JSON::Object::Ptr objectJson(const std::string& name, std::uint64_t revision,
-                                   const Poco::JSON::Object::Ptr& spec) {
+                                   const Poco::JSON::Object::Ptr& spec,
+                                   const Poco::JSON::Object::Ptr& status) {
   Poco::JSON::Object::Ptr metadata = new Poco::JSON::Object;
   metadata->set("name", name);
   metadata->set("rev", revision);
   Poco::JSON::Object::Ptr json = new Poco::JSON::Object;
   json->set("metadata", metadata);
   json->set("spec", spec);
+  if (status) json->set("status", status);
   return json;
 }
 
@@ -40,7 +42,7 @@
   const std::string kind = path.count() > 1 ? path[1] : "";
   const std::string name = path.count() > 2 ? path[2] : "";
   if (request.method != "GET") {
-    write(request, response, kind, name);
+    write(request, response, kind, name, path.count() > 3 && path[3] == "status");
   } else if (!name.empty()) {
     read(request, response, kind, name);
   } else if (!request.query("watch", "").empty()) {
@@ -51,22 +53,23 @@
 }
 
 void ObjectStoreStandin::set(const std::string& kind, const std::string& name,
-                             const Poco::JSON::Object::Ptr& spec) {
-  objects_[kind][name] = {++revision_, spec};
-  events_.push_back({revision_, kind, name, spec, false});
+                             const Poco::JSON::Object::Ptr& spec,
+                             const Poco::JSON::Object::Ptr& status) {
+  objects_[kind][name] = {++revision_, spec, status};
+  events_.push_back({revision_, kind, name, spec, status, false});
   changed_.notify_all();
 }
 
 void ObjectStoreStandin::put(const std::string& kind, const std::string& name,
                              const Poco::JSON::Object::Ptr& spec) {
   const std::lock_guard lock(mutex_);
-  set(kind, name, spec);
+  set(kind, name, spec, objects_[kind][name].status);
 }
 
 void ObjectStoreStandin::remove(const std::string& kind, const std::string& name) {
   const std::lock_guard lock(mutex_);
   if (objects_[kind].erase(name) == 0) return;
-  events_.push_back({++revision_, kind, name, new Poco::JSON::Object, true});
+  events_.push_back({++revision_, kind, name, new Poco::JSON::Object, nullptr, true});
   changed_.notify_all();
 }
 
@@ -78,7 +81,7 @@
     const std::lock_guard lock(mutex_);
     const auto found = objects_[kind].find(name);
     if (found != objects_[kind].end()) {
-      json = objectJson(name, found->second.revision, found->second.spec);
+      json = objectJson(name, found->second.revision, found->second.spec, found->second.status);
       status = kOk;
     }
   }
@@ -91,7 +94,7 @@
   {
     const std::lock_guard lock(mutex_);
     for (const auto& [name, object] : objects_[kind]) {
-      items->add(objectJson(name, object.revision, object.spec));
+      items->add(objectJson(name, object.revision, object.spec, object.status));
     }
     json->set("as-of", revision_);
   }
@@ -113,7 +116,7 @@
     for (const Event& event : events_) {
       if (!isNew(event)) continue;
       Poco::JSON::Object::Ptr item = new Poco::JSON::Object;
-      item->set("object", objectJson(event.name, event.revision, event.spec));
+      item->set("object", objectJson(event.name, event.revision, event.spec, event.status));
       item->set("deleted", event.deleted);
       events->add(item);
     }
@@ -123,9 +126,10 @@
   sendJson(response, kOk, json);
 }
 
-/// POST creates an object; PUT replaces one, if it has the revision that the call names.
+/// POST creates an object; PUT replaces one or its status, if it has the revision that the call
+/// names.
 void ObjectStoreStandin::write(const Request& request, Poco::Net::HTTPServerResponse& response,
-                               const std::string& kind, std::string name) {
+                               const std::string& kind, std::string name, bool ofStatus) {
   Hallchute::Findings findings;
   const Poco::JSON::Object::Ptr body = Hallchute::parseJsonObject(request.body, findings);
   const Poco::JSON::Object::Ptr metadata = body->getObject("metadata");
@@ -135,11 +139,13 @@
   int status = kConflict;
   {
     const std::lock_guard lock(mutex_);
-    const StoredObject& before = objects_[kind][name];
+    const StoredObject before = objects_[kind][name];
     const std::uint64_t expected = creates ? 0 : metadata->optValue<std::uint64_t>("rev", 0);
     if (before.revision == expected) {
-      set(kind, name, body->getObject("spec"));
-      json = objectJson(name, revision_, body->getObject("spec"));
+      const Poco::JSON::Object::Ptr spec = ofStatus ? before.spec : body->getObject("spec");
+      const Poco::JSON::Object::Ptr state = ofStatus ? body->getObject("status") : before.status;
+      set(kind, name, spec, state);
+      json = objectJson(name, revision_, spec, state);
       status = kOk;
     }
   }
--- a/standin/ObjectStoreStandin.h
+++ b/standin/ObjectStoreStandin.h
@@ -29,23 +29,27 @@
   struct StoredObject {
     std::uint64_t revision = 0;
     Poco::JSON::Object::Ptr spec;
+    /// Null until one is written.
+    Poco::JSON::Object::Ptr status;
   };
   struct Event {
     std::uint64_t revision = 0;
     std::string kind;
     std::string name;
     Poco::JSON::Object::Ptr spec;
+    Poco::JSON::Object::Ptr status;
     bool deleted = false;
   };
 
-  void set(const std::string& kind, const std::string& name, const Poco::JSON::Object::Ptr& spec);
+  void set(const std::string& kind, const std::string& name, const Poco::JSON::Object::Ptr& spec,
+           const Poco::JSON::Object::Ptr& status);
   void read(const Request& request, Poco::Net::HTTPServerResponse& response,
             const std::string& kind, const std::string& name);
   void list(Poco::Net::HTTPServerResponse& response, const std::string& kind);
   void watch(const Request& request, Poco::Net::HTTPServerResponse& response,
              const std::string& kind);
   void write(const Request& request, Poco::Net::HTTPServerResponse& response,
-             const std::string& kind, std::string name);
+             const std::string& kind, std::string name, bool ofStatus);
 
   std::mutex mutex_;
   std::condition_variable changed_;
