--- a/Hallchute/src/Duty/EvidenceTracker.cpp
+++ b/Hallchute/src/Duty/EvidenceTracker.cpp
@@ -70,8 +70,8 @@
   const VersionEvidence& judged = recent.timed() < sinceWarm.timed() ? recent : sinceWarm;
   const bool timed = recentPrevious.timed() >= kMinWindowSamples;
   // A spike of the whole service's load delays both versions, so the same seconds count too.
-  const bool slowNow = isSlower(judged, previous, limit) &&
-                       (!timed || isSlower(judged, recentPrevious, limit));
+  const bool slowNow =
+      isSlower(judged, previous, limit) && (!timed || isSlower(judged, recentPrevious, limit));
   const bool slowSinceWarm = canary && isSlower(sinceWarm, previous, limit);
   return slowNow || slowSinceWarm ? VersionFault::slow : VersionFault::none;
 }
--- a/Hallchute/src/Duty/RolloutPlan.cpp
+++ b/Hallchute/src/Duty/RolloutPlan.cpp
@@ -119,8 +119,8 @@
 }
 
 void RolloutPlan::noteChange(std::string_view reason, const std::string& route) {
-  changes_.push_back({record_.phase, record_.share, record_.step, reason, route,
-                      evidence_.target(), evidence_.previous(), timeLimit() - wallClock_, reportLag_});
+  changes_.push_back({record_.phase, record_.share, record_.step, reason, route, evidence_.target(),
+                      evidence_.previous(), timeLimit() - wallClock_, reportLag_});
 }
 
 void RolloutPlan::propose(RolloutPhase phase, double share, std::string_view reason) {
@@ -249,8 +249,7 @@
 bool RolloutPlan::mustRollBack(const RolloutFacts& facts) {
   // A reverted order's target has served before.
   const bool canary = inForce_.phase == RolloutPhase::canary;
-  if (canary && inForce_.share > 0 && wallClock_ - *since_ >= kCanaryWarmTime)
-    evidence_.markWarm();
+  if (canary && inForce_.share > 0 && wallClock_ - *since_ >= kCanaryWarmTime) evidence_.markWarm();
   const FaultFinding finding = evidence_.fault(canary);
   if (finding.fault != VersionFault::none) {
     conclude(RolloutPhase::rolledBack, describe(finding.fault), finding.route);
--- a/Hallchute/src/Gateway/VersionShares.cpp
+++ b/Hallchute/src/Gateway/VersionShares.cpp
@@ -36,8 +36,8 @@
     std::map<UpstreamId, ListedUpstream> upstreams;
     for (const UpstreamRecord* record : listed) {
       const auto before = service.upstreams.find(record->id);
-      const bool known = before != service.upstreams.end() &&
-                         before->second.incarnation == record->incarnation;
+      const bool known =
+          before != service.upstreams.end() && before->second.incarnation == record->incarnation;
       upstreams[record->id] = {record->incarnation, record->version,
                                record->state == UpstreamState::ready,
                                known ? before->second.readyAt : now + record->warmupRemaining};
@@ -72,7 +72,8 @@
   if (!enabled_) return adopted;
   for (const RolloutStage& stage : stages) {
     const Instant confirmedAt = now - stage.age;
-    const auto [it, added] = stages_.try_emplace(stage.service, KnownStage{stage, confirmedAt, now});
+    const auto [it, added] =
+        stages_.try_emplace(stage.service, KnownStage{stage, confirmedAt, now});
     KnownStage& known = it->second;
     if (!added && !stage.isNewerThan(known.stage)) {
       const bool same = !known.stage.isNewerThan(stage);
@@ -176,8 +177,7 @@
   }
   if (ready.empty()) return std::nullopt;
   const double wanted = std::floor(stage.share * static_cast<double>(others));
-  const std::size_t count =
-      std::min(ready.size(), static_cast<std::size_t>(std::max(1.0, wanted)));
+  const std::size_t count = std::min(ready.size(), static_cast<std::size_t>(std::max(1.0, wanted)));
   std::partial_sort(ready.begin(), ready.begin() + static_cast<std::ptrdiff_t>(count), ready.end());
   for (std::size_t i = 0; i < count; ++i) outside.erase(ready[i].second);
   return outside;
@@ -190,8 +190,8 @@
   if (it == stages_.end()) return nullptr;
   const KnownStage& known = it->second;
   const bool done = known.stage.phase == RolloutPhase::done && now - known.since > kDoneHold;
-  const bool rolledBack = known.stage.phase == RolloutPhase::rolledBack &&
-                          now - known.confirmedAt > kRolledBackHold;
+  const bool rolledBack =
+      known.stage.phase == RolloutPhase::rolledBack && now - known.confirmedAt > kRolledBackHold;
   return done || rolledBack ? nullptr : &known;
 }
 
@@ -215,8 +215,9 @@
   const double share = shareInForce(known, !previous.empty(), now);
   const bool all = stage.phase == RolloutPhase::drain || stage.phase == RolloutPhase::done;
   // What failed at the target version is repeated at a previous one as long as it takes all.
-  const bool drawn = (!draw.repeated || all) &&
-                     hashFraction(draw.requestId, stableHash(stage.target.str(), stage.order)) < share;
+  const bool drawn =
+      (!draw.repeated || all) &&
+      hashFraction(draw.requestId, stableHash(stage.target.str(), stage.order)) < share;
   if (!drawn || !listed.contains(stage.target)) {
     // Only without a target to use do previous upstreams take requests of the last phases.
     choice.exclusion = std::move(toPrevious);
@@ -238,8 +239,8 @@
 void VersionShares::noteOutcome(const VersionOutcome& outcome) {
   const auto it = stages_.find(outcome.service);
   if (it == stages_.end() || it->second.stage.ended()) return;
-  VersionEvidence& evidence = evidence_[{outcome.service, it->second.stage.order, outcome.version,
-                                         outcome.route}];
+  VersionEvidence& evidence =
+      evidence_[{outcome.service, it->second.stage.order, outcome.version, outcome.route}];
   if (outcome.firstEvent) evidence.noteFirstEvent(*outcome.firstEvent);
   if (outcome.ended) ++evidence.answers;
   if (outcome.ended && outcome.failed) ++evidence.failures;
--- a/Hallchute/src/Node/RolloutRunner.cpp
+++ b/Hallchute/src/Node/RolloutRunner.cpp
@@ -61,16 +61,15 @@
       policy_(policy),
       self_(std::move(self)),
       metrics_(metrics),
-      follower_("rollouts", ports_.orders, {watchTimeout, Millis(0), Millis(0)},
-                {[this](const ObjectFollower::Objects& objects, std::uint64_t) {
-                   readOrders(objects);
-                 },
-                 [] {},
-                 [this](const absl::Status& status) {
-                   metrics_.add("hallchute_store_calls_failed_total",
-                                "follows=\"rollouts\",status=\"" +
-                                    absl::StatusCodeToString(status.code()) + "\"");
-                 }}) {
+      follower_(
+          "rollouts", ports_.orders, {watchTimeout, Millis(0), Millis(0)},
+          {[this](const ObjectFollower::Objects& objects, std::uint64_t) { readOrders(objects); },
+           [] {},
+           [this](const absl::Status& status) {
+             metrics_.add(
+                 "hallchute_store_calls_failed_total",
+                 "follows=\"rollouts\",status=\"" + absl::StatusCodeToString(status.code()) + "\"");
+           }}) {
   follower_.setMode(FollowMode::off);
 }
 
@@ -224,9 +223,8 @@
         .with("oldTimed", change.previous.timed())
         .with("reportLagMs", change.reportLag)
         .with("leftMs", static_cast<std::int64_t>(change.left.count()));
-    metrics_.add("hallchute_rollout_stages_total",
-                 "service=\"" + service.str() + "\",phase=\"" +
-                     std::string(describe(change.phase)) + "\"");
+    metrics_.add("hallchute_rollout_stages_total", "service=\"" + service.str() + "\",phase=\"" +
+                                                       std::string(describe(change.phase)) + "\"");
   }
 }
 
--- a/test/RolloutReplay.cpp
+++ b/test/RolloutReplay.cpp
@@ -78,8 +78,8 @@
   std::vector<int> allowed;
   for (int i = 0; i < (ms >= kNewUpstreamsMs ? 2 * kUpstreams : kUpstreams); ++i) {
     const UpstreamRecord& record = records_[static_cast<std::size_t>(i)];
-    const bool excluded = exclusion.versions.contains(record.version) ||
-                          exclusion.upstreams.contains(record.id);
+    const bool excluded =
+        exclusion.versions.contains(record.version) || exclusion.upstreams.contains(record.id);
     if (!excluded) allowed.push_back(i);
   }
   return allowed.empty() ? -1 : allowed[draw % allowed.size()];
@@ -89,8 +89,7 @@
   const auto daemon = static_cast<std::size_t>(random() * daemons_);
   const int route = random() < kStreamPart ? 0 : 1;
   const std::string id = "r" + std::to_string(nextRequest_++);
-  const VersionChoice choice =
-      shares_[daemon]->choose({kService, id}, SimulatedFleet::at(ms));
+  const VersionChoice choice = shares_[daemon]->choose({kService, id}, SimulatedFleet::at(ms));
   const int upstream = pick(choice.exclusion, nextRequest_, ms);
   const int since = ms - kOrderMs;
   if (since >= 0 && since < kDurationMs) ++requests_;
@@ -215,9 +214,9 @@
                        brokenOff_ += inFlight_[static_cast<std::size_t>(i)];
                    }
                    const bool lost = events_.answerLost && final && !std::exchange(lostOnce_, true);
-                   plan_->noteStatusOutcome(
-                       write.status, lost ? DutyOutcome::unknown : DutyOutcome::done,
-                       order_->revision, now);
+                   plan_->noteStatusOutcome(write.status,
+                                            lost ? DutyOutcome::unknown : DutyOutcome::done,
+                                            order_->revision, now);
                  }},
       plan_->statusStep(now));
 }
--- a/test/RolloutTest.cpp
+++ b/test/RolloutTest.cpp
@@ -96,12 +96,11 @@
   }
 
   static void assertBounds(const std::string& text, const RolloutReplay& replay) {
-    const double allowed =
-        kExposeShare * static_cast<double>(replay.requests()) + kExposeSlack;
+    const double allowed = kExposeShare * static_cast<double>(replay.requests()) + kExposeSlack;
     CPPUNIT_ASSERT_MESSAGE(text, static_cast<double>(replay.exposed()) <= allowed);
     const bool counted = replay.fiftiethBadMs() >= 0;
-    CPPUNIT_ASSERT_MESSAGE(
-        text, !counted || replay.lastSentMs() <= replay.fiftiethBadMs() + kRollbackMs);
+    CPPUNIT_ASSERT_MESSAGE(text,
+                           !counted || replay.lastSentMs() <= replay.fiftiethBadMs() + kRollbackMs);
   }
 
   static void assertState(const std::string& text, const RolloutReplay& replay,
--- a/test/VersionSharesTest.cpp
+++ b/test/VersionSharesTest.cpp
@@ -113,8 +113,7 @@
       if (choice.exclusion.versions.contains(kNew)) continue;
       CPPUNIT_ASSERT_EQUAL(std::size_t{46}, choice.exclusion.upstreams.size());
       CPPUNIT_ASSERT(choice.fallback && choice.fallback->versions.contains(kNew));
-      CPPUNIT_ASSERT(
-          shares.choose({kService, id, true}, at(0)).exclusion.versions.contains(kNew));
+      CPPUNIT_ASSERT(shares.choose({kService, id, true}, at(0)).exclusion.versions.contains(kNew));
     }
   }
 
@@ -188,8 +187,16 @@
   // Guards against a successor that doesn't know the stage.
   void theRecordKeepsRollouts() {
     DutyRecord record;
-    record.rollouts = {{"chat", kService, kNew, {kOld}, 7, Millis(1'764'844'800'123),
-                        Millis(15'000), RolloutPhase::ramp, 0.25, 3}};
+    record.rollouts = {{"chat",
+                        kService,
+                        kNew,
+                        {kOld},
+                        7,
+                        Millis(1'764'844'800'123),
+                        Millis(15'000),
+                        RolloutPhase::ramp,
+                        0.25,
+                        3}};
     CPPUNIT_ASSERT(storeAndRead(record).rollouts == record.rollouts);
   }
 };
