--- a/Hallchute/src/Fleet/FleetView.h
+++ b/Hallchute/src/Fleet/FleetView.h
@@ -118,6 +118,9 @@
   UpstreamLoads loadsElsewhere(Instant now) const;
   /// \brief Time since the oldest of the reports that loadsElsewhere() sums; zero without any.
   Millis loadsAge(Instant now) const;
+  /// \brief Evidence of running rollouts from all other daemons with a recent report. Counts fall
+  /// when a daemon is lost.
+  VersionEvidences evidenceElsewhere(Instant now) const;
   /// \brief Usage of all daemons and their earlier incarnations, without this incarnation's own.
   /// The time is ignored, as counted usage doesn't expire.
   UsageByWindow usageElsewhere(Instant) const { return usage_.elsewhere(); }
--- a/Hallchute/src/Traffic/TrafficEngine.h
+++ b/Hallchute/src/Traffic/TrafficEngine.h
@@ -26,6 +26,7 @@
 #include "Hallchute/src/Gateway/StreamOrigins.h"
 #include "Hallchute/src/Gateway/UpstreamTable.h"
 #include "Hallchute/src/Gateway/UsageLedger.h"
+#include "Hallchute/src/Gateway/VersionShares.h"
 #include "Hallchute/src/Traffic/ForwardedReply.h"
 #include "Hallchute/src/Traffic/PathProber.h"
 #include "Hallchute/src/Traffic/TrafficOptions.h"
@@ -135,6 +136,7 @@
   const UpstreamTable& upstreams() const { return upstreams_; }
   CrashLedger& crashes() { return crashes_; }
   StreamOrigins& origins() { return origins_; }
+  VersionShares& versionShares() { return versionShares_; }
   const PathMonitor& paths() const { return prober_.paths(); }
 
   // For TrafficSession.
@@ -151,6 +153,9 @@
   HedgePolicy& hedges() { return hedges_; }
   /// \brief Takes a hedge from the service's retry budget. \returns whether there was one.
   bool takeHedge(const ServiceName& service);
+  /// \brief Draws the software version that may run a request, by the rollouts in force.
+  /// \param repeated whether the request has been dispatched before.
+  void excludeVersions(UpstreamCriteria& criteria, bool repeated) const;
   void refundQuota(const OrganisationName& organisation, double amount);
   void noteRun(const OrganisationName& organisation);
   /// \brief Records that a stream began at an upstream, and reports it if callers need that.
@@ -197,6 +202,7 @@
   UsageLedger usage_;
   CrashLedger crashes_;
   AbandonedRuns abandoned_;
+  VersionShares versionShares_;
   std::map<ServiceName, RetryWindow> retryWindows_;
   RetrySlack retrySlack_;
   HedgePolicy hedges_;
--- a/Hallchute/src/Traffic/TrafficOptions.h
+++ b/Hallchute/src/Traffic/TrafficOptions.h
@@ -28,6 +28,8 @@
   /// Whether upstreams' speeds are estimated and used for placement.
   bool estimatesSpeeds = false;
   AnswerBounds answers;
+  /// Whether rollouts decide on the versions that serve.
+  bool rollouts = false;
 };
 
 }  // namespace Hallchute
