Count broken connections as failures of a rollout's version

A version whose processes reset connections had no failures in the evidence: the exchange closes its connection before the session asks whether the request was delivered, and an undelivered request counted as nothing. Only requests that were given up need the question.

--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -660,7 +660,6 @@
 /// A request that never reached the upstream says nothing of it. One that was given up after its
 /// objective without an event had a first event that late at least.
 void TrafficSession::noteVersionOutcome(const SessionDispatch& dispatch, DispatchResult result) {
-  if (!dispatch.delivered()) return;
   VersionOutcome outcome{service_, dispatch.version(), admission_.route->name, std::nullopt};
   switch (result) {
     case DispatchResult::answered:
@@ -675,6 +674,7 @@
     case DispatchResult::abandoned: {
       const auto waited = std::chrono::duration_cast<Millis>(clockNow() - dispatch.startedAt());
       if (dispatch.hasFirstEvent() || waited < admission_.route->latencyObjective) return;
+      if (!dispatch.delivered()) return;
       outcome.firstEvent = waited;
       break;
     }
