Let requests wait before their first dispatch while queues are long

Under a burst every request was dispatched at once: the engines' queues grew until nearly all less urgent requests were late, and late ones were processed before those that could still be on time. AdmissionPolicy now dispatches a request while the predicted queue delay is below a threshold that falls with its rank and the time used, lets it wait otherwise, and refuses at once what can't be served before its time limit. AdmissionQueue holds a bounded set of waiting requests and releases this daemon's share of the room at the upstreams until the next report. Reports carry the waiting requests of each service, summed by relays. Only the first dispatch of a fresh request is held; `admission.enabled` switches it, off unless the start-up file asks for it.

--- a/Hallchute/src/Fleet/FleetReport.h
+++ b/Hallchute/src/Fleet/FleetReport.h
@@ -16,6 +16,7 @@
 #include "Hallchute/src/Gateway/QuotaLedger.h"
 #include "Hallchute/src/Gateway/UpstreamTable.h"
 #include "Hallchute/src/Gateway/UsageLedger.h"
+#include "Hallchute/src/Gateway/WaitingLoad.h"
 
 namespace Hallchute {
 
@@ -102,6 +103,8 @@
   Millis storeAge{kUnknownAge};
   SpentQuota spent;
   UpstreamLoads loads;
+  /// Requests that wait for admission at the daemons in the scope.
+  WaitingLoads waiting;
   /// Usage of the daemons in the scope.
   UsageByWindow usage;
   /// Upstreams known to accept no new work.
--- a/Hallchute/src/Fleet/FleetView.cpp
+++ b/Hallchute/src/Fleet/FleetView.cpp
@@ -377,6 +377,7 @@
 
 void FleetView::addPeerTotals(FleetReport& report, const FleetPeer& source) const {
   addLoads(report.loads, source.report.loads);
+  addWaiting(report.waiting, source.report.waiting);
   for (const UpstreamIncarnation& upstream : source.report.draining) {
     if (std::find(report.draining.begin(), report.draining.end(), upstream) ==
         report.draining.end()) {
@@ -416,8 +417,10 @@
   const FleetReport& lastReport = receiver.report;
   subtract(report.spent, receiver.spentAsMember);
   subtract(report.usage, usage_.usageSince(lastReport.self));
-  if (receiver.reportedAt != Instant{} && countsInSums(lastReport, now))
+  if (receiver.reportedAt != Instant{} && countsInSums(lastReport, now)) {
     subtract(report.loads, lastReport.loads);
+    subtract(report.waiting, lastReport.waiting);
+  }
   if (round.standby == lastReport.self.daemon) report.incarnations = round.incarnations;
   // The successor learns only from this report what this daemon serves while shutting down.
   if (report.leaving) report.incarnations.push_back(ownUsage(round));
@@ -462,6 +465,17 @@
   return loads;
 }
 
+WaitingLoads FleetView::waitingElsewhere(Instant now) const {
+  WaitingLoads waiting;
+  for (const auto& [daemon, peer] : roster_.peers()) {
+    if (FleetPeer::isRecent(peer.reportedAt, now, FleetPeer::kLivenessTimeout) &&
+        countsInSums(peer.report, now)) {
+      addWaiting(waiting, peer.report.waiting);
+    }
+  }
+  return waiting;
+}
+
 Millis FleetView::loadsAge(Instant now) const {
   Instant oldest = now;
   for (const auto& [daemon, peer] : roster_.peers()) {
--- a/Hallchute/src/Fleet/FleetView.h
+++ b/Hallchute/src/Fleet/FleetView.h
@@ -116,6 +116,8 @@
   /// others may be undiscovered.
   double liveFraction(Instant now) const;
   UpstreamLoads loadsElsewhere(Instant now) const;
+  /// \brief Requests that wait for admission at other live daemons.
+  WaitingLoads waitingElsewhere(Instant now) const;
   /// \brief Time since the oldest of the reports that loadsElsewhere() sums; zero without any.
   Millis loadsAge(Instant now) const;
   /// \brief Usage of all daemons and their earlier incarnations, without this incarnation's own.
--- a/Hallchute/src/Fleet/ReportSums.cpp
+++ b/Hallchute/src/Fleet/ReportSums.cpp
@@ -15,6 +15,10 @@
   for (const auto& [upstream, load] : more) total[upstream] += load;
 }
 
+void addWaiting(WaitingLoads& total, const WaitingLoads& more) {
+  for (const auto& [service, load] : more) total[service] += load;
+}
+
 void addUsage(UsageByWindow& total, const UsageByWindow& more) {
   for (const auto& [window, counts] : more) {
     for (const auto& [organisation, count] : counts) total[window][organisation] += count;
@@ -34,6 +38,15 @@
   }
 }
 
+void subtract(WaitingLoads& total, const WaitingLoads& part) {
+  for (const auto& [service, load] : part) {
+    const auto it = total.find(service);
+    if (it == total.end()) continue;
+    it->second -= load;
+    if (it->second == WaitingLoad{}) total.erase(it);
+  }
+}
+
 void subtract(UsageByWindow& total, const UsageByWindow& part) {
   for (const auto& [window, counts] : part) {
     UsageCounts& left = total[window];
--- a/Hallchute/src/Fleet/ReportSums.h
+++ b/Hallchute/src/Fleet/ReportSums.h
@@ -7,6 +7,7 @@
 #include "Hallchute/src/Gateway/QuotaLedger.h"
 #include "Hallchute/src/Gateway/UpstreamLoad.h"
 #include "Hallchute/src/Gateway/UsageLedger.h"
+#include "Hallchute/src/Gateway/WaitingLoad.h"
 
 namespace Hallchute {
 
@@ -17,12 +18,14 @@
 /// \brief Adds \p more to \p total. \ingroup Fleet
 void addSpent(SpentQuota& total, const SpentQuota& more);
 void addLoads(UpstreamLoads& total, const UpstreamLoads& more);
+void addWaiting(WaitingLoads& total, const WaitingLoads& more);
 void addUsage(UsageByWindow& total, const UsageByWindow& more);
 
 /// \brief Subtracts \p part, which was added before, from \p total. \ingroup Fleet
 void subtract(SpentQuota& total, const SpentQuota& part);
-/// \brief As above; removes upstreams that are left without load.
+/// \brief As above; removes upstreams and services that are left without load.
 void subtract(UpstreamLoads& total, const UpstreamLoads& part);
+void subtract(WaitingLoads& total, const WaitingLoads& part);
 void subtract(UsageByWindow& total, const UsageByWindow& part);
 
 /// \brief Raises the counts of \p known to those of \p reported where these are higher. Counts of
--- a/Hallchute/src/Gateway/RouteTable.cpp
+++ b/Hallchute/src/Gateway/RouteTable.cpp
@@ -4,6 +4,8 @@
 #include "Hallchute/src/Gateway/RouteTable.h"
 
 #include <absl/strings/ascii.h>
+#include <optional>
+#include <set>
 
 #include <algorithm>
 #include <numeric>
@@ -56,6 +58,25 @@
   return it == byService_.end() ? nullptr : it->second;
 }
 
+RouteUrgency RouteTable::urgencyOf(const ServiceName& service, int priority) const {
+  RouteUrgency urgency;
+  std::set<int> moreUrgent;
+  std::optional<Millis> shortest;
+  for (const Route& route : settings_.routes) {
+    const bool reaches = std::any_of(
+        route.targets.begin(), route.targets.end(),
+        [&](const RouteTarget& target) { return target.service == service && target.weight > 0; });
+    if (!reaches) continue;
+    urgency.overtakes |= route.priority > priority;
+    if (route.priority > priority) continue;
+    if (route.priority < priority) moreUrgent.insert(route.priority);
+    shortest = std::min(shortest.value_or(route.latencyObjective), route.latencyObjective);
+  }
+  urgency.rank = static_cast<std::uint32_t>(moreUrgent.size());
+  urgency.objective = shortest.value_or(Millis::max());
+  return urgency;
+}
+
 const ServiceName& RouteTable::pickTarget(const Route& route, std::string_view requestId) {
   const std::uint64_t total = std::accumulate(
       route.targets.begin(), route.targets.end(), std::uint64_t{0},
--- a/Hallchute/src/Gateway/RouteTable.h
+++ b/Hallchute/src/Gateway/RouteTable.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "Hallchute/src/Gateway/GatewaySettings.h"
+#include "Hallchute/src/Gateway/RouteUrgency.h"
 
 namespace Hallchute {
 
@@ -32,6 +33,8 @@
   const GatewayOrganisation* organisationOf(std::string_view key) const;
   /// \returns null if there is no service of that name.
   const GatewayService* service(const ServiceName& name) const;
+  /// \brief The rank of a priority among the routes of a service. Cost: one pass over the routes.
+  RouteUrgency urgencyOf(const ServiceName& service, int priority) const;
   /// \brief Weighted choice of a service, deterministic in \p requestId.
   static const ServiceName& pickTarget(const Route& route, std::string_view requestId);
 
--- a/Hallchute/src/Node/FleetWire.h
+++ b/Hallchute/src/Node/FleetWire.h
@@ -22,6 +22,9 @@
   return std::tie(m.requests, m.pendingPrefillTokens, m.memoryTokens, m.recentWork, m.recentWorkMs,
                   m.recentPauses, m.recentPauseMicros);
 }
+inline auto wireFields(WaitingLoad& m) {
+  return std::tie(m.requests, m.promptTokens);
+}
 inline auto wireFields(UpstreamIncarnation& m) {
   return std::tie(m.id, m.incarnation);
 }
@@ -43,7 +46,8 @@
 inline auto wireFields(FleetReport& m) {
   return std::tie(m.self, m.scope, m.wallClock, m.settingsVersion, m.upstreamsVersion, m.storeAge,
                   m.spent, m.loads, m.usage, m.draining, m.duties, m.crashes, m.limits,
-                  m.rejectionLimits, m.members, m.incarnations, m.membersUnchanged, m.leaving);
+                  m.rejectionLimits, m.members, m.incarnations, m.membersUnchanged, m.leaving,
+                  m.waiting);
 }
 inline auto wireFields(UpstreamRecord& m) {
   return std::tie(m.id, m.service, m.address, m.domain, m.slots, m.state, m.reclaimable,
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -142,6 +142,7 @@
   options.retries = {bounds.retryRatio, bounds.retrySlack, bounds.retryWindow};
   options.quotas = {bounds.quotaOverdraftRatio, bounds.quotaSlack, bounds.quotaWindow};
   options.usageWindow = bounds.usageWindow;
+  options.admission = startup_.admission;
   options.estimatesSpeeds = startup_.placement.estimates;
   return options;
 }
@@ -308,6 +309,7 @@
   engine_.usage().forgetBefore(window - kUsageWindowsKept);
   LocalReport local{engine_.quota().spent(),
                     engine_.upstreams().ownLoads(),
+                    engine_.admission().queue().loads(),
                     engine_.usage().counts(),
                     {},
                     engine_.crashes().report(forwards_, clockNow()),
@@ -342,6 +344,7 @@
   report.storeAge = storeCopy_.age(now);
   report.spent = local.spent;
   report.loads = local.loads;
+  report.waiting = local.waiting;
   report.usage = local.usage;
   report.draining = local.draining;
   report.crashes = local.crashes;
@@ -357,10 +360,16 @@
 }
 
 void GatewayNode::updateTraffic(Instant now) {
-  FleetTrafficView trafficView{fleet_.expectedCount(now), fleet_.loadsElsewhere(now),
-                               fleet_.quotaFleet(now),    fleet_.clock().offset(),
-                               crashLimit(now),           fleet_.limitFleet(now),
-                               directoryCurrent(now),     fleet_.retrySharers(now)};
+  FleetTrafficView trafficView{fleet_.expectedCount(now),
+                               fleet_.loadsElsewhere(now),
+                               fleet_.quotaFleet(now),
+                               fleet_.clock().offset(),
+                               crashLimit(now),
+                               fleet_.limitFleet(now),
+                               directoryCurrent(now),
+                               fleet_.retrySharers(now),
+                               fleet_.waitingElsewhere(now),
+                               fleet_.reportLag(now)};
   trafficView.loadsAge = fleet_.loadsAge(now);
   // The others no longer count on a daemon that is leaving.
   if (leaving_) trafficView.limitFleet.active = false;
@@ -463,6 +472,7 @@
   controlLoop_.post([this] { leaving_ = true; });
   trafficLoop_.post([this] {
     callerServer_.drain();
+    engine_.refuseWaitingRequests();
     pollStop(clockNow());
   });
 }
--- a/Hallchute/src/Node/GatewayNode.h
+++ b/Hallchute/src/Node/GatewayNode.h
@@ -54,6 +54,7 @@
   struct LocalReport {
     SpentQuota spent;
     UpstreamLoads loads;
+    WaitingLoads waiting;
     UsageByWindow usage;
     std::vector<UpstreamIncarnation> draining;
     /// What to report to other daemons, and what to keep in the store.
--- a/Hallchute/src/Node/NodeStartup.cpp
+++ b/Hallchute/src/Node/NodeStartup.cpp
@@ -23,6 +23,9 @@
 constexpr double kMaxRetrySlack = 1'000'000;
 /// More than any organisation's quota for a window.
 constexpr double kMaxQuotaSlackTokens = 1e9;
+constexpr std::int64_t kMaxWaiting = 100'000;
+/// 1 GiB: more than the memory of a host that this program is made for.
+constexpr std::int64_t kMaxWaitingBytes = std::int64_t{1} << 30U;
 /// Enough for the log, the event loops, the store and peers.
 constexpr std::int64_t kMinDescriptors = 64;
 
@@ -79,6 +82,14 @@
   startup.ordersReplicas = reader.boolean("replicas", false);
 }
 
+void readAdmission(JsonReader& reader, AdmissionLimits& limits) {
+  limits.enabled = reader.boolean("enabled", limits.enabled);
+  limits.maxWaiting = static_cast<std::size_t>(
+      reader.integer("maxWaiting", 1, kMaxWaiting, static_cast<std::int64_t>(limits.maxWaiting)));
+  limits.maxWaitingBytes = static_cast<std::size_t>(reader.integer(
+      "maxWaitingBytes", 1, kMaxWaitingBytes, static_cast<std::int64_t>(limits.maxWaitingBytes)));
+}
+
 }  // namespace
 
 NodeStartup readNodeStartup(std::string_view text, Findings& findings) {
@@ -105,6 +116,7 @@
   });
   root.object("duties", [&](JsonReader& reader) { readDuties(reader, startup); });
   root.object("bounds", [&](JsonReader& reader) { readBounds(reader, startup.bounds); });
+  root.object("admission", [&](JsonReader& reader) { readAdmission(reader, startup.admission); });
   root.object("placement", [&](JsonReader& reader) {
     startup.placement.estimates = reader.boolean("estimates", startup.placement.estimates);
   });
--- a/Hallchute/src/Node/NodeStartup.h
+++ b/Hallchute/src/Node/NodeStartup.h
@@ -13,6 +13,7 @@
 #include "Hallchute/src/Core/Finding.h"
 #include "Hallchute/src/Core/Id.h"
 #include "Hallchute/src/Core/Time.h"
+#include "Hallchute/src/Gateway/AdmissionLimits.h"
 
 namespace Hallchute {
 
@@ -68,6 +69,7 @@
   /// How many file descriptors the process may have open.
   std::size_t descriptors = 1'024;
   NodeBounds bounds;
+  AdmissionLimits admission;
   PlacementOptions placement;
   /// Processing capacity of the host in thousandths of a processor.
   std::uint32_t capacity = 1'000;
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -83,6 +83,7 @@
       codec_(codec),
       metrics_(metrics),
       selector_(upstreams_, metrics),
+      admission_(loop, upstreams_, metrics, options_.admission),
       prober_(loop, upstreams_, pool_, metrics),
       pool_(loop, options_.ownIp, prober_, metrics),
       quota_(clockNow(), options_.quotas),
@@ -189,6 +190,9 @@
   upstreams_.rejectionLimits().setFleet(view.limitFleet);
   origins_.setDirectoryCurrent(view.directoryCurrent);
   reportStreams(origins_.takeUnreported(clockNow()));
+  if (admission_.enabled()) {
+    admission_.noteReports({view.waiting, daemonCount_, view.reportLag});
+  }
 }
 
 void TrafficEngine::noteSpentElsewhere(const OrganisationName& organisation, double amount) {
--- a/Hallchute/src/Traffic/TrafficEngine.h
+++ b/Hallchute/src/Traffic/TrafficEngine.h
@@ -25,6 +25,7 @@
 #include "Hallchute/src/Gateway/StreamOrigins.h"
 #include "Hallchute/src/Gateway/UpstreamTable.h"
 #include "Hallchute/src/Gateway/UsageLedger.h"
+#include "Hallchute/src/Traffic/AdmissionGate.h"
 #include "Hallchute/src/Traffic/ForwardedReply.h"
 #include "Hallchute/src/Traffic/PathProber.h"
 #include "Hallchute/src/Traffic/TrafficOptions.h"
@@ -67,6 +68,10 @@
   /// Number of daemons that share the slack of the retry budget; 0 if this one has no share yet, or
   /// no more.
   std::size_t retrySharers = 0;
+  /// Requests that wait for admission at other daemons.
+  WaitingLoads waiting{};
+  /// Time for a report to reach all other daemons.
+  Millis reportLag{0};
   /// Age of the oldest report among the loads.
   Millis loadsAge{0};
 };
@@ -92,6 +97,8 @@
   void setSettingsMayBeStale(bool old) { settingsMayBeStale_ = old; }
   /// \brief Refuses all new requests from now on: they could not complete before the daemon stops.
   void refuseNewRequests() { refusingNewRequests_ = true; }
+  /// \brief Refuses requests that wait for admission: the daemon stops, others can serve them.
+  void refuseWaitingRequests() { admission_.stop(); }
   bool refusesNewRequests() const { return refusingNewRequests_; }
   /// \brief Sets how requests reach upstreams that this daemon can't; null, or must outlive this.
   void setForwarder(RequestForwarder* forwarder) { forwarder_ = forwarder; }
@@ -136,6 +143,7 @@
   UpstreamPool& pool() { return pool_; }
   UpstreamTable& upstreamTable() { return upstreams_; }
   UpstreamSelector& selector() { return selector_; }
+  AdmissionGate& admission() { return admission_; }
   /// \brief Connections that this daemon may open to one upstream of \p service.
   std::size_t connectionShare(const ServiceName& service) const;
   bool takeRetry(const ServiceName& service, std::string_view requestId);
@@ -178,6 +186,7 @@
   Metrics& metrics_;
   UpstreamTable upstreams_;
   UpstreamSelector selector_;
+  AdmissionGate admission_;
   PathProber prober_;
   UpstreamPool pool_;
   std::shared_ptr<const RouteTable> routes_;
--- a/Hallchute/src/Traffic/TrafficOptions.h
+++ b/Hallchute/src/Traffic/TrafficOptions.h
@@ -8,6 +8,7 @@
 
 #include "Hallchute/src/Core/Id.h"
 #include "Hallchute/src/Core/Time.h"
+#include "Hallchute/src/Gateway/AdmissionLimits.h"
 #include "Hallchute/src/Gateway/QuotaLedger.h"
 #include "Hallchute/src/Gateway/RetryWindow.h"
 
@@ -22,6 +23,7 @@
   QuotaTolerance quotas;
   /// Length of a usage window.
   Millis usageWindow{5'000};
+  AdmissionLimits admission;
   /// Whether upstreams' speeds are estimated and used for placement.
   bool estimatesSpeeds = false;
 };
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -133,11 +133,45 @@
   });
   if (admission_.route->resumable && admission_.request.resumesStream()) {
     resolveOrigin();
+  } else if (engine_.admission().enabled()) {
+    enterAdmission();
   } else {
     handleEvent(RelayEvents::Begin{});
   }
 }
 
+AdmissionRequest TrafficSession::admissionRequest() const {
+  AdmissionRequest request;
+  request.session = id_;
+  request.criteria = selection_;
+  if (admission_.organisation != nullptr) request.organisation = admission_.organisation->name;
+  const RouteUrgency urgent = admission_.routes->urgencyOf(service_, urgency());
+  request.rank = urgent.rank;
+  request.overtakes = urgent.overtakes;
+  request.objective = admission_.route->latencyObjective;
+  request.urgentObjective = std::min(urgent.objective, request.objective);
+  request.receivedAt = exchange_->receivedAt();
+  request.deadline = deadline_;
+  request.promptTokens = admission_.request.promptTokens.value_or(0);
+  request.bytes = exchange_->body().size();
+  return request;
+}
+
+void TrafficSession::enterAdmission() {
+  engine_.admission().enter(
+      admissionRequest(), [weak = weak_from_this()](const AdmissionVerdict& verdict) {
+        const auto session = weak.lock();
+        if (session == nullptr || session->relay_.ended()) return;
+        const auto* refusal = std::get_if<AdmissionVerdicts::Refuse>(&verdict);
+        if (refusal == nullptr) {
+          session->handleEvent(RelayEvents::Begin{});
+          return;
+        }
+        session->refusalRetryAfter_ = refusal->retryAfter;
+        session->handleEvent(RelayEvents::NoUpstreamAvailable{});
+      });
+}
+
 StreamKey TrafficSession::streamKey() const {
   return StreamOrigins::keyOf(admission_.request.firstAttempt());
 }
@@ -316,14 +350,17 @@
   forwardToPeer(action.resume);
 }
 
+int TrafficSession::urgency() const {
+  const GatewayOrganisation* organisation = admission_.organisation;
+  if (organisation != nullptr && organisation->priority) return *organisation->priority;
+  return admission_.route->priority;
+}
+
 DispatchMetadata TrafficSession::dispatchTerms(bool resume) const {
   DispatchMetadata terms;
   terms.remaining = remaining();
   if (admission_.organisation != nullptr) terms.organisation = admission_.organisation->name;
-  terms.urgency = admission_.route->priority;
-  if (admission_.organisation != nullptr && admission_.organisation->priority) {
-    terms.urgency = admission_.organisation->priority;
-  }
+  terms.urgency = urgency();
   if (resume) terms.lastEventId = lastEventId_;
   return terms;
 }
@@ -661,8 +698,9 @@
   }
   const Millis backoff =
       engine_.upstreamTable().backoffLeft(service_, clockNow()).value_or(Millis(0));
+  const Millis retryAfter = refusalRetryAfter_.value_or(std::max(backoff, kRefusalRetryAfter));
   HttpFields fields;
-  fields.add("Retry-After", retryAfterText(std::max(backoff, kRefusalRetryAfter)));
+  fields.add("Retry-After", retryAfterText(retryAfter));
   exchange_->respond(kUnavailable, fields, "");
   finish("refused", kUnavailable);
 }
@@ -680,6 +718,7 @@
 
 void TrafficSession::finish(std::string_view outcome, int status) {
   stopTimers();
+  engine_.admission().remove(id_);
   const Instant now = clockNow();
   const auto total = std::chrono::duration_cast<Millis>(now - exchange_->receivedAt());
   const auto first = firstOutputAt_.value_or(now) - exchange_->receivedAt();
--- a/Hallchute/src/Traffic/TrafficSession.h
+++ b/Hallchute/src/Traffic/TrafficSession.h
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <vector>
 
+#include "Hallchute/src/Gateway/AdmissionRequest.h"
 #include "Hallchute/src/Gateway/CrashSuspects.h"
 #include "Hallchute/src/Gateway/RouteTable.h"
 #include "Hallchute/src/Gateway/StreamOrigin.h"
@@ -62,6 +63,10 @@
   void dispatchFailed(SessionDispatch& dispatch, ExchangeFailure failure) override;
 
  private:
+  /// Begins once admission control lets the request go on; a resumed stream doesn't wait.
+  void enterAdmission();
+  AdmissionRequest admissionRequest() const;
+  int urgency() const;
   /// Finds the software version that began the stream, if the caller continues one.
   void resolveOrigin();
   void adoptOrigin(const std::optional<StreamOriginReply>& reply, std::string_view source);
@@ -133,6 +138,8 @@
   bool choosing_ = false;
   /// Daemons that didn't pass the request on.
   std::set<DaemonId> excludedPeers_;
+  /// Set by a refusal of admission control.
+  std::optional<Millis> refusalRetryAfter_;
   bool runCounted_ = false;
   int dispatchCount_ = 0;
   std::optional<Instant> firstOutputAt_;
--- a/test/FleetTest.cpp
+++ b/test/FleetTest.cpp
@@ -254,6 +254,7 @@
       hosts.push_back(std::make_unique<Host>(Host{member, FleetView(member), {}, 0, false}));
       hosts.back()->own.spent[kOrg] = 0;
       hosts.back()->own.loads[UpstreamId("u")] = {1, 0};
+      hosts.back()->own.waiting[ServiceName("s")] = {1, 10};
       hosts.back()->own.usage[7][kOrg] = 1;
       byAddress[member.address] = hosts.back().get();
     }
@@ -288,6 +289,10 @@
         CPPUNIT_ASSERT_EQUAL_MESSAGE(
             name, static_cast<std::uint32_t>(up - 1),
             host->view.loadsElsewhere(at(ms)).at(UpstreamId("u")).requests);
+        // What waits at the daemon that fell silent no longer counts either.
+        const WaitingLoad others{static_cast<std::uint32_t>(up - 1), 10 * (up - 1)};
+        CPPUNIT_ASSERT_MESSAGE(name,
+                               others == host->view.waitingElsewhere(at(ms)).at(ServiceName("s")));
         CPPUNIT_ASSERT_EQUAL_MESSAGE(name, spentElsewhere, host->reportedElsewhere);
       }
     };
--- a/test/GatewayRig.cpp
+++ b/test/GatewayRig.cpp
@@ -9,11 +9,12 @@
 
 namespace Hallchute {
 
-GatewayRig::GatewayRig(const RetryAllowance& retries) {
+GatewayRig::GatewayRig(const RetryAllowance& retries, const AdmissionLimits& admission) {
   TrafficOptions options;
   options.domain = FailureDomainName("d1");
   options.ownIp = "127.0.0.1";
   options.retries = retries;
+  options.admission = admission;
   // A quarter of the tolerance is there at a start.
   options.quotas = {0, 2'000, Millis(8'000)};
   engine_ = std::make_unique<TrafficEngine>(loop_, options, codec_, metrics_);
--- a/test/GatewayRig.h
+++ b/test/GatewayRig.h
@@ -25,7 +25,8 @@
 class GatewayRig {
  public:
   /// \param retries by default enough in a few milliseconds, as if the daemon had run for long.
-  explicit GatewayRig(const RetryAllowance& retries = {0.2, 1e6, Millis(10'000)});
+  explicit GatewayRig(const RetryAllowance& retries = {0.2, 1e6, Millis(10'000)},
+                      const AdmissionLimits& admission = {});
   ~GatewayRig();
   GatewayRig(const GatewayRig&) = delete;
   GatewayRig& operator=(const GatewayRig&) = delete;
--- a/test/GatewayStartupFileTest.cpp
+++ b/test/GatewayStartupFileTest.cpp
@@ -23,6 +23,7 @@
 class GatewayStartupFileTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(GatewayStartupFileTest);
   CPPUNIT_TEST(limitsOfRealHostsAreAccepted);
+  CPPUNIT_TEST(admissionIsOffUnlessAskedForAndItsBoundsAreChecked);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -53,6 +54,21 @@
       CPPUNIT_ASSERT_EQUAL_MESSAGE(row.members, row.capacity, startup.capacity);
     }
   }
+
+  /// Guards against requests that wait where nobody asked for it, or are refused by a bound of 0.
+  void admissionIsOffUnlessAskedForAndItsBoundsAreChecked() {
+    Findings findings;
+    CPPUNIT_ASSERT(!readNodeStartup(startupText(""), findings).admission.enabled);
+    const NodeStartup startup = readNodeStartup(
+        startupText(R"(,"admission":{"enabled":true,"maxWaiting":9,"maxWaitingBytes":99})"),
+        findings);
+    CPPUNIT_ASSERT_EQUAL(std::string(), describe(findings));
+    CPPUNIT_ASSERT(startup.admission.enabled);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{9}, startup.admission.maxWaiting);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{99}, startup.admission.maxWaitingBytes);
+    readNodeStartup(startupText(R"(,"admission":{"maxWaiting":0})"), findings);
+    CPPUNIT_ASSERT(!findings.empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayStartupFileTest);
--- a/test/SettingsTemplateTest.cpp
+++ b/test/SettingsTemplateTest.cpp
@@ -55,6 +55,7 @@
     CPPUNIT_ASSERT_EQUAL(0.2, startup.bounds.retryRatio);
     CPPUNIT_ASSERT(Hallchute::Millis(8'000) == startup.bounds.grace);
     CPPUNIT_ASSERT(startup.reportsUsage);
+    CPPUNIT_ASSERT(startup.admission.enabled);
   }
 
   /// A host without limits, in a deployment without duties, bounds and seeds: the start-up file was
