--- a/Hallchute/src/Node/NodeStartup.h
+++ b/Hallchute/src/Node/NodeStartup.h
@@ -14,6 +14,7 @@
 #include "Hallchute/src/Core/Finding.h"
 #include "Hallchute/src/Core/Id.h"
 #include "Hallchute/src/Core/Time.h"
+#include "Hallchute/src/Gateway/AdmissionLimits.h"
 #include "Hallchute/src/Upstream/AnswerBounds.h"
 
 namespace Hallchute {
@@ -84,6 +85,7 @@
   /// How many file descriptors the process may have open.
   std::size_t descriptors = 1'024;
   NodeBounds bounds;
+  AdmissionLimits admission;
   NodeHedging hedging;
   PlacementOptions placement;
   AnswerBounds answers;
--- a/test/GatewayStartupFileTest.cpp
+++ b/test/GatewayStartupFileTest.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(limitsOfRealHostsAreAccepted);
   CPPUNIT_TEST(hedgingIsOffUnlessAValidPercentageIsSet);
   CPPUNIT_TEST(boundsOfAnswersAreChecked);
+  CPPUNIT_TEST(admissionIsOffUnlessAskedForAndItsBoundsAreChecked);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -113,6 +114,21 @@
       CPPUNIT_ASSERT_MESSAGE(row.answers, row.bounds == startup.answers);
     }
   }
+
+  /// Guards against requests that wait where nobody asked for it, or are refused by a bound of 0.
+  void admissionIsOffUnlessAskedForAndItsBoundsAreChecked() {
+    Findings findings;
+    CPPUNIT_ASSERT(!readNodeStartup(startupText(""), findings).admission.enabled);
+    const NodeStartup startup = readNodeStartup(
+        startupText(R"(,"admission":{"enabled":true,"maxWaiting":9,"maxWaitingBytes":99})"),
+        findings);
+    CPPUNIT_ASSERT_EQUAL(std::string(), describe(findings));
+    CPPUNIT_ASSERT(startup.admission.enabled);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{9}, startup.admission.maxWaiting);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{99}, startup.admission.maxWaitingBytes);
+    readNodeStartup(startupText(R"(,"admission":{"maxWaiting":0})"), findings);
+    CPPUNIT_ASSERT(!findings.empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayStartupFileTest);
