--- a/Hallchute/src/Traffic/UpstreamDispatch.cpp
+++ b/Hallchute/src/Traffic/UpstreamDispatch.cpp
@@ -132,13 +132,15 @@
                          error);
 }
 
-/// An answer that is no stream is measured as a whole.
+/// A plain answer is measured as a whole. One to a prompt that is no stream includes the time of its
+/// output or is an error, and isn't measured.
 void UpstreamDispatch::noteSpeed(DispatchResult result, Instant now) {
   if (events_ > 1) {
     const auto pauses = std::chrono::duration_cast<Millis>(lastEventAt_ - firstEventAt_);
     engine_.upstreamTable().notePauses(upstream_, events_ - 1, pauses, now);
   }
-  if (events_ == 0 && result == DispatchResult::answered) noteProcessed(now);
+  const bool plain = events_ == 0 && memoryTokens_ == 0;
+  if (plain && result == DispatchResult::answered) noteProcessed(now);
   engine_.upstreamTable().noteMemoryFreed(upstream_, std::exchange(memoryTokens_, 0));
 }
 
