--- a/Hallchute/src/Gateway/VersionShares.h
+++ b/Hallchute/src/Gateway/VersionShares.h
@@ -71,7 +71,7 @@
   /// How long an unconfirmed stage stays in force: less than the time allowed to stop exposing a
   /// bad version (5 s) minus the lag of reports.
   static constexpr Millis kStageExpiry{3'500};
-  /// The same while the previous versions drain: longer than a successor needs to take over (4.5 s),
+  /// The same while the previous versions drain: longer than a successor needs to take over, 4.5 s,
   /// as requests that go back to them would be in flight when they stop.
   static constexpr Millis kDrainExpiry{6'000};
   /// Settling time of a version without a rollout: reports reach all daemons within 1 s, and the
