--- a/test/AdmissionGateTest.cpp
+++ b/test/AdmissionGateTest.cpp
@@ -64,7 +64,7 @@
   /// A caller's request, while peers have sent the only upstream more than its slots and queue
   /// hold.
   struct Held {
-    explicit Held(const AdmissionLimits& limits) : rig({0.2, 1e6, Millis(10'000)}, limits) {
+    explicit Held(const AdmissionLimits& limits) : rig({0.2, 1e6, Millis(10'000)}, {}, limits) {
       rig.setSettings(settingsWith(plainRoute(WorkKind::once)));
       rig.setUpstreams({upstreamAt("u", upstream.address())});
       setPeerRequests(1'000);
