--- a/Hallchute/src/Traffic/UpstreamDispatch.cpp
+++ b/Hallchute/src/Traffic/UpstreamDispatch.cpp
@@ -132,8 +132,8 @@
                          error);
 }
 
-/// A plain answer is measured as a whole. One to a prompt that is no stream includes the time of its
-/// output or is an error, and isn't measured.
+/// A plain answer is measured as a whole. One to a prompt that is no stream includes the time of
+/// its output or is an error, and isn't measured.
 void UpstreamDispatch::noteSpeed(DispatchResult result, Instant now) {
   if (events_ > 1) {
     const auto pauses = std::chrono::duration_cast<Millis>(lastEventAt_ - firstEventAt_);
