--- a/Hallchute/src/Node/RolloutRunner.cpp
+++ b/Hallchute/src/Node/RolloutRunner.cpp
@@ -252,8 +252,8 @@
         steps.emplace_back(service, std::move(step));
     }
   }
-  for (const auto& [service, step] : steps)
-    std::visit([&](const auto& s) { perform(service, s); }, step);
+  for (const auto& step : steps)
+    std::visit([&](const auto& s) { perform(step.first, s); }, step.second);
   return !steps.empty();
 }
 
