Keep the receive timeout of a call where it can't be read back

On deployment B the holder of the duties stopped to order replicas and to report usage 6 s after traffic began: an order that the platform left unanswered kept its thread for good. A bounded socket set the timeout anew for each read as the lower of the deadline and the timeout that it read back from the system, and a system that doesn't report it returns zero, which means none. The socket keeps the timeout itself now.

--- a/Hallchute/src/Net/BoundedSocket.h
+++ b/Hallchute/src/Net/BoundedSocket.h
@@ -20,8 +20,9 @@
 class BoundedSocket final : public Poco::Net::StreamSocketImpl {
  public:
   /// \param socket a connected socket, which the new object owns.
-  BoundedSocket(poco_socket_t socket, std::size_t maxBytes, Instant deadline)
-      : StreamSocketImpl(socket), bytesLeft_(maxBytes), deadline_(deadline) {}
+  /// \param timeout longest time without data; zero for any.
+  BoundedSocket(poco_socket_t socket, std::size_t maxBytes, Millis timeout, Instant deadline)
+      : StreamSocketImpl(socket), bytesLeft_(maxBytes), timeout_(timeout), deadline_(deadline) {}
 
   /// \throws Poco::TimeoutException at the deadline, and Poco::Net::NetException beyond the bytes.
   int receiveBytes(void* buffer, int length, int flags = 0) override;
@@ -29,6 +30,7 @@
 
  private:
   std::size_t bytesLeft_;
+  Millis timeout_;
   Instant deadline_;
 };
 
--- a/Hallchute/src/Net/HttpExchange.cpp
+++ b/Hallchute/src/Net/HttpExchange.cpp
@@ -63,7 +63,8 @@
   const std::size_t maxBytes = kMaxHeaderBytes + endpoint.maxBodyBytes * kBytesPerBodyByte;
   const bool timed = endpoint.wholeTimeout > Millis(0);
   const Instant deadline = timed ? clockNow() + endpoint.wholeTimeout : Instant::max();
-  Poco::Net::StreamSocket result(new BoundedSocket(copy, maxBytes, deadline));
+  Poco::Net::StreamSocket result(
+      new BoundedSocket(copy, maxBytes, endpoint.responseTimeout, deadline));
   result.setSendTimeout(timespan(endpoint.responseTimeout));
   result.setReceiveTimeout(timespan(endpoint.responseTimeout));
   return result;
