Load a canary's upstreams by half, and judge slow first events more mildly

On deployment B a good version was rolled back for slow first events 2.4 s into its canary. Its upstreams had the load of the previous ones and cold prompt caches, so that they had up to twice the work and growing queues. RolloutTest: all bad versions are still rolled back within their limits, with 75 to 475 of 950 requests allowed.

--- a/Hallchute/src/Duty/EvidenceTracker.cpp
+++ b/Hallchute/src/Duty/EvidenceTracker.cpp
@@ -21,7 +21,7 @@
 /// Answers of the previous version from which the target must have answered some.
 constexpr std::uint64_t kUnansweredTraffic = 400;
 /// While the share grows, caches of the target's further upstreams are cold for a moment.
-constexpr SlownessLimit kCanaryLimit{2.5, 2, 20};
+constexpr SlownessLimit kCanaryLimit{3.5, 3, 20};
 constexpr SlownessLimit kGrowthLimit{4, 4, 30};
 
 VersionEvidence difference(const VersionEvidence& total, const VersionEvidence& part) {
--- a/Hallchute/src/Gateway/VersionShares.cpp
+++ b/Hallchute/src/Gateway/VersionShares.cpp
@@ -17,6 +17,9 @@
 
 /// How long an ended stage is reported after the holder last confirmed it.
 constexpr Millis kEndedReportTime{60'000};
+/// Load of a canary's upstream relative to a previous one: its prompt caches are cold, so that at
+/// the same load it would have up to twice the work and a growing queue.
+constexpr double kCanaryLoad = 0.5;
 
 }  // namespace
 
@@ -157,8 +160,8 @@
   return known.stage.share;
 }
 
-/// The target's upstreams that get no requests of the canary: it uses so few that each has the load
-/// of a previous upstream, as some faults show under load only. Nothing if none is warmed up.
+/// The target's upstreams that get no requests of the canary: it uses few, so that each has
+/// load, as some faults show under load only. Nothing if none is warmed up.
 std::optional<std::set<UpstreamId>> VersionShares::outsideCanary(const ListedService& service,
                                                                  const KnownStage& known,
                                                                  Instant now) {
@@ -176,7 +179,7 @@
     if (now >= upstream.readyAt) ready.emplace_back(stableHash(id.str(), stage.order), id);
   }
   if (ready.empty()) return std::nullopt;
-  const double wanted = std::floor(stage.share * static_cast<double>(others));
+  const double wanted = std::floor(stage.share * static_cast<double>(others) / kCanaryLoad);
   const std::size_t count = std::min(ready.size(), static_cast<std::size_t>(std::max(1.0, wanted)));
   std::partial_sort(ready.begin(), ready.begin() + static_cast<std::ptrdiff_t>(count), ready.end());
   for (std::size_t i = 0; i < count; ++i) outside.erase(ready[i].second);
