--- a/test/RolloutReplay.cpp
+++ b/test/RolloutReplay.cpp
@@ -40,7 +40,7 @@
       events_(events),
       fleet_(daemons, {}),
       loads_(static_cast<std::size_t>(daemons)),
-      inFlight_(2 * kUpstreams, 0) {
+      inFlight_(2 * std::size_t{kUpstreams}, 0) {
   for (int i = 0; i < daemons; ++i) {
     fleet_.start(i, 0);
     shares_.push_back(std::make_unique<VersionShares>(true));
@@ -265,7 +265,11 @@
     changeOrder(ms);
     handOver(ms);
     complete(ms);
-    for (due += kRatePerSecond / 1e3 * SimulatedFleet::kStepMs; due >= 1; --due) send(ms);
+    due += kRatePerSecond / 1e3 * SimulatedFleet::kStepMs;
+    while (due >= 1) {
+      due -= 1;
+      send(ms);
+    }
     fleet_.deliver(
         ms, [](int) { return true; },
         [&](int to, const FleetReport& report) {
