Leave estimates and admission control off unless the platform's settings call for them

Deployments are to be served as before unless their own settings ask for what is new. In the start-up file they are switched on as before.

--- a/test/SettingsTemplateTest.cpp
+++ b/test/SettingsTemplateTest.cpp
@@ -47,6 +47,7 @@
             "limits":{"cpu-share":0.25,"max-fds":4100},"seeds":["127.9.0.1:7"],
             "listen":{"front":"127.9.0.1:5","readiness":"127.9.0.1:6","control":"127.9.0.1:7"},
             "platform":{"address":"127.9.0.2:5"},"cloud-api":{"address":"127.9.0.2:6"},
+            "admission":{"enabled":true},"placement":{"estimates":true},
             "bounds":{"contact-ms":3000,"grace-s":8,"retry-budget":0.2,"budget-slack":52,
             "hedge-percent":5}})");
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, startup.domains.size());
@@ -58,6 +59,7 @@
     CPPUNIT_ASSERT(Hallchute::Millis(8'000) == startup.bounds.grace);
     CPPUNIT_ASSERT(startup.reportsUsage);
     CPPUNIT_ASSERT(startup.admission.enabled);
+    CPPUNIT_ASSERT(startup.placement.estimates);
   }
 
   /// A host without limits, in a deployment without duties, bounds and seeds: the start-up file was
@@ -72,6 +74,8 @@
     CPPUNIT_ASSERT(startup.seeds.empty());
     CPPUNIT_ASSERT(!startup.reportsUsage);
     CPPUNIT_ASSERT_EQUAL(0.0, startup.hedging.percent);
+    CPPUNIT_ASSERT(!startup.admission.enabled);
+    CPPUNIT_ASSERT(!startup.placement.estimates);
   }
 
  private:
