Logs: keep the lines of requests that were not served, and what a rejection states

Callers complained of requests whose lines were missing in the logs: the limit on log lines dropped lines in the order in which they came. Half of the burst is now kept for lines that say how a request ended that was not served (LogTest: all 100 of 100 among 2,000 others). Log: `upstream.rejected` has the id that the answer repeats, whether it states that the request didn't run, and whether it is signed; `request.end` has the upstream's own status. These tell an answer that is passed on (hypothesis 1) from a rejection that proves nothing (2), and both from a refusal without a dispatch (3).

--- a/Hallchute/src/Observability/LogLine.cpp
+++ b/Hallchute/src/Observability/LogLine.cpp
@@ -24,19 +24,22 @@
 /// of a small host. Warnings and errors count towards the limit but are always written.
 constexpr double kMaxLinesPerSecond = 300;
 constexpr double kMaxBurstLines = 600;
+/// Part of the burst that only lines of priority `outcome` may use.
+constexpr double kReservedLines = 300;
 
 /// Limits the log volume with a token bucket; counts the lines that it drops.
 class LineRateLimiter {
  public:
   /// \returns whether a line may be written. If so, \p dropped is set to the number of lines
   /// dropped since the previous one.
-  bool allow(bool alwaysWrite, std::uint64_t& dropped) {
+  bool allow(bool alwaysWrite, LogPriority priority, std::uint64_t& dropped) {
     const std::lock_guard lock(mutex_);
     const Instant now = clockNow();
     const std::chrono::duration<double> elapsed = now - lastRefill_;
     lastRefill_ = now;
     tokens_ = std::min(kMaxBurstLines, tokens_ + elapsed.count() * kMaxLinesPerSecond);
-    if (tokens_ < 1 && !alwaysWrite) {
+    const double reserved = priority == LogPriority::ordinary ? kReservedLines : 0;
+    if (tokens_ < reserved + 1 && !alwaysWrite) {
       ++dropped_;
       return false;
     }
@@ -130,11 +133,11 @@
 
 }  // namespace internal
 
-LogLine::LogLine(LogLevel level, std::string_view event) : level_(level) {
+LogLine::LogLine(LogLevel level, std::string_view event, LogPriority priority) : level_(level) {
   const LogConfiguration& configuration = logConfiguration();
   std::uint64_t dropped = 0;
   enabled_ = configuration.started && level >= configuration.minLevel &&
-             rateLimiter().allow(level >= LogLevel::warning, dropped);
+             rateLimiter().allow(level >= LogLevel::warning, priority, dropped);
   if (!enabled_) return;
   text_ = "{\"time\":\"" +
           Poco::DateTimeFormatter::format(Poco::Timestamp(), "%Y-%m-%dT%H:%M:%S.%iZ") +
--- a/Hallchute/src/Observability/LogLine.h
+++ b/Hallchute/src/Observability/LogLine.h
@@ -13,6 +13,13 @@
 
 namespace Hallchute {
 
+/// \brief Which lines are dropped first when there are too many. \ingroup Observability
+enum class LogPriority {
+  ordinary,
+  /// How a request ended that wasn't served; dropped only after all ordinary lines.
+  outcome,
+};
+
 /// \brief A structured log line: an event and its members, such as a decision, its inputs and its
 /// outcome.
 /// \ingroup Observability
@@ -21,7 +28,7 @@
 class LogLine {
  public:
   /// \param event a stable lower-case name, such as `request.end`.
-  LogLine(LogLevel level, std::string_view event);
+  LogLine(LogLevel level, std::string_view event, LogPriority priority = LogPriority::ordinary);
   ~LogLine();
   LogLine(const LogLine&) = delete;
   LogLine& operator=(const LogLine&) = delete;
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -284,7 +284,7 @@
 
 void TrafficEngine::refuse(FrontExchange& exchange, const ClientRequest& request, int status,
                            std::string_view reason, std::optional<Millis> retryAfter) {
-  LogLine(LogLevel::info, "request.refused")
+  LogLine(LogLevel::info, "request.refused", LogPriority::outcome)
       .with("request", request.id.str())
       .with("status", status)
       .with("reason", reason)
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -611,6 +611,9 @@
         .with("request", selection_.requestId)
         .with("upstream", dispatch.upstream().id.str())
         .with("status", head.status)
+        .with("answersRequest", answer.id.str())
+        .with("statesNotExecuted", answer.notExecuted)
+        .with("signed", answer.hasSignature)
         .with("retryAfterMs", answer.retryAfter);
     endDispatch(dispatch, DispatchResult::rejected, !answer.misdirected);
     handleEvent(RelayEvents::NotExecuted{}, &dispatch);
@@ -814,13 +817,15 @@
   const auto first = firstOutputAt_.value_or(now) - exchange_->receivedAt();
   const SessionDispatch* reported = reportedDispatch();
   const DispatchForecast forecast = reported == nullptr ? DispatchForecast() : reported->forecast();
-  LogLine(LogLevel::info, "request.end")
+  const bool served = isSuccess(status);
+  LogLine(LogLevel::info, "request.end", served ? LogPriority::ordinary : LogPriority::outcome)
       .with("request", selection_.requestId)
       .with("content", describe(admission_.suspects.content))
       .with("route", admission_.route->name)
       .with("service", service_.str())
       .with("outcome", outcome)
       .with("status", status)
+      .with("upstreamStatus", reported == nullptr ? 0 : reported->head().status)
       .with("upstream", reported == nullptr ? std::string() : reported->upstream().id.str())
       .with("version", reported == nullptr ? std::string() : reported->version().str())
       .with("dispatches", dispatchCount_)
--- a/test/LogTest.cpp
+++ b/test/LogTest.cpp
@@ -65,10 +65,33 @@
 
 class LogTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LogTest);
+  CPPUNIT_TEST(requestsThatWereNotServedLoseTheirLinesLast);
   CPPUNIT_TEST(aReaderThatDoesNotReadStopsNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// The daemon of a complaint may have had far more requests than its log has lines.
+  void requestsThatWereNotServedLoseTheirLinesLast() {
+    constexpr int kLines = 2'000;
+    constexpr int kOutcomes = 100;
+    std::string written;
+    {
+      PipedOutput output;
+      startLogging(LogLevel::info, "daemon", "domain");
+      for (int i = 0; i < kLines; ++i) {
+        LogLine(LogLevel::info, "test.ordinary").with("number", i);
+        if (i % (kLines / kOutcomes) != 0) continue;
+        LogLine(LogLevel::info, "test.outcome", LogPriority::outcome).with("number", i);
+      }
+      written = output.readFor(std::chrono::milliseconds(300));
+      log4cxx::BasicConfigurator::resetConfiguration();
+    }
+    int outcomes = 0;
+    for (std::size_t at = 0; (at = written.find("test.outcome", at)) != std::string::npos; ++at)
+      ++outcomes;
+    CPPUNIT_ASSERT_EQUAL(kOutcomes, outcomes);
+  }
+
   /// A pipe holds some 64 KB; twenty times as much is written while nobody reads.
   void aReaderThatDoesNotReadStopsNothing() {
     constexpr int kLines = 20'000;
