Decide in one place, by proof, that a dispatch did not run its request

Callers were refused, or their request was sent to a second upstream, while the first one ran it: a rejection was believed without a look at the id that it repeats, any 421 and any answer with the field of the statement counted, also with the value 0, a signature or status 200. On a kept connection the rejection of an earlier request stood for the next one.

Cause: each caller of the codec drew its own conclusion from two flags. ExecutionProof::of() now is the only maker of a proof, from typed evidence: nothing sent and no answer begun; declined by a peer that had not reported a dispatch; a whole, unsigned answer with status 400, 421, 429 or 503, the request's own id and the statement. RelayEvents::NotSent and NotExecuted can't be made without one, so that the state machine neither dispatches again nor refuses otherwise. An answer with another id is read and discarded, whatever it says. A helping daemon decides by the same evidence.

--- a/Hallchute/src/Ports/TrafficCodec.h
+++ b/Hallchute/src/Ports/TrafficCodec.h
@@ -62,8 +62,9 @@
 /// \brief The metadata in the head of an upstream's response. \ingroup Ports
 struct UpstreamResponse {
   RequestId id;
-  /// The upstream guarantees that it did not run the request.
-  bool notExecuted = false;
+  /// The upstream states that it did not run the request; alone this is no proof, see
+  /// ExecutionProof.
+  bool statesNotExecuted = false;
   /// The address now belongs to another upstream than the expected one.
   bool misdirected = false;
   /// The response has a signature field.
--- a/Hallchute/src/Relay/RelayEvent.h
+++ b/Hallchute/src/Relay/RelayEvent.h
@@ -6,6 +6,8 @@
 
 #include <variant>
 
+#include "Hallchute/src/Relay/ExecutionProof.h"
+
 namespace Hallchute {
 
 /// \brief Events of a request in progress; see RelayStateMachine. \ingroup Relay
@@ -15,10 +17,14 @@
 struct Begin {};
 /// The last dispatch can't be made: no upstream is available, or the retry budget is exhausted.
 struct NoUpstreamAvailable {};
-/// The request was certainly not sent.
-struct NotSent {};
-/// The upstream reported that it did not run the request.
-struct NotExecuted {};
+/// The request reached no upstream.
+struct NotSent {
+  ExecutionProof proof;
+};
+/// The upstream rejected the request.
+struct NotExecuted {
+  ExecutionProof proof;
+};
 /// A complete event of a stream was received.
 struct StreamEventReceived {};
 /// The complete response, or the end of a stream, was received.
--- a/Hallchute/src/Traffic/AdmissionGate.cpp
+++ b/Hallchute/src/Traffic/AdmissionGate.cpp
@@ -65,8 +65,7 @@
   const auto elsewhere = others.find(service);
   const Millis reportAge = std::chrono::duration_cast<Millis>(clockNow() - reportedAt_);
   const auto* refusal = std::get_if<AdmissionVerdicts::Refuse>(&decision.verdict);
-  LogLine(LogLevel::info, event,
-          refusal == nullptr ? LogPriority::ordinary : LogPriority::outcome)
+  LogLine(LogLevel::info, event, refusal == nullptr ? LogPriority::ordinary : LogPriority::outcome)
       .with("request", request.criteria.requestId)
       .with("service", service.str())
       .with("reason", namesOf(decision.verdict).decision)
--- a/Hallchute/src/Traffic/AssistedDispatch.cpp
+++ b/Hallchute/src/Traffic/AssistedDispatch.cpp
@@ -9,6 +9,8 @@
 #include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Observability/LogLine.h"
 #include "Hallchute/src/Observability/Metrics.h"
+#include "Hallchute/src/Relay/ExecutionProof.h"
+#include "Hallchute/src/Traffic/AnswerEvidence.h"
 #include "Hallchute/src/Traffic/TrafficEngine.h"
 #include "Hallchute/src/Traffic/UpstreamDispatch.h"
 
@@ -17,8 +19,8 @@
 
 constexpr int kServerError = 500;
 
-DispatchResult resultOf(const UpstreamResponse& answer, int status) {
-  if (answer.notExecuted || answer.misdirected) return DispatchResult::rejected;
+DispatchResult resultOf(const DispatchEvidences::Answered& evidence, int status) {
+  if (ExecutionProof::of(evidence)) return DispatchResult::rejected;
   return status >= kServerError ? DispatchResult::failed : DispatchResult::answered;
 }
 
@@ -99,9 +101,7 @@
 
 bool AssistedDispatch::upstreamHead(const HttpHead& head) {
   answer_ = engine_.codec().readAnswer(head);
-  if (!answer_.notExecuted && !answer_.misdirected &&
-      answer_.id.str() != request_.criteria.requestId)
-    return false;
+  if (answer_.id.str() != request_.criteria.requestId) return false;
   dispatch_->noteAnswer(answer_);
   if (answer_.draining && !answer_.misdirected) engine_.noteDrainingAnswer(dispatch_->upstream());
   status_ = head.status;
@@ -130,7 +130,8 @@
     upstreamFailed(ExchangeFailure::connectionEnded);
     return;
   }
-  const DispatchResult result = resultOf(answer_, status_);
+  const DispatchResult result =
+      resultOf(evidenceOf(answer_, RequestId(request_.criteria.requestId), status_), status_);
   if (result != DispatchResult::rejected) dispatch_->noteBegan();
   logEnd("answered");
   dispatch_->end(result, !answer_.misdirected);
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -13,6 +13,7 @@
 #include "Hallchute/src/Net/EventLoop.h"
 #include "Hallchute/src/Observability/LogLine.h"
 #include "Hallchute/src/Observability/Metrics.h"
+#include "Hallchute/src/Traffic/AnswerEvidence.h"
 #include "Hallchute/src/Traffic/OriginExchange.h"
 #include "Hallchute/src/Traffic/RetryAfter.h"
 #include "Hallchute/src/Traffic/TrafficEngine.h"
@@ -352,13 +353,13 @@
   if (action.hedge) {
     hedge_.deny("noConnection");
     selection_.tried.erase(upstream->record.id);
-    handleEvent(RelayEvents::NotSent{});
+    handleNoAnswer(DispatchEvidences::NotSent{});
     return;
   }
   // This daemon's share of the upstream's connections is in use; others may have room in theirs.
   // What may not repeat tries another upstream instead, as it could be lost between daemons.
   if (engine_.forwarder() == nullptr || !admission_.route->mayRepeat()) {
-    handleEvent(RelayEvents::NotSent{});
+    handleNoAnswer(DispatchEvidences::NotSent{});
     return;
   }
   selection_.tried.erase(upstream->record.id);
@@ -473,12 +474,17 @@
 }
 
 void TrafficSession::dispatchDeclined(SessionDispatch& dispatch, const DaemonId& peer) {
+  const DispatchEvidences::Declined evidence{dispatch.delivered()};
+  if (evidence.dispatched) {
+    dispatchFailed(dispatch, ExchangeFailure::peerLost);
+    return;
+  }
   if (!peer.empty()) excludedPeers_.insert(peer);
   endDispatch(dispatch, DispatchResult::unreachable, false);
   if (peer.empty()) {
     handleEvent(RelayEvents::NoUpstreamAvailable{}, &dispatch);
   } else {
-    handleEvent(RelayEvents::NotSent{}, &dispatch);
+    handleNoAnswer(evidence, &dispatch);
   }
 }
 
@@ -540,7 +546,7 @@
   const HttpHead& head = dispatch.head();
   dispatch.setResponse(engine_.codec().readAnswer(head));
   const UpstreamResponse& answer = dispatch.response();
-  if (!answer.notExecuted && !answer.misdirected && answer.id != admission_.request.id) {
+  if (answer.id != admission_.request.id) {
     LogLine(LogLevel::warning, "upstream.foreignAnswer")
         .with("request", selection_.requestId)
         .with("upstream", dispatch.upstream().id.str())
@@ -606,17 +612,12 @@
 void TrafficSession::answerEnded(SessionDispatch& dispatch) {
   const UpstreamResponse& answer = dispatch.response();
   const HttpHead& head = dispatch.head();
-  if (answer.notExecuted || answer.misdirected) {
-    LogLine(LogLevel::info, "upstream.rejected")
-        .with("request", selection_.requestId)
-        .with("upstream", dispatch.upstream().id.str())
-        .with("status", head.status)
-        .with("answersRequest", answer.id.str())
-        .with("statesNotExecuted", answer.notExecuted)
-        .with("signed", answer.hasSignature)
-        .with("retryAfterMs", answer.retryAfter);
+  const auto proof = ExecutionProof::of(evidenceOf(answer, admission_.request.id, head.status));
+  logRejection(dispatch, proof.has_value());
+  if (proof) {
     endDispatch(dispatch, DispatchResult::rejected, !answer.misdirected);
-    handleEvent(RelayEvents::NotExecuted{}, &dispatch);
+    noteProof(*proof);
+    handleEvent(RelayEvents::NotExecuted{*proof}, &dispatch);
     return;
   }
   if (dispatch.isStream()) {
@@ -656,6 +657,41 @@
   handleEvent(RelayEvents::ResponseComplete{!failed}, &dispatch);
 }
 
+/// Logs an answer that claims that the request did not run.
+void TrafficSession::logRejection(const SessionDispatch& dispatch, bool proven) const {
+  const UpstreamResponse& answer = dispatch.response();
+  const int status = dispatch.head().status;
+  if (!proven && !answer.statesNotExecuted && !promisesNotExecuted(status)) return;
+  LogLine(LogLevel::info, proven ? "upstream.rejected" : "upstream.unprovenRejection",
+          proven ? LogPriority::ordinary : LogPriority::outcome)
+      .with("request", selection_.requestId)
+      .with("upstream", dispatch.upstream().id.str())
+      .with("status", status)
+      .with("answersRequest", answer.id.str())
+      .with("statesNotExecuted", answer.statesNotExecuted)
+      .with("signed", answer.hasSignature)
+      .with("retryAfterMs", answer.retryAfter);
+  if (proven) return;
+  engine_.metrics().add(
+      "hallchute_unproven_rejections_total",
+      "service=\"" + service_.str() + "\",status=\"" + std::to_string(status) + "\"");
+}
+
+void TrafficSession::noteProof(const ExecutionProof& proof) {
+  if (!proofs_.empty()) proofs_ += ",";
+  proofs_ += proof.reason();
+}
+
+/// Handles the end of a dispatch without a whole answer: it was not sent, or it may have run.
+void TrafficSession::handleNoAnswer(const DispatchEvidence& evidence, SessionDispatch* source) {
+  if (const auto proof = ExecutionProof::of(evidence)) {
+    noteProof(*proof);
+    handleEvent(RelayEvents::NotSent{*proof}, source);
+  } else {
+    handleEvent(RelayEvents::ConnectionBroken{}, source);
+  }
+}
+
 /// Clears the content of crashes, unless the end of the connection may have been one.
 void TrafficSession::noteCompleted(const SessionDispatch& dispatch) {
   if (!dispatch.head().bodyEndsAtClose)
@@ -663,7 +699,8 @@
 }
 
 void TrafficSession::dispatchFailed(SessionDispatch& dispatch, ExchangeFailure failure) {
-  const bool sent = failure != ExchangeFailure::notSent;
+  const bool answered = dispatch.head().status != 0;
+  const bool sent = failure != ExchangeFailure::notSent || answered;
   LogLine(LogLevel::info, "upstream.failed")
       .with("request", selection_.requestId)
       .with("upstream", dispatch.upstream().id.str())
@@ -681,9 +718,9 @@
   if (failure == ExchangeFailure::peerLost) excludedPeers_.insert(dispatch.peer()->peer());
   endDispatch(dispatch, sent ? DispatchResult::broken : DispatchResult::unreachable, false);
   if (sent) {
-    handleEvent(RelayEvents::ConnectionBroken{}, &dispatch);
+    handleNoAnswer(DispatchEvidences::Interrupted{}, &dispatch);
   } else {
-    handleEvent(RelayEvents::NotSent{}, &dispatch);
+    handleNoAnswer(DispatchEvidences::NotSent{answered}, &dispatch);
   }
 }
 
@@ -829,6 +866,7 @@
       .with("upstream", reported == nullptr ? std::string() : reported->upstream().id.str())
       .with("version", reported == nullptr ? std::string() : reported->version().str())
       .with("dispatches", dispatchCount_)
+      .with("proofs", proofs_)
       .with("hedge", hedge_.outcome())
       .with("settings", admission_.routes->settings().version)
       .with("organisation", admission_.organisation == nullptr
--- a/Hallchute/src/Traffic/TrafficSession.h
+++ b/Hallchute/src/Traffic/TrafficSession.h
@@ -75,6 +75,9 @@
   void noteStreamStarted();
   /// \param source the dispatch that the event comes from, if any.
   void handleEvent(const RelayEvent& event, SessionDispatch* source = nullptr);
+  void logRejection(const SessionDispatch& dispatch, bool proven) const;
+  void noteProof(const ExecutionProof& proof);
+  void handleNoAnswer(const DispatchEvidence& evidence, SessionDispatch* source = nullptr);
   void perform(const RelayActions::Dispatch& action);
   void perform(const RelayActions::Cancel& action);
   void perform(const RelayActions::ForwardEvent& action);
@@ -152,6 +155,8 @@
   std::optional<Millis> refusalRetryAfter_;
   bool runCounted_ = false;
   int dispatchCount_ = 0;
+  /// Why each dispatch that ended without a run is known not to have run, in order, for logs.
+  std::string proofs_;
   std::optional<Instant> firstOutputAt_;
 
   /// Complete error response, kept as a fallback while the request is retried on another upstream.
--- a/Hallchute/src/Traffic/UpstreamDispatch.cpp
+++ b/Hallchute/src/Traffic/UpstreamDispatch.cpp
@@ -94,7 +94,7 @@
 }
 
 void UpstreamDispatch::noteAnswer(const UpstreamResponse& answer) {
-  if (answer.misdirected) {
+  if (answer.misdirected && !answer.hasSignature) {
     engine_.upstreamTable().noteAddressReused(upstream_.id, clockNow());
     return;
   }
--- a/test/RelayTest.cpp
+++ b/test/RelayTest.cpp
@@ -17,18 +17,15 @@
 namespace Events = RelayEvents;
 namespace Actions = RelayActions;
 
+const ExecutionProof kNotSent = *ExecutionProof::of(DispatchEvidences::NotSent{});
+const ExecutionProof kRejected =
+    *ExecutionProof::of(DispatchEvidences::Answered{503, true, true, false});
 /// Every event that can follow a dispatch, in all variants.
-const std::array<RelayEvent, 11> kEvents{Events::NoUpstreamAvailable{},
-                                         Events::NotSent{},
-                                         Events::NotExecuted{},
-                                         Events::StreamEventReceived{},
-                                         Events::ResponseComplete{true},
-                                         Events::ResponseComplete{false},
-                                         Events::ConnectionBroken{},
-                                         Events::UpstreamSilent{},
-                                         Events::HedgeDue{},
-                                         Events::CallerDisconnected{},
-                                         Events::DeadlineExceeded{}};
+const std::array<RelayEvent, 11> kEvents{
+    Events::NoUpstreamAvailable{}, Events::NotSent{kNotSent},      Events::NotExecuted{kRejected},
+    Events::StreamEventReceived{}, Events::ResponseComplete{true}, Events::ResponseComplete{false},
+    Events::ConnectionBroken{},    Events::UpstreamSilent{},       Events::HedgeDue{},
+    Events::CallerDisconnected{},  Events::DeadlineExceeded{}};
 
 /// Checks the invariants of one RelayStateMachine for events in any order.
 class InvariantChecker {
@@ -180,7 +177,7 @@
 
   /// Guards against a hedge that causes further dispatches, or costs a request its answer.
   void oneOfAHedgedPairGoesOnAlone() {
-    const std::array<RelayEvent, 5> ends{Events::NotSent{}, Events::NotExecuted{},
+    const std::array<RelayEvent, 5> ends{Events::NotSent{kNotSent}, Events::NotExecuted{kRejected},
                                          Events::NoUpstreamAvailable{}, Events::ConnectionBroken{},
                                          Events::ResponseComplete{false}};
     for (const RelayEvent& end : ends) {
@@ -191,7 +188,8 @@
       CPPUNIT_ASSERT(relay.step(end).empty());
       CPPUNIT_ASSERT(!relay.ended());
       // The rejection of the hedge doesn't count: two more upstreams may reject the request.
-      for (int i = 0; i < 2; ++i) CPPUNIT_ASSERT(!relay.step(Events::NotExecuted{}).empty());
+      for (int i = 0; i < 2; ++i)
+        CPPUNIT_ASSERT(!relay.step(Events::NotExecuted{kRejected}).empty());
       CPPUNIT_ASSERT(!relay.ended());
       const std::vector<RelayAction> last = relay.step(Events::ResponseComplete{true});
       CPPUNIT_ASSERT(last == std::vector<RelayAction>({Actions::ForwardResponse{}}));
