Pass on no promise of an upstream that may have run the request

Callers got an upstream's own signed 408, 421, 429 or 503 for a request that may run once, took it for the promise that it had not run, and sent it again: one run by one upstream, the status passed on.

Cause: status and body of a signed answer were forwarded whatever the status promises to a caller. mayForwardStatus() stands beside ExecutionProof: without a proof such a status becomes 502, which promises nothing, without the upstream's fields, as its signature vouches for its own status only. Answers to requests that may be repeated stay as they are: to send them again does no harm.

--- a/Hallchute/src/Relay/ExecutionProof.cpp
+++ b/Hallchute/src/Relay/ExecutionProof.cpp
@@ -48,4 +48,8 @@
          status == kServiceUnavailable;
 }
 
+bool mayForwardStatus(int status, bool repeatable) {
+  return repeatable || !promisesNotExecuted(status);
+}
+
 }  // namespace Hallchute
--- a/Hallchute/src/Relay/ExecutionProof.h
+++ b/Hallchute/src/Relay/ExecutionProof.h
@@ -33,6 +33,11 @@
 /// and 503. \ingroup Relay
 bool promisesNotExecuted(int status);
 
+/// \brief Whether the status of an upstream that may have run a request can be forwarded to the
+/// caller. \param repeatable whether the request may run again, so that a promise does no harm.
+/// \ingroup Relay
+bool mayForwardStatus(int status, bool repeatable);
+
 }  // namespace Hallchute
 
 #endif  // HALLCHUTE_RELAY_EXECUTIONPROOF_H
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -817,6 +817,12 @@
 
 void TrafficSession::perform(const RelayActions::ForwardResponse&) {
   const HttpHead& head = answering_ != nullptr ? answering_->head() : fallbackHead_;
+  if (!mayForwardStatus(head.status, admission_.route->mayRepeat())) {
+    // Without the upstream's fields: its signature vouches for its own status only.
+    exchange_->respond(kBadGateway, {}, "");
+    finish("mayHaveRun", kBadGateway);
+    return;
+  }
   exchange_->respond(head.status, forwardedFields(head),
                      answering_ != nullptr ? answering_->body() : fallbackBody_);
   finish("answered", head.status);
