Logs: the proofs behind a refusal, and the content of one that was never dispatched

An operator who is told that a request ran though it was refused could not see why the daemon took it for not run. request.end lists the proof of each dispatch, request.refused the content by which the attempts of a request are found.

--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -283,9 +283,11 @@
 }
 
 void TrafficEngine::refuse(FrontExchange& exchange, const ClientRequest& request, int status,
-                           std::string_view reason, std::optional<Millis> retryAfter) {
+                           std::string_view reason, std::optional<Millis> retryAfter,
+                           const CrashSuspects* suspects) {
   LogLine(LogLevel::info, "request.refused", LogPriority::outcome)
       .with("request", request.id.str())
+      .with("content", suspects == nullptr ? std::string() : describe(suspects->content))
       .with("status", status)
       .with("reason", reason)
       .with("settings", routes_ == nullptr ? 0 : routes_->settings().version)
@@ -357,7 +359,8 @@
         .with("crashes", static_cast<std::uint64_t>(history->count()))
         .with("tried", admission.isCrashTrial);
     if (!admission.isCrashTrial) {
-      refuse(*exchange, request, 503, "crashesUpstreams", kQuarantineRetryAfter);
+      refuse(*exchange, request, 503, "crashesUpstreams", kQuarantineRetryAfter,
+             &admission.suspects);
       return;
     }
   }
@@ -368,7 +371,7 @@
         quota_.take(*organisation, admission.quotaTaken, now, draw);
     if (shortage) {
       logQuotaShortage(admission, *shortage);
-      refuse(*exchange, request, 429, "quota", shortage->retryDelay);
+      refuse(*exchange, request, 429, "quota", shortage->retryDelay, &admission.suspects);
       return;
     }
   }
--- a/Hallchute/src/Traffic/TrafficEngine.h
+++ b/Hallchute/src/Traffic/TrafficEngine.h
@@ -180,8 +180,10 @@
   void endSession(std::uint64_t session);
 
  private:
+  /// Only for requests that were never dispatched. \param suspects null if they aren't known yet.
   void refuse(FrontExchange& exchange, const ClientRequest& request, int status,
-              std::string_view reason, std::optional<Millis> retryAfter);
+              std::string_view reason, std::optional<Millis> retryAfter,
+              const CrashSuspects* suspects = nullptr);
   /// Logs the quota state behind a refusal, immediately before the refusal itself is logged.
   void logQuotaShortage(const SessionAdmission& admission, const QuotaShortage& shortage);
   void logNamedLimit(std::string_view kind, const UpstreamIncarnation& upstream,
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -672,9 +672,8 @@
       .with("signed", answer.hasSignature)
       .with("retryAfterMs", answer.retryAfter);
   if (proven) return;
-  engine_.metrics().add(
-      "hallchute_unproven_rejections_total",
-      "service=\"" + service_.str() + "\",status=\"" + std::to_string(status) + "\"");
+  engine_.metrics().add("hallchute_unproven_rejections_total",
+                        "service=\"" + service_.str() + "\"");
 }
 
 void TrafficSession::noteProof(const ExecutionProof& proof) {
@@ -872,7 +871,7 @@
       .with("upstream", reported == nullptr ? std::string() : reported->upstream().id.str())
       .with("version", reported == nullptr ? std::string() : reported->version().str())
       .with("dispatches", dispatchCount_)
-      .with("proofs", proofs_)
+      .with("proofs", dispatchCount_ == 0 ? std::string_view("neverDispatched") : proofs_)
       .with("hedge", hedge_.outcome())
       .with("settings", admission_.routes->settings().version)
       .with("organisation", admission_.organisation == nullptr
