--- a/test/FalsePromiseTest.cpp
+++ b/test/FalsePromiseTest.cpp
@@ -10,6 +10,7 @@
 #include "AnswerScripts.h"
 #include "ForwardingPair.h"
 #include "GatewayRig.h"
+#include "Hallchute/src/Node/ForwardingWire.h"
 #include "ScriptedUpstream.h"
 
 namespace {
@@ -17,6 +18,9 @@
 using namespace Hallchute;
 using Then = UpstreamScript::Then;
 
+/// Of requestText().
+const std::string kOwnId = "Hallchute-Attempt-Id: q1\r\n";
+
 enum class Id { own, other, none };
 enum class Statement { none, stated, negated };
 enum class End { whole, cutOff };
@@ -110,6 +114,50 @@
   std::vector<std::unique_ptr<ScriptedUpstream>> upstreams_;
 };
 
+/// \brief Replies to the requests of other daemons as scripted.
+class ScriptedPeer {
+ public:
+  explicit ScriptedPeer(std::vector<ForwardedReply> replies)
+      : replies_(std::move(replies)),
+        transport_(control_, address_, "secret"),
+        thread_([this] { control_.run(); }) {
+    control_.call([this] {
+      transport_.serve("/gateway/request", [this](const PeerStreamPtr& stream) {
+        stream->onMessage = [this, weak = std::weak_ptr(stream)](std::string_view) {
+          const PeerStreamPtr open = weak.lock();
+          if (open == nullptr) return;
+          for (const ForwardedReply& reply : replies_) open->send(packForwarded(reply));
+          open->finish();
+        };
+      });
+    });
+  }
+  ~ScriptedPeer() {
+    control_.stop();
+    thread_.join();
+  }
+  ScriptedPeer(const ScriptedPeer&) = delete;
+  ScriptedPeer& operator=(const ScriptedPeer&) = delete;
+  const std::string& address() const { return address_; }
+
+ private:
+  std::vector<ForwardedReply> replies_;
+  std::string address_ = unusedAddress();
+  EventLoop control_;
+  PeerTransport transport_;
+  std::thread thread_;
+};
+
+ForwardedReplies::Head peerHead(int status, const std::string& id,
+                                const std::vector<std::string>& more) {
+  HttpHead head;
+  head.status = status;
+  head.keepAlive = true;
+  head.fields.add("Hallchute-Attempt-Id", id);
+  for (const std::string& name : more) head.fields.add(name, "1");
+  return {head};
+}
+
 /// Guards against requests that ran although the caller was told that they hadn't, or that were
 /// sent to another upstream without proof that the first one didn't run them.
 class FalsePromiseTest : public CppUnit::TestFixture {
@@ -117,6 +165,10 @@
   CPPUNIT_TEST(directAnswersByTable);
   CPPUNIT_TEST(answersThroughAnotherDaemonByTableOfProofs);
   CPPUNIT_TEST(mixedAnswersByTable);
+  CPPUNIT_TEST(repliesOfAPeerByTable);
+  CPPUNIT_TEST(answersOfAnotherRequestThroughAPeerAreNotPassedOn);
+  CPPUNIT_TEST(answersToRequestsWithoutAnIdByTable);
+  CPPUNIT_TEST(ambiguousFieldsAreNoProof);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -183,7 +235,72 @@
     report();
   }
 
+  void repliesOfAPeerByTable() {
+    using namespace ForwardedReplies;
+    const Dispatched sending{{UpstreamId("i-1"), 1}, SoftwareVersion("v1")};
+    const Head rejection = peerHead(503, "q1", {"Hallchute-Not-Executed"});
+    checkPeer("declined", {Declined{"noRoom"}}, 503);
+    checkPeer("not sent", {sending, Failed{ExchangeFailure::notSent}}, 503);
+    checkPeer("rejected", {sending, rejection, Done{}}, 503);
+    checkPeer("sent, then declined", {sending, Declined{"noRoom"}}, 502);
+    checkPeer("answered, then not sent", {sending, rejection, Failed{ExchangeFailure::notSent}},
+              502);
+    report();
+  }
+
+  /// A daemon of another version may pass them on.
+  void answersOfAnotherRequestThroughAPeerAreNotPassedOn() {
+    using namespace ForwardedReplies;
+    const Dispatched sending{{UpstreamId("i-1"), 1}, SoftwareVersion("v1")};
+    const Body body{"ok"};
+    checkPeer(
+        "signed",
+        {sending, peerHead(200, "z9", {"Hallchute-Replica-Signature", "Hallchute-Not-Executed"}),
+         body, Done{}},
+        502);
+    report();
+  }
+
+  void answersToRequestsWithoutAnIdByTable() {
+    const std::string stated = "Hallchute-Not-Executed: 1\r\n";
+    checkFields("a rejection", false, 503, stated, 502);
+    checkFields("a 400", false, 400, stated, 503);
+    report();
+  }
+
+  /// Guards against a field that occurs twice or is empty and counts as the proof's half.
+  void ambiguousFieldsAreNoProof() {
+    const std::string stated = "Hallchute-Not-Executed: 1\r\n";
+    checkFields("stated twice", true, 503, kOwnId + stated + stated, 502);
+    checkFields("two ids", true, 503, kOwnId + "Hallchute-Attempt-Id: z9\r\n" + stated, 502);
+    checkFields("an empty signature", true, 503,
+                kOwnId + stated + "Hallchute-Replica-Signature:\r\n", 502);
+    report();
+  }
+
  private:
+  void checkPeer(const std::string& name, std::vector<ForwardedReply> replies, int status) {
+    const ScriptedPeer peer(std::move(replies));
+    CutPair pair(WorkKind::once, {kPlainAnswer}, {kPlainAnswer});
+    pair.origin.peers = {peer.address()};
+    check(name, pair.ask(), 0, {status, 0});
+  }
+
+  void checkFields(const std::string& name, bool requestHasId, int answered,
+                   const std::string& fields, int status) {
+    const Upstreams upstreams({{"HTTP/1.1 " + std::to_string(answered) + " X\r\n" + fields +
+                                "Content-Length: 0\r\n\r\n"}});
+    GatewayRig rig;
+    rig.setSettings(settingsWith(plainRoute(WorkKind::once)));
+    rig.setUpstreams(upstreams.records());
+    RawCaller caller(rig.address());
+    std::string request = requestText("POST", "Connection: close\r\n", "body");
+    if (!requestHasId) request.erase(request.find(kOwnId), kOwnId.size());
+    caller.send(request);
+    const std::string got = caller.readAll();
+    check(name, got, upstreams.arrivals(), {status, 1});
+  }
+
   static std::string ask(RawCaller& caller) {
     caller.send(requestText("POST", "Connection: close\r\n", "body"));
     return caller.readAll();
