--- a/Hallchute/src/Traffic/PeerDispatch.cpp
+++ b/Hallchute/src/Traffic/PeerDispatch.cpp
@@ -69,8 +69,8 @@
 }
 
 void PeerDispatch::on(const ForwardedReplies::Head& reply) {
-  // The other daemon passes on no response to another request.
-  listener_.upstreamHead(reply.head);
+  // The other daemon waits for no further answer after one to another request.
+  if (!listener_.upstreamHead(reply.head)) listener_.upstreamFailed(ExchangeFailure::malformed);
 }
 
 void PeerDispatch::on(const ForwardedReplies::Body& reply) {
