Red tests: outcomes of the own interface that claim "not-run" without proof

Callers of the other interface saw `not-run` ("it surely did not run") for requests that may have run: when the record of another attempt with the same key stands and can't be read or isn't valid; when an engine answered with an error status of its own, or with a 500 that names a leave; when a generation was dispatched before by another daemon; and in a refused look-up of a request.

Found by reading each place that sets RunOutcome::notRun. OwnInterfaceTest's daemon moved into a class of its own, the existing test's assertions are the same.

--- a/test/LedgerTest.cpp
+++ b/test/LedgerTest.cpp
@@ -77,6 +77,8 @@
 class LedgerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LedgerTest);
   CPPUNIT_TEST(eachFaultEndsAsItShould);
+  CPPUNIT_TEST(anothersRecordThatStandsIsNoProof);
+  CPPUNIT_TEST(anInvalidRecordIsNoProof);
   CPPUNIT_TEST(noSequenceDispatchesTwiceOrWithoutItsRecord);
   CPPUNIT_TEST(recordsReadBackAsWritten);
   CPPUNIT_TEST_SUITE_END();
@@ -165,6 +167,25 @@
     }
   }
 
+  /// An earlier attempt with the same key may have run.
+  void anothersRecordThatStandsIsNoProof() {
+    const OnceEvent abandoned = found(record("other", OnceState::abandoned));
+    const std::string unknown = "platform-out/unknown";
+    const std::string notRun = "platform-out/not-run";
+    CPPUNIT_ASSERT_EQUAL(unknown, play({RecordConflict{}, RecordReadFailed{}}).word);
+    CPPUNIT_ASSERT_EQUAL(
+        unknown, play({RecordConflict{}, abandoned, RecordConflict{}, RecordReadFailed{}}).word);
+    CPPUNIT_ASSERT_EQUAL(notRun, play({RecordConflict{}, abandoned, RecordWriteRefused{}}).word);
+    CPPUNIT_ASSERT_EQUAL(notRun,
+                         play({RecordConflict{}, RecordAbsent{}, RecordWriteRefused{}}).word);
+  }
+
+  void anInvalidRecordIsNoProof() {
+    const OnceEvent invalid = found(record("", OnceState::unknown, ""));
+    CPPUNIT_ASSERT_EQUAL(std::string("outcome-unknown/unknown"),
+                         play({RecordConflict{}, invalid}).word);
+  }
+
   void noSequenceDispatchesTwiceOrWithoutItsRecord() {
     OnceAttempt attempt(record("mine"));
     std::size_t endings = 0;
--- a/test/OwnInterfaceTest.cpp
+++ b/test/OwnInterfaceTest.cpp
@@ -16,18 +16,26 @@
 
 using namespace Hallchute;
 
-class OwnInterfaceTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(OwnInterfaceTest);
-  CPPUNIT_TEST(aBodyIsNeverTakenForARequest);
-  CPPUNIT_TEST_SUITE_END();
-
+/// A daemon without peers and without a platform.
+class RunningDaemon {
  public:
-  /// An answer that is given before the body was read leaves the body on the connection.
-  void aBodyIsNeverTakenForARequest() {
+  RunningDaemon() : daemon_(startup()), thread_([this] { daemon_.run(); }) {}
+  ~RunningDaemon() {
+    daemon_.stop();
+    daemon_.stop();
+    thread_.join();
+  }
+  RunningDaemon(const RunningDaemon&) = delete;
+  RunningDaemon& operator=(const RunningDaemon&) = delete;
+
+  const std::string address = unusedAddress();
+
+ private:
+  StartupFile startup() const {
     StartupFile startup;
     startup.daemon = DaemonId("d-1");
     startup.domain = FailureDomainName("d");
-    startup.callerListen = unusedAddress();
+    startup.callerListen = address;
     startup.operatorListen = unusedAddress();
     startup.operatorToken = "token";
     startup.peerListen = unusedAddress();
@@ -36,25 +44,48 @@
     startup.platformAddress = unusedAddress();
     startup.platformToken = "token";
     startup.platformTimeout = Millis(100);
-    const std::string address = startup.callerListen;
-    Daemon daemon(std::move(startup));
-    std::thread thread([&] { daemon.run(); });
+    return startup;
+  }
+
+  Daemon daemon_;
+  std::thread thread_;
+};
+
+class OwnInterfaceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(OwnInterfaceTest);
+  CPPUNIT_TEST(aBodyIsNeverTakenForARequest);
+  CPPUNIT_TEST(aRefusedLookUpClaimsNothingOfTheRequest);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  /// An answer that is given before the body was read leaves the body on the connection.
+  void aBodyIsNeverTakenForARequest() {
+    RunningDaemon daemon;
     const std::string body = "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n";
     const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
     std::vector<std::string> answers;
     for (const std::string& rest : {length + body, chunked}) {
-      answers.push_back(ask(address, "POST /x HTTP/1.1\r\nHost: h\r\n" + rest));
+      answers.push_back(ask(daemon.address, "POST /x HTTP/1.1\r\nHost: h\r\n" + rest));
     }
-    daemon.stop();
-    daemon.stop();
-    thread.join();
     for (const std::string& answer : answers) {
       CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 404"));
       CPPUNIT_ASSERT_MESSAGE(answer, answer.find("HTTP/1.1", 1) == std::string::npos);
     }
   }
 
+  /// The request that it names may have run, whoever asks for it.
+  void aRefusedLookUpClaimsNothingOfTheRequest() {
+    RunningDaemon daemon;
+    for (const std::string method : {"GET", "DELETE"}) {
+      const std::string answer =
+          ask(daemon.address, method + " /v1/requests/d-1-a HTTP/1.1\r\nHost: h\r\n\r\n");
+      CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 401"));
+      CPPUNIT_ASSERT_MESSAGE(answer,
+                             answer.find("Hallchute-Outcome: unknown") != std::string::npos);
+    }
+  }
+
  private:
   /// Tries until the daemon listens.
   static std::string ask(const std::string& address, const std::string& request) {
--- a/test/UpstreamContractTest.cpp
+++ b/test/UpstreamContractTest.cpp
@@ -102,6 +102,7 @@
   CPPUNIT_TEST(plainServicesSayThatTheyLeave);
   CPPUNIT_TEST(enginesStreamResumeAndEnd);
   CPPUNIT_TEST(engineFaultsHaveTheirWord);
+  CPPUNIT_TEST(onlyA503SaysThatAnEngineLeaves);
   CPPUNIT_TEST(cachesMoveBetweenEngines);
   CPPUNIT_TEST(oldFencingTokensAreRejected);
   CPPUNIT_TEST_SUITE_END();
@@ -201,6 +202,17 @@
     CPPUNIT_ASSERT(std::chrono::steady_clock::now() - start < 5 * kStall);
   }
 
+  void onlyA503SaysThatAnEngineLeaves() {
+    for (const auto& [status, word] : {std::pair{"503 Bye", "leaving"}, {"500 Oh", "refused"}}) {
+      RawServer server(std::string("HTTP/1.1 ") + status +
+                           "\r\nEngine-Leaving: 500\r\nContent-Length: 0\r\n\r\n",
+                       false);
+      EngineHttp engine(server.address(), "127.0.0.1", kConnect);
+      const StreamResult result = engine.generate({}, kStall, [](const auto&) { return true; });
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(status, std::string(word), wordOf(result.end));
+    }
+  }
+
   void cachesMoveBetweenEngines() {
     Engine from;
     Engine to;
