Once ledger: another attempt's record that can't be read proves nothing

A caller with an Idempotency-Key whose earlier attempt had run was told 503 `not-run` when the platform reported a conflict at the creation of the record and then failed the read. The conflict shows that a record stands under the key, so that an earlier attempt may have run. The outcome is now `unknown` until a read shows the record absent, abandoned or its own.

anothersRecordThatStandsIsNoProof failed before and passes; eachFaultEndsAsItShould and the walk over all sequences pass unchanged.

--- a/Hallchute/src/Ledger/OnceAttempt.cpp
+++ b/Hallchute/src/Ledger/OnceAttempt.cpp
@@ -12,13 +12,6 @@
 constexpr Millis kPlatformRetryAfter{1'000};
 constexpr Millis kInProgressRetryAfter{500};
 
-RefuseRequest platformUnavailable(bool abandonLater) {
-  return {{RefusalReason::platformOutage,
-           "the record that keeps this work from repeating can't be written", RunOutcome::notRun,
-           kPlatformRetryAfter},
-          abandonLater};
-}
-
 }  // namespace
 
 Refusal unknownOutcome(std::string detail) {
@@ -31,6 +24,14 @@
   return WriteRecord{record_, 0};
 }
 
+RefuseRequest OnceAttempt::platformUnavailable(bool abandonLater) const {
+  const RunOutcome outcome = otherMayHaveRun_ ? RunOutcome::unknown : RunOutcome::notRun;
+  return {{RefusalReason::platformOutage,
+           "the record that keeps this work from repeating can't be written", outcome,
+           kPlatformRetryAfter},
+          abandonLater};
+}
+
 OnceStep OnceAttempt::next(const OnceEvent& event) {
   return std::visit(
       Overloaded{
@@ -58,6 +59,7 @@
 }
 
 OnceStep OnceAttempt::onConflict() {
+  otherMayHaveRun_ = true;
   return ReadRecord{};
 }
 
@@ -80,6 +82,7 @@
 }
 
 OnceStep OnceAttempt::onAbsent() {
+  otherMayHaveRun_ = false;
   if (++writeAttempts_ >= kMaxWriteAttempts) {
     return stage_ == Stage::storing ? answerWithRecord(false) : OnceStep(platformUnavailable(true));
   }
@@ -113,6 +116,7 @@
     case OnceState::unknown:
       return RefuseRequest{unknownOutcome("an earlier attempt may have run: " + other.body), false};
     case OnceState::abandoned:
+      otherMayHaveRun_ = false;
       if (++writeAttempts_ >= kMaxWriteAttempts) return platformUnavailable(false);
       return WriteRecord{record_, event.version};
     case OnceState::started:
--- a/Hallchute/src/Ledger/OnceAttempt.h
+++ b/Hallchute/src/Ledger/OnceAttempt.h
@@ -44,12 +44,15 @@
   OnceStep finish(OnceState state, int status, std::string contentType, std::string body);
   OnceStep answerWithRecord(bool stored) const;
   OnceStep onOtherAttempt(const RecordFound& event);
+  RefuseRequest platformUnavailable(bool abandonLater) const;
 
   OnceRecord record_;
   Stage stage_ = Stage::creating;
   std::uint64_t version_ = 0;
   std::uint64_t ifVersion_ = 0;
   int writeAttempts_ = 0;
+  /// A record stands under the key that isn't known to be abandoned.
+  bool otherMayHaveRun_ = false;
 };
 
 /// \brief The refusal for a request that may have run and whose answer is not known.
