Once ledger: an invalid record isn't one of another request

A caller whose record on the platform can't be parsed was told 422 `idempotency-key-reused`, `not-run`, though its request may have run: an invalid record has no digest, and the digest was compared before the record's state. A record without a digest now ends as `outcome-unknown`.

--- a/Hallchute/src/Ledger/OnceAttempt.cpp
+++ b/Hallchute/src/Ledger/OnceAttempt.cpp
@@ -104,6 +104,11 @@
 
 OnceStep OnceAttempt::onOtherAttempt(const RecordFound& event) {
   const OnceRecord& other = event.record;
+  // An invalid record may be of this very request.
+  if (other.digest.empty()) {
+    return RefuseRequest{unknownOutcome("an earlier attempt may have run: its record is invalid"),
+                         false};
+  }
   if (other.digest != record_.digest) {
     return RefuseRequest{
         {RefusalReason::idempotencyKeyReused, "the Idempotency-Key was used for another request",
