Engines: only a 503 with Engine-Leaving refuses without a run

An engine that failed with a 500 while it was leaving was taken for one that refused: the attempt didn't count as dispatched, and its caller could be told `not-run`. docs/API.md gives that meaning to a 503 with the field only; any other status is now an error answer.

onlyA503SaysThatAnEngineLeaves failed before and passes; the other tests of UpstreamContractTest pass unchanged.

--- a/Hallchute/src/Upstream/EngineHttp.cpp
+++ b/Hallchute/src/Upstream/EngineHttp.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr Millis kControlCallTimeout{2'000};
+constexpr int kUnavailable = 503;
 constexpr std::string_view kDataPrefix = "data: ";
 
 std::string generateBody(const GenerateRequest& request) {
@@ -66,7 +67,7 @@
 
 StreamResult refusedResult(const HttpResponse& answer) {
   const std::string leaving = answer.header("Engine-Leaving");
-  if (leaving.empty()) {
+  if (answer.status != kUnavailable || leaving.empty()) {
     return {StreamEnd::refused, "status " + std::to_string(answer.status), Millis(0)};
   }
   return {StreamEnd::leaving, "the engine leaves", Millis(std::atoll(leaving.c_str()))};
