Generations: an engine's error answer may have run

A caller was told `not-run` when its engine had answered with an error status of its own (500, 429, a 503 without Engine-Leaving) and no other could be had: only events and broken connections counted as dispatched. Such an answer states nothing about the run, so that the attempt now counts as dispatched and the outcome is `unknown`. No connection, and a 503 with Engine-Leaving, stay `not-run`.

aRefusalClaimsOnlyWhatIsKnown failed before and passes; UpstreamContractTest passes unchanged.

--- a/Hallchute/src/Daemon/AnswerRunner.cpp
+++ b/Hallchute/src/Daemon/AnswerRunner.cpp
@@ -218,7 +218,7 @@
              "attempt at upstream " + grant.upstream().str() + " failed: " + result.detail);
   excluded_.push_back(grant.upstream());
   if (excluded_.size() > kMaxExcludedUpstreams) excluded_.erase(excluded_.begin());
-  dispatched_ = dispatched_ || result.end == StreamEnd::broke;
+  dispatched_ = dispatched_ || result.end == StreamEnd::broke || result.end == StreamEnd::refused;
   switch (result.end) {
     case StreamEnd::leaving:
       context_.noteLeave({grant.upstream(), result.leavesIn, LeaveSource::upstream});
--- a/Hallchute/src/Ports/EnginePort.h
+++ b/Hallchute/src/Ports/EnginePort.h
@@ -36,9 +36,9 @@
   stopped,
   /// The connection failed; nothing was sent.
   connectFailed,
-  /// The engine refused the request and does not run it.
+  /// The engine answered with an error status; it may have run the request.
   refused,
-  /// The engine is leaving and accepts no new requests.
+  /// The engine is leaving, accepts no new requests and did not run this one.
   leaving,
   /// The connection failed, was closed or timed out.
   broke,
