Generations: what was dispatched before isn't refused as not run

A request that was handed over, adopted from a daemon that ended, or resumed after a failed hand-over got a new runner, which knew nothing of earlier attempts: at its time limit or when it was cancelled without a token, its caller was told `not-run`. The runner now starts as dispatched if the job has begun an attempt here, or comes from another daemon's record: that of an orphan may be older than its first attempt, so that its epoch proves nothing.

whatRanElsewhereIsNotRefusedAsNotRun failed before and passes; RecoveryTest passes unchanged.

--- a/Hallchute/src/Daemon/AnswerRunner.cpp
+++ b/Hallchute/src/Daemon/AnswerRunner.cpp
@@ -51,6 +51,7 @@
       static_cast<double>(policyValue(context_, job_->spec(), PolicyKey::retryBudgetPercent)) /
       kPercent;
   context_.budgets.recordFirstAttempt(job_->spec().service, ratio);
+  dispatched_ = job_->mayHaveRun();
   resumption_ = job_->tokenCount() > 0;
   while (step() == Next::proceed) {
   }
--- a/Hallchute/src/Daemon/Job.cpp
+++ b/Hallchute/src/Daemon/Job.cpp
@@ -21,7 +21,7 @@
 Job::Job(JobSpec spec) : spec_(std::move(spec)), detachedAt_(clockNow()) {}
 
 Job::Job(JobSpec spec, std::uint64_t epoch, std::vector<std::string> tokens)
-    : spec_(std::move(spec)), detachedAt_(clockNow()) {
+    : spec_(std::move(spec)), startedElsewhere_(true), detachedAt_(clockNow()) {
   answer_.restore(epoch, std::move(tokens));
 }
 
@@ -40,6 +40,12 @@
          stage_ == JobStage::handedOver;
 }
 
+/// The record of an orphan may be older than its first attempt.
+bool Job::mayHaveRun() const {
+  const std::lock_guard lock(mutex_);
+  return startedElsewhere_ || answer_.epoch() > 0;
+}
+
 std::uint64_t Job::beginAttempt(const UpstreamId& upstream) {
   const std::lock_guard lock(mutex_);
   stage_ = JobStage::running;
--- a/Hallchute/src/Daemon/Job.h
+++ b/Hallchute/src/Daemon/Job.h
@@ -51,6 +51,8 @@
   const JobSpec& spec() const { return spec_; }
 
   // For the runner.
+  /// \brief Whether an attempt of an earlier runner, here or at another daemon, may have run.
+  bool mayHaveRun() const;
   std::uint64_t beginAttempt(const UpstreamId& upstream);
   ChunkResult accept(const AnswerChunk& chunk);
   std::vector<std::string> tokens() const;
@@ -101,6 +103,7 @@
   bool ended() const;
 
   const JobSpec spec_;
+  const bool startedElsewhere_ = false;
   mutable std::mutex mutex_;
   mutable std::condition_variable stateChanged_;
   std::vector<std::function<void()>> listeners_;
