A refused look-up claims nothing of the request it names

GET and DELETE of /v1/requests/{id} with an unknown key, or at a daemon that has no settings yet, answered 401 with `Hallchute-Request: id` and `Hallchute-Outcome: not-run`: that the request itself surely did not run, which may be false. The other refusals of a look-up say `unknown` already, and this one does now too.

aRefusedLookUpClaimsNothingOfTheRequest failed before and passes.

--- a/Hallchute/src/Daemon/RequestHandler.cpp
+++ b/Hallchute/src/Daemon/RequestHandler.cpp
@@ -40,7 +40,12 @@
 std::optional<Refusal> RequestHandler::handle(const Poco::Net::HTTPServerRequest& request,
                                               Poco::Net::HTTPServerResponse& response) {
   const auto caller = authenticate(request, services_);
-  if (const auto* refusal = std::get_if<Refusal>(&caller)) return *refusal;
+  if (const auto* refusal = std::get_if<Refusal>(&caller)) {
+    // The outcome is that of the request that is asked for.
+    Refusal refused = *refusal;
+    refused.outcome = RunOutcome::unknown;
+    return refused;
+  }
   const FindResult found = find(std::get<Caller>(caller).organisation->name);
   if (const auto* refusal = std::get_if<Refusal>(&found)) return *refusal;
   const JobPtr& job = std::get<JobPtr>(found);
