Red test: the end of a stop resets connections whose request may have run

At the end of the grace a daemon ends with its connections as they are. A caller whose request was still at its upstream saw the end of the connection without a byte (7.33 s after SIGTERM), and a reset if it had sent more than the daemon reads ahead: both look like a connection whose request was never read, upon which callers send again what may run once.

--- a/test/StopLossTest.cpp
+++ b/test/StopLossTest.cpp
@@ -108,6 +108,7 @@
   CPPUNIT_TEST(aSilentUpstreamsAnswersCompleteWithinTheGrace);
   CPPUNIT_TEST(aSlowCallerGetsAllOfItsAnswer);
   CPPUNIT_TEST(aRequestThatArrivesSlowlyIsAnswered);
+  CPPUNIT_TEST(whatMayHaveRunIsToldSoBeforeTheProcessEnds);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -156,6 +157,25 @@
     const std::string answer = caller.readAll();
     CPPUNIT_ASSERT_MESSAGE("answer: " + answer, answer.starts_with("HTTP/1.1 "));
   }
+
+  /// A connection that ends without a byte, or is reset, looks like one whose request wasn't read.
+  void whatMayHaveRunIsToldSoBeforeTheProcessEnds() {
+    StoppingDaemon daemon("127.8.1.4", "unsafe", {"", Then::hang});
+    RawCaller one(daemon.gateway.callers);
+    RawCaller sendingAhead(daemon.gateway.callers);
+    one.send(requestText("POST", "", "body"));
+    sendingAhead.send(requestText("POST", "", "body"));
+    daemon.upstream.awaitRequests(2);
+    sendingAhead.send(requestText("POST", "", std::string(200'000, 'b')));
+    daemon.stop();
+    for (RawCaller* caller : {&one, &sendingAhead}) {
+      const std::string answer = caller->readAll(milliseconds(9'000));
+      CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 502"));
+      CPPUNIT_ASSERT_MESSAGE(answer, answer.find("HTTP/1.1", 1) == std::string::npos);
+      CPPUNIT_ASSERT(caller->ended());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, daemon.upstream.requests().size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StopLossTest);
