A stop answers what may have run with 502 before the process ends

A caller whose request was still at its upstream at the end of the grace saw its connection end without a byte, or with a reset when it had sent ahead more than is read (measured 7.33 s after SIGTERM, both ways). Neither can be told from a request that was never read, which callers send again. Such requests are now answered 502, which promises nothing, unless their response has begun; the loop then runs 100 ms more, so that the answers leave and what was sent ahead is discarded: unread bytes would reset the connection. New requests are refused in that time also where the grace is shorter than the load balancer's removal.

whatMayHaveRunIsToldSoBeforeTheProcessEnds failed before and passes; the rest of StopLossTest, FrontContractTest and LostRequestTest pass unchanged. Their sessions still end without a line of their own, as before (`sessionsLeft` counts them).

--- a/Hallchute/src/Front/FrontConnection.cpp
+++ b/Hallchute/src/Front/FrontConnection.cpp
@@ -141,6 +141,7 @@
   stopTimer();
   phase_ = Phase::responding;
   HttpHead head = reader_.head();
+  responseBegun_ = false;
   reusable_ = head.keepAlive;
   isHeadRequest_ = head.method == "HEAD";
   chunked_ = head.version >= 11;
@@ -173,6 +174,7 @@
 }
 
 void FrontConnection::startStream(int status, const HttpFields& fields) {
+  responseBegun_ = true;
   // HTTP/1.0 has no chunked encoding: closing the connection ends the body.
   const ConnectionPersistence persistence =
       chunked_ ? connectionPersistence() : ConnectionPersistence::close;
@@ -241,6 +243,13 @@
   readRequests();
 }
 
+void FrontConnection::failUnanswered(int status) {
+  if (exchange_ == nullptr || responseBegun_) return;
+  reusable_ = false;
+  const std::shared_ptr<FrontExchange> exchange = exchange_;
+  exchange->respond(status, {}, "");
+}
+
 void FrontConnection::startIdle() {
   phase_ = Phase::idle;
   idleSince_ = clockNow();
--- a/Hallchute/src/Front/FrontConnection.h
+++ b/Hallchute/src/Front/FrontConnection.h
@@ -34,6 +34,9 @@
   bool busy() const;
   /// \brief Bytes of responses that the kernel has not accepted yet.
   std::size_t unsent() const { return channel_.unsent(); }
+  /// \brief Answers the request in progress with \p status and closes the connection, unless its
+  /// response has begun: an end without a byte looks as if the request hadn't been read.
+  void failUnanswered(int status);
   /// \brief Resets the connection and notifies the handler if a request is in progress.
   void dropConnection();
 
@@ -81,6 +84,7 @@
   bool chunked_ = true;
   bool continueSent_ = false;
   bool parsing_ = false;
+  bool responseBegun_ = false;
 };
 
 }  // namespace Hallchute
--- a/Hallchute/src/Front/FrontServer.cpp
+++ b/Hallchute/src/Front/FrontServer.cpp
@@ -100,4 +100,8 @@
   for (const auto& [id, connection] : connections_) connection->closeIfIdle();
 }
 
+void FrontServer::failUnanswered(int status) {
+  for (const auto& [id, connection] : connections_) connection->failUnanswered(status);
+}
+
 }  // namespace Hallchute
--- a/Hallchute/src/Front/FrontServer.h
+++ b/Hallchute/src/Front/FrontServer.h
@@ -39,6 +39,9 @@
   void drain() { draining_ = true; }
   /// \brief Closes the connections without a request in progress.
   void closeIdle();
+  /// \brief Answers the requests in progress with \p status: the process ends. Their handlers'
+  /// responses are ignored from then on.
+  void failUnanswered(int status);
   std::size_t connections() const { return connections_.size(); }
   /// \brief The number of connections with a request in progress.
   std::size_t busy() const;
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -24,6 +24,11 @@
 constexpr Millis kStopPollPeriod{50};
 /// Part of the grace period that is reserved for ending the process.
 constexpr Millis kExitMargin{700};
+/// Time for the last answers to reach the kernel and for what callers sent ahead to be discarded: a
+/// connection that ends with unread bytes is reset, and its last answer may be lost.
+constexpr Millis kLastAnswersTime{100};
+/// It promises nothing: a request in progress may have run.
+constexpr int kBadGateway = 502;
 /// Descriptors reserved for uses other than callers and upstreams.
 constexpr std::size_t kReservedDescriptors = 300;
 /// Connections to the readiness page, and to the metrics page: part of the reserved descriptors.
@@ -572,10 +577,16 @@
     engine_.refuseNewRequests();
   }
   const bool idle = removedFromBalancer && engine_.sessions() == 0 && callerServer_.busy() == 0;
-  if (idle || elapsed >= startup_.bounds.grace - kExitMargin) {
+  if (idle) {
     trafficLoop_.stop();
     return;
   }
+  if (elapsed >= startup_.bounds.grace - kExitMargin) {
+    engine_.refuseNewRequests();
+    callerServer_.failUnanswered(kBadGateway);
+    trafficLoop_.after(kLastAnswersTime, [this] { trafficLoop_.stop(); });
+    return;
+  }
   trafficLoop_.after(kStopPollPeriod, [this, began] { pollStop(began); });
 }
 
