--- a/Hallchute/src/Daemon/AnswerRunner.cpp
+++ b/Hallchute/src/Daemon/AnswerRunner.cpp
@@ -51,6 +51,7 @@
       static_cast<double>(policyValue(context_, job_->spec(), PolicyKey::retryBudgetPercent)) /
       kPercent;
   context_.budgets.recordFirstAttempt(job_->spec().service, ratio);
+  dispatched_ = job_->mayHaveRun();
   resumption_ = job_->tokenCount() > 0;
   while (step() == Next::proceed) {
   }
@@ -218,7 +219,7 @@
              "attempt at upstream " + grant.upstream().str() + " failed: " + result.detail);
   excluded_.push_back(grant.upstream());
   if (excluded_.size() > kMaxExcludedUpstreams) excluded_.erase(excluded_.begin());
-  dispatched_ = dispatched_ || result.end == StreamEnd::broke;
+  dispatched_ = dispatched_ || result.end == StreamEnd::broke || result.end == StreamEnd::refused;
   switch (result.end) {
     case StreamEnd::leaving:
       context_.noteLeave({grant.upstream(), result.leavesIn, LeaveSource::upstream});
