Known red: what a peer's replies prove, by table

Callers of requests that may run once got 503, or a second upstream got the request, after replies of a peer that prove nothing. PeerDispatch drops the answer of its listener to a head, so that a head that belongs to another request is followed by Done and ends the dispatch as if it were its own, and takes Declined and Failed with notSent as proof also after Dispatched or a head. No peer of this release sends the latter; one of an earlier release passes on other requests' rejections.

--- a/test/ForwardingTest.cpp
+++ b/test/ForwardingTest.cpp
@@ -11,6 +11,7 @@
 #include "Hallchute/Net"
 #include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Node/ForwardingLink.h"
+#include "Hallchute/src/Node/ForwardingWire.h"
 #include "ScriptedUpstream.h"
 #include "UnusedAddress.h"
 
@@ -127,6 +128,39 @@
   std::thread thread_;
 };
 
+/// Takes requests of other daemons and gives each the same replies, as one of another release may.
+class ScriptedPeer {
+ public:
+  ScriptedPeer() : transport_(control_, address_, "secret"), thread_([this] { control_.run(); }) {
+    control_.call([this] {
+      transport_.serve("/gateway/request", [this](const PeerStreamPtr& stream) {
+        stream->onMessage = [this, weak = std::weak_ptr(stream)](std::string_view) {
+          const PeerStreamPtr open = weak.lock();
+          if (open == nullptr) return;
+          for (const ForwardedReply& reply : replies) open->send(packForwarded(reply));
+          open->finish();
+        };
+      });
+    });
+  }
+  ~ScriptedPeer() {
+    control_.stop();
+    thread_.join();
+  }
+  ScriptedPeer(const ScriptedPeer&) = delete;
+  ScriptedPeer& operator=(const ScriptedPeer&) = delete;
+  const std::string& address() const { return address_; }
+
+  /// Set before the first request.
+  std::vector<ForwardedReply> replies;
+
+ private:
+  std::string address_ = unusedAddress();
+  EventLoop control_;
+  PeerTransport transport_;
+  std::thread thread_;
+};
+
 /// A daemon that can't reach two upstreams, and another that can.
 class CutPair {
  public:
@@ -165,6 +199,7 @@
 class ForwardingTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ForwardingTest);
   CPPUNIT_TEST(answersThroughAnotherDaemonByTable);
+  CPPUNIT_TEST(aPeersRepliesProveByTable);
   CPPUNIT_TEST(eventsPassBeforeTheStreamEnds);
   CPPUNIT_TEST(aCallerWhoLeavesEndsTheRunAtTheUpstream);
   CPPUNIT_TEST(anUpstreamLearnsNeitherTheKeyNorALaterDeadline);
@@ -214,6 +249,64 @@
     }
   }
 
+  /// A request that may run once goes on to a second peer only if the first one's replies prove
+  /// that it has not run.
+  void aPeersRepliesProveByTable() {
+    using namespace ForwardedReplies;
+    const auto head = [](int status, const std::string& id, bool stated, bool isSigned) {
+      HttpHead answer;
+      answer.status = status;
+      answer.fields.add("Hallchute-Attempt-Id", id);
+      if (stated) answer.fields.add("Hallchute-Not-Executed", "1");
+      if (isSigned) answer.fields.add("Hallchute-Replica-Signature", "s");
+      return Head{answer};
+    };
+    const Dispatched dispatched{{UpstreamId("i-9"), 1}, SoftwareVersion("v1")};
+    const Failed notSent{ExchangeFailure::notSent};
+    const Declined declined{"noRoom"};
+    struct Row {
+      const char* name;
+      std::vector<ForwardedReply> replies;
+      /// Empty if the replies prove nothing: no promise, and no second dispatch.
+      std::string status;
+    };
+    const std::vector<Row> rows{
+        {"declined", {declined}, "200"},
+        {"declined twice", {declined, declined}, "200"},
+        // The same peer is asked again, until the request is refused.
+        {"not sent", {dispatched, notSent}, "503"},
+        {"rejected", {dispatched, head(503, "q1", true, false), Done{}}, "503"},
+        {"no reply", {}, ""},
+        {"no reply after the dispatch", {dispatched}, ""},
+        {"broken", {dispatched, Failed{ExchangeFailure::connectionEnded}}, ""},
+        {"an unknown failure", {dispatched, Failed{static_cast<ExchangeFailure>(99)}}, ""},
+        {"a rejection that is cut off", {dispatched, head(503, "q1", true, false)}, ""},
+        {"an end without a head", {dispatched, Done{}}, ""},
+        {"declined after the dispatch", {dispatched, declined}, ""},
+        {"not sent after a head", {dispatched, head(200, "q1", false, true), notSent}, ""},
+        {"another request's rejection", {dispatched, head(503, "other", true, false), Done{}}, ""},
+        {"another request's answer",
+         {dispatched, head(200, "other", false, true), Body{"foreign"}, Done{}},
+         ""},
+        {"a signed rejection", {dispatched, head(503, "q1", true, true), Done{}}, ""},
+    };
+    std::string wrong;
+    for (const Row& row : rows) {
+      CutPair pair(WorkKind::once, fine(), fine());
+      ScriptedPeer scripted;
+      scripted.replies = row.replies;
+      pair.origin.peers.insert(pair.origin.peers.begin(), scripted.address());
+      const std::string answer = pair.ask();
+      const bool promised = answer.starts_with("HTTP/1.1 4") || answer.starts_with("HTTP/1.1 503");
+      const bool asExpected = row.status.empty() ? answer.starts_with("HTTP/1.1 50") && !promised
+                                                 : answer.starts_with("HTTP/1.1 " + row.status);
+      if (asExpected && pair.arrivals() == (row.status == "200" ? 1 : 0)) continue;
+      wrong += std::string(row.name) + ": " + std::to_string(pair.arrivals()) + " arrivals, " +
+               answer.substr(0, answer.find("\r\n")) + "; ";
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), wrong);
+  }
+
   void eventsPassBeforeTheStreamEnds() {
     CutPair pair(WorkKind::stream, kFirstEvent, kFirstEvent);
     const std::string answer = pair.ask("", "data: t1");
