Known red: fields of a trailer are added to the head

A chunked answer whose trailer holds the statement that the request has not run, this request's id or a signature was read as if its head held them, but only if head, body and trailer came in one piece: Boost.Beast reports the fields of a trailer like those of the head, and HttpReader added both. The same was so for requests.

--- a/test/UpstreamChannelTest.cpp
+++ b/test/UpstreamChannelTest.cpp
@@ -6,12 +6,14 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <sys/socket.h>
 
+#include <array>
 #include <atomic>
 #include <cerrno>
 #include <memory>
 #include <string>
 #include <thread>
 
+#include "Hallchute/src/Http/HttpReader.h"
 #include "Hallchute/src/Net/EventLoop.h"
 #include "Hallchute/src/Upstream/AnswerMemory.h"
 #include "Hallchute/src/Upstream/UpstreamChannel.h"
@@ -71,6 +73,7 @@
 class UpstreamChannelTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(UpstreamChannelTest);
   CPPUNIT_TEST(aRequestThatIsHeldUpIsResetAndNeverArrives);
+  CPPUNIT_TEST(onlyTheHeadHoldsFields);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -108,6 +111,33 @@
     CPPUNIT_ASSERT(arrived < kRequestSize);
     CPPUNIT_ASSERT_EQUAL(ECONNRESET, error);
   }
+
+  /// The fields of a trailer were added to the head if they came in one piece with it: a trailer
+  /// could state that a request had not run.
+  void onlyTheHeadHoldsFields() {
+    const std::string head = "HTTP/1.1 503 X\r\nA: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string request =
+        "POST / HTTP/1.1\r\nHost: h\r\nA: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string body = "2\r\nok\r\n0\r\nA: 2\r\nB: 1\r\nHost: i\r\n\r\n";
+    for (const bool isRequest : {false, true}) {
+      for (const std::size_t pieces : std::array<std::size_t, 2>{1, 1'000}) {
+        HttpReader reader(isRequest ? HttpMessageType::requests : HttpMessageType::responses, {});
+        const std::string text = (isRequest ? request : head) + body;
+        const std::size_t step = text.size() / pieces + 1;
+        std::string input;
+        HttpProgress progress = HttpProgress::needsMore;
+        for (std::size_t i = 0; i < text.size(); i += step) {
+          input += text.substr(i, step);
+          progress = reader.read(input);
+        }
+        CPPUNIT_ASSERT(progress == HttpProgress::complete);
+        CPPUNIT_ASSERT_EQUAL(std::string("ok"), reader.takeBody());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reader.head().fields.count("A"));
+        CPPUNIT_ASSERT(!reader.head().fields.has("B"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{isRequest ? 1U : 0U}, reader.head().fields.count("Host"));
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamChannelTest);
