Fields of a trailer are not added to the head

A trailer could state that a request had not run, name its id or sign the answer, if it arrived in one piece with the head; in several pieces it could not. HttpReader added every field that Boost.Beast reports, and Beast reports those of a trailer by the same call. Fields after the end of the head are now counted for the limit and dropped, for requests and answers alike: a receiver may drop a trailer, and nothing here reads one.

--- a/Hallchute/src/Http/HttpReader.cpp
+++ b/Hallchute/src/Http/HttpReader.cpp
@@ -27,7 +27,7 @@
   return {text.data(), text.size()};
 }
 
-/// Stores the head and the body that Boost.Beast's parser reports.
+/// Stores the head and the body that Boost.Beast's parser reports; it reports trailers as fields.
 template <bool isRequest>
 class CollectingParser final : public http::basic_parser<isRequest> {
  public:
@@ -57,10 +57,13 @@
       error = http::error::header_limit;
       return;
     }
+    // Fields of a trailer state nothing of the message (RFC 9110, 6.5.1).
+    if (hasHead_) return;
     head.fields.add(view(name), view(value));
   }
   void on_header_impl(Error& error) override {
     error = {};
+    hasHead_ = true;
     head.keepAlive = this->keep_alive();
     head.bodyEndsAtClose = !isRequest && this->need_eof();
     // Beast accepts other transfer codings, but the end of their bodies would be ambiguous.
@@ -88,6 +91,8 @@
     body.append(bytes.data(), bytes.size());
     bodyBytes += bytes.size();
   }
+
+  bool hasHead_ = false;
 };
 
 HttpProgress progressFromError(const Error& error) {
