--- a/test/UpstreamChannelTest.cpp
+++ b/test/UpstreamChannelTest.cpp
@@ -10,8 +10,10 @@
 #include <atomic>
 #include <cerrno>
 #include <memory>
+#include <random>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "Hallchute/src/Http/HttpReader.h"
 #include "Hallchute/src/Net/EventLoop.h"
@@ -70,9 +72,75 @@
   Poco::Net::StreamSocket peer_;
 };
 
+/// An upstream that answers a number of requests on a connection and then ends it, at any point.
+class EndingHost {
+ public:
+  explicit EndingHost(unsigned seed) : random_(seed) {
+    server_.bind(Poco::Net::SocketAddress("127.0.0.1", 0), true);
+    server_.listen();
+    thread_ = std::thread([this] { serve(); });
+  }
+  ~EndingHost() {
+    stopping_ = true;
+    Poco::Net::StreamSocket wake{server_.address()};
+    thread_.join();
+  }
+  std::string address() const { return server_.address().toString(); }
+  /// The last byte read so far: each request consists of a byte of its own.
+  int lastByte() const { return lastByte_; }
+  /// Waits until the connection that was served has ended.
+  void awaitEnd(int connections) const {
+    while (ended_ < connections) std::this_thread::sleep_for(std::chrono::microseconds(50));
+  }
+
+ private:
+  void serve() {
+    for (;;) {
+      Poco::Net::StreamSocket peer = server_.acceptConnection();
+      if (stopping_) return;
+      peer.setReceiveTimeout(Poco::Timespan(2, 0));
+      const int fd = peer.impl()->sockfd();
+      const unsigned answers = random_() % 3;
+      for (unsigned i = 0; i < answers; ++i) {
+        if (!read(fd)) break;
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        ::send(fd, answer.data(), answer.size(), MSG_NOSIGNAL);
+      }
+      std::this_thread::sleep_for(std::chrono::microseconds(random_() % 300));
+      const bool reset = random_() % 2 == 0;
+      if (!reset) ::shutdown(fd, SHUT_WR);
+      // What the kernel has taken for this process counts as arrived.
+      while (random_() % 4 != 0 && read(fd, MSG_DONTWAIT)) {
+      }
+      if (reset) {
+        const linger noLinger{1, 0};
+        ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &noLinger, sizeof noLinger);
+      } else {
+        read(fd);
+      }
+      peer.close();
+      ++ended_;
+    }
+  }
+  bool read(int fd, int flags = 0) {
+    unsigned char byte = 0;
+    if (::recv(fd, &byte, 1, flags) != 1) return false;
+    lastByte_ = byte;
+    return true;
+  }
+
+  std::mt19937 random_;
+  Poco::Net::ServerSocket server_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<int> lastByte_{-1};
+  std::atomic<int> ended_{0};
+  std::thread thread_;
+};
+
 class UpstreamChannelTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(UpstreamChannelTest);
   CPPUNIT_TEST(aRequestThatIsHeldUpIsResetAndNeverArrives);
+  CPPUNIT_TEST(whatCountsAsNotSentNeverArrives);
   CPPUNIT_TEST(onlyTheHeadHoldsFields);
   CPPUNIT_TEST_SUITE_END();
 
@@ -112,6 +180,68 @@
     CPPUNIT_ASSERT_EQUAL(ECONNRESET, error);
   }
 
+  /// Connections end at any point around the next request on them.
+  void whatCountsAsNotSentNeverArrives() {
+    constexpr unsigned kSeed = 1'701;
+    constexpr int kConnections = 400;
+    EndingHost host(kSeed);
+    EventLoop loop;
+    std::thread thread([&] { loop.run(); });
+    std::mt19937 random(kSeed);
+    int notSent = 0;
+    int sent = 0;
+    int arrivedAll = 0;
+    for (int i = 0, request = 0; i < kConnections; ++i) {
+      std::unique_ptr<UpstreamChannel> channel;
+      std::unique_ptr<Listener> listener;
+      // Sends in one turn of the loop, as the pool does. Looks first, as the pool does, or lets the
+      // connection end unseen within the turn.
+      const auto startNext = [&](bool first) {
+        bool usable = first || channel->reusable();
+        if (random() % 2 == 0) {
+          usable = usable && (first || channel->isOpenAndIdle());
+        } else {
+          std::this_thread::sleep_for(std::chrono::microseconds(random() % 500));
+        }
+        if (!usable) return false;
+        request = (request + 1) % 256;
+        listener = std::make_unique<Listener>();
+        channel->start(std::string(1, static_cast<char>(request)), false, *listener);
+        return true;
+      };
+      bool started = false;
+      loop.call([&] {
+        channel =
+            std::make_unique<UpstreamChannel>(loop, host.address(), "127.0.0.1", kConnectLimit,
+                                              std::make_shared<AnswerMemory>(loop, AnswerBounds{}));
+        started = startNext(true);
+      });
+      while (started) {
+        while (!listener->done && !listener->failed) {
+          std::this_thread::sleep_for(std::chrono::microseconds(50));
+        }
+        std::this_thread::sleep_for(std::chrono::microseconds(random() % 200));
+        loop.call([&] { started = startNext(false); });
+      }
+      loop.call([&] { channel.reset(); });
+      host.awaitEnd(i + 1);
+      const bool arrived = host.lastByte() == request;
+      if (listener->done) continue;
+      ++(listener->failedSent ? sent : notSent);
+      if (arrived) ++arrivedAll;
+      if (arrived && !listener->failedSent) {
+        loop.stop();
+        thread.join();
+        CPPUNIT_FAIL("arrived though not sent, connection " + std::to_string(i));
+      }
+    }
+    loop.stop();
+    thread.join();
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(notSent) + " not sent, " + std::to_string(sent) +
+                               " sent, " + std::to_string(arrivedAll) + " arrived",
+                           notSent > 10 && sent > 10 && arrivedAll > 10);
+  }
+
   /// The fields of a trailer were added to the head if they came in one piece with it: a trailer
   /// could state that a request had not run.
   void onlyTheHeadHoldsFields() {
