Soak of refusals: what ran against what callers were promised

What callers saw: a request that may run once was answered 408, 421, 429 or 503, which promises that it has not run, and had run; sent again, it ran twice (REFUSED, TWICE).

No soak could see it: the stand-in's replicas rejected truthfully, never failed after they ran a request and sent one answer for each, and no caller came back after a refusal.

The stand-in now draws, by the request's id and a seed, a settable part of its plain answers from a table (standin/AnswerPlan): truthful rejections; failures after the run, signed or not, with or without a misleading statement; surplus rejections of the own or another id before, after or late; answers cut off or lost. Its surplus rejections never have the id of a request that is still to be answered on that connection. The soak `refusals` runs them beside kills, stops, reloads, cuts and outages of the store, with callers on kept and new connections that send again what was refused, under a new id.

--- a/standin/ReplicaStandin.cpp
+++ b/standin/ReplicaStandin.cpp
@@ -177,6 +177,7 @@
 
 void ReplicaStandin::answerRequests(Poco::Net::StreamSocket& socket, const std::string& caller) {
   std::string in;
+  std::string due;
   std::array<char, 4096> buffer;
   while (!crashed_) {
     if (!socket.poll(kTurn, Poco::Net::Socket::SELECT_READ)) continue;
@@ -185,7 +186,7 @@
     in.append(buffer.data(), static_cast<std::size_t>(got));
     for (std::string request = takeRequest(in); !request.empty() && !crashed_;
          request = takeRequest(in)) {
-      if (!run(socket, request, caller)) return;
+      if (!run(socket, request, caller, due)) return;
     }
   }
 }
@@ -215,15 +216,23 @@
 }
 
 bool ReplicaStandin::run(Poco::Net::StreamSocket& socket, const std::string& request,
-                         const std::string& caller) {
+                         const std::string& caller, std::string& due) {
   const std::string body = bodyOf(request);
+  ::send(socket.impl()->sockfd(), due.data(), due.size(), MSG_NOSIGNAL);
+  due.clear();
   if (rejects(socket, request, caller)) return true;
+  const std::string id = fieldOf(request, "Hallchute-Attempt-Id");
+  const AnswerPlan plan = drawPlan(id, drawSeed_, drawnPart_);
+  if (!plan.runs) {
+    const std::lock_guard lock(mutex_);
+    rejections_.push_back({{std::chrono::steady_clock::now(), id_, caller, body, id}, {}});
+    return sendDrawn(socket, request, plan, due);
+  }
   if (!takeSlot(socket, request)) return !crashed_;
   const double limit = limit_;
   {
     const std::lock_guard lock(mutex_);
-    arrivals_.push_back({std::chrono::steady_clock::now(), id_, caller, body,
-                         fieldOf(request, "Hallchute-Attempt-Id")});
+    arrivals_.push_back({std::chrono::steady_clock::now(), id_, caller, body, id});
     running_.insert(body);
   }
   wait(std::chrono::milliseconds(0));
@@ -246,11 +255,28 @@
   if (absl::StrContains(request.substr(0, request.find('\r')), " /stream/")) {
     return stream(socket, request);
   }
+  if (drawnPart_ > 0) return sendDrawn(socket, request, plan, due);
   const std::string answer = answerTo(request, limit);
   ::send(socket.impl()->sockfd(), answer.data(), answer.size(), MSG_NOSIGNAL);
   return true;
 }
 
+bool ReplicaStandin::sendDrawn(Poco::Net::StreamSocket& socket, const std::string& request,
+                               const AnswerPlan& plan, std::string& due) const {
+  const std::string id = fieldOf(request, "Hallchute-Attempt-Id");
+  std::string text = answerOf(plan, id, id_);
+  if (plan.end == AnswerPlan::End::cutOff) text.pop_back();
+  if (plan.end == AnswerPlan::End::closed || plan.end == AnswerPlan::End::reset) text.clear();
+  if (plan.surplus == AnswerPlan::Surplus::before) text.insert(0, surplusOf(plan, id));
+  if (plan.surplus == AnswerPlan::Surplus::after) text += surplusOf(plan, id);
+  if (plan.surplus == AnswerPlan::Surplus::late) due = surplusOf(plan, id);
+  ::send(socket.impl()->sockfd(), text.data(), text.size(), MSG_NOSIGNAL);
+  if (plan.end == AnswerPlan::End::whole) return true;
+  // Else the connection is reset.
+  if (plan.end != AnswerPlan::End::reset) socket.setLinger(false, 0);
+  return false;
+}
+
 /// Half of the streams have neither a length nor chunks. When the replica crashes, these end inside
 /// an event as if they were complete.
 bool ReplicaStandin::stream(Poco::Net::StreamSocket& socket, const std::string& request) const {
--- a/standin/ReplicaStandin.h
+++ b/standin/ReplicaStandin.h
@@ -20,6 +20,8 @@
 #include <thread>
 #include <vector>
 
+#include "standin/AnswerPlan.h"
+
 namespace Standin {
 
 /// \brief A request that arrived at a replica.
@@ -77,6 +79,8 @@
   static constexpr const char* kCrashingBody = "crash";
   /// How the names of such parts start.
   static constexpr const char* kCrashingPart = "promptcrash";
+  /// How the bodies of drawn answers start; the id of the request follows.
+  static constexpr const char* kAnswerTo = "answer to ";
   /// Between the events of a stream.
   static constexpr std::chrono::milliseconds kEventGap{20};
 
@@ -112,6 +116,12 @@
   /// \brief For so long it answers each request by bytes that are no answer, until the connection
   /// is closed: by a header line, by chunk extensions, by an event or by comments without end.
   void sendEndlessly(std::chrono::milliseconds time);
+  /// \brief From now on \p part of its plain answers are drawn by drawPlan(); all have the id of
+  /// their request in the body.
+  void drawAnswers(double part, unsigned seed) {
+    drawSeed_ = seed;
+    drawnPart_ = part;
+  }
   /// \brief Cuts the replica off from the callers at these IP addresses; an empty set heals.
   void cutOff(const std::set<std::string>& callers, CutKind kind);
 
@@ -119,8 +129,10 @@
   void accept();
   void serve(Poco::Net::StreamSocket socket);
   void answerRequests(Poco::Net::StreamSocket& socket, const std::string& caller);
+  /// \param due what was left to send as the next request arrives.
   /// \returns whether the connection goes on.
-  bool run(Poco::Net::StreamSocket& socket, const std::string& request, const std::string& caller);
+  bool run(Poco::Net::StreamSocket& socket, const std::string& request, const std::string& caller,
+           std::string& due);
   /// \returns whether it rejected the request.
   bool rejects(Poco::Net::StreamSocket& socket, const std::string& request,
                const std::string& caller);
@@ -131,6 +143,8 @@
   void wait(std::chrono::milliseconds time) const;
   void flood(Poco::Net::StreamSocket& socket, const std::string& request) const;
   bool stream(Poco::Net::StreamSocket& socket, const std::string& request) const;
+  bool sendDrawn(Poco::Net::StreamSocket& socket, const std::string& request,
+                 const AnswerPlan& plan, std::string& due) const;
   std::string answerTo(const std::string& request, double limit) const;
 
   std::string id_;
@@ -154,6 +168,8 @@
   std::deque<std::chrono::steady_clock::time_point> turnedAway_;
   std::condition_variable slotFreed_;
   std::atomic<double> limit_{0};
+  std::atomic<double> drawnPart_{0};
+  std::atomic<unsigned> drawSeed_{0};
   std::atomic<std::int64_t> retryAfterMs_{0};
   std::atomic<std::chrono::steady_clock::time_point> silentUntil_{};
   std::atomic<std::chrono::steady_clock::time_point> endlessUntil_{};
--- a/test/soak/KeptCallers.cpp
+++ b/test/soak/KeptCallers.cpp
@@ -30,6 +30,11 @@
 constexpr double kRestPart = 0.8;
 /// Of the longest rest: near the end of the idle time a timer and a request can meet.
 constexpr double kLeastRest = 0.5;
+constexpr unsigned kBusyRestMs = 4;
+/// After a refusal.
+constexpr Millis kRefusedRest{60};
+constexpr unsigned kBusyRequests = 16;
+constexpr int kMostRepeats = 2;
 const Poco::Timespan kConnectTimeout(0, 500'000);
 const Poco::Timespan kTurn(0, 20'000);
 
@@ -49,10 +54,10 @@
 
 }  // namespace
 
-void KeptCallers::add(int threads) {
+void KeptCallers::add(int threads, Habit habit) {
   for (int i = 0; i < threads; ++i) {
     const unsigned seed = seed_ * 1'000 + static_cast<unsigned>(threads_.size());
-    threads_.emplace_back([this, seed] { run(seed); });
+    threads_.emplace_back([this, seed, habit] { run(seed, habit); });
   }
 }
 
@@ -83,35 +88,51 @@
   return least;
 }
 
-void KeptCallers::run(unsigned seed) {
+void KeptCallers::run(unsigned seed, Habit habit) {
   std::mt19937 random(seed);
+  KeptRequest last;
   while (!stopping_) {
     try {
-      useConnection(random() % fleet_.daemons().size(), random);
+      useConnection(random() % fleet_.daemons().size(), habit, last, random);
     } catch (const Poco::Exception&) {
       // Nobody listens.
     }
-    std::this_thread::sleep_for(kPause);
+    std::this_thread::sleep_for(habit == Habit::rests ? kPause : Millis(kBusyRestMs));
   }
 }
 
-KeptRequest KeptCallers::draw(std::size_t daemon, std::mt19937& random) {
+KeptRequest KeptCallers::draw(std::size_t daemon, Habit habit, const KeptRequest& last,
+                              std::mt19937& random) {
   KeptRequest request;
   request.id = absl::StrCat("k", ++nextNumber_);
   const unsigned sort = random() % 4;
-  if (sort < 2) request.sort = sort == 0 ? Sort::repeatable : Sort::once;
+  if (sort < 2 || habit != Habit::rests) {
+    request.sort = sort == 0 ? Sort::repeatable : Sort::once;
+  }
+  request.body = habit == Habit::rests ? std::to_string(kEvents) : "of " + request.id;
+  const bool mayRepeat = habit != Habit::rests && last.sort == Sort::once && last.refused();
+  if (mayRepeat && last.earlier < kMostRepeats) {
+    request.sort = last.sort;
+    request.body = last.body;
+    request.earlier = last.earlier + 1;
+  }
   request.daemon = daemon;
   request.at = Clock::now();
   return request;
 }
 
-void KeptCallers::useConnection(std::size_t daemon, std::mt19937& random) {
+void KeptCallers::useConnection(std::size_t daemon, Habit habit, KeptRequest& last,
+                                std::mt19937& random) {
   Poco::Net::StreamSocket socket;
   socket.connect(Poco::Net::SocketAddress(fleet_.daemons()[daemon].callers), kConnectTimeout);
   Clock::time_point idleSince{};
   for (bool kept = false; !stopping_; kept = true) {
     const auto mayRest = leastSince(idleSince).idleTime * kRestPart;
-    if (kept) {
+    if (kept && habit != Habit::rests) {
+      const Millis rest(random() % kBusyRestMs);
+      std::this_thread::sleep_for(last.refused() ? kRefusedRest + rest : rest);
+      if (habit == Habit::busyOnNew || random() % kBusyRequests == 0) return;
+    } else if (kept) {
       const double part = std::uniform_real_distribution<double>(kLeastRest, 1)(random);
       std::this_thread::sleep_until(idleSince +
                                     std::chrono::duration_cast<Clock::duration>(mayRest * part));
@@ -119,18 +140,18 @@
     }
     const auto rested = [&] { return Clock::now() - idleSince; };
     if (kept && rested() > leastSince(idleSince).idleTime * kRestPart) return;
-    KeptRequest request = draw(daemon, random);
+    KeptRequest request = draw(daemon, habit, last, random);
     request.kept = kept;
-    const std::string body = std::to_string(kEvents);
     const std::string text = absl::StrCat(
         "POST ", pathOf(request.sort), " HTTP/1.1\r\nHost: ", GatewayFleet::kRequestHost,
         "\r\nHallchute-Attempt-Id: ", request.id, "\r\nHallchute-Deadline-Ms: ", kDeadline.count(),
-        "\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
+        "\r\nContent-Length: ", request.body.size(), "\r\n\r\n", request.body);
     ::send(socket.impl()->sockfd(), text.data(), text.size(), MSG_NOSIGNAL);
     request.inTime = !kept || rested() <= leastSince(idleSince).idleTime * kRestPart;
     const bool goesOn = exchange(socket, request);
     idleSince = request.end;
     request.limit = std::min(kDeadline, leastSince(request.at).timeLimit);
+    last = request;
     const std::lock_guard lock(mutex_);
     requests_.push_back(std::move(request));
     if (!goesOn) return;
@@ -159,6 +180,8 @@
   }
   if (reader.hasHead()) request.status = reader.head().status;
   request.whole = progress == HttpProgress::complete;
+  const std::string answerTo = Standin::ReplicaStandin::kAnswerTo;
+  request.foreign = request.whole && body.starts_with(answerTo) && body != answerTo + request.id;
   if (request.sort == Sort::stream && request.status == 200) {
     readEvents(body, request);
     request.disordered = request.disordered || (request.whole && request.events != kEvents);
--- a/test/soak/KeptCallers.h
+++ b/test/soak/KeptCallers.h
@@ -23,12 +23,21 @@
 
 class GatewayFleet;
 
-/// \brief Threads that send streams and plain requests to random daemons; each keeps its connection
-/// for several requests, and rests up to four fifths of the idle time between them.
+/// \brief Threads that send requests to random daemons; most keep a connection for several
+/// requests.
 class KeptCallers {
  public:
   /// Of each stream.
   static constexpr int kEvents = 40;
+  enum class Habit {
+    /// Streams and plain requests; rests up to four fifths of the idle time between them.
+    rests,
+    /// Plain requests without a rest; one that may run once is sent again, up to twice and under
+    /// another id, if the answer promises that it has not run.
+    busy,
+    /// As busy, with a new connection for each.
+    busyOnNew,
+  };
 
   /// \param settle how long settings may stay in force after others were written.
   KeptCallers(GatewayFleet& fleet, unsigned seed, std::chrono::milliseconds settle)
@@ -37,7 +46,7 @@
   KeptCallers(const KeptCallers&) = delete;
   KeptCallers& operator=(const KeptCallers&) = delete;
 
-  void add(int threads);
+  void add(int threads, Habit habit = Habit::rests);
   void stop();
   /// \brief To be called before settings with these are written.
   void announce(std::chrono::milliseconds idleTime, std::chrono::milliseconds timeLimit);
@@ -50,9 +59,10 @@
     std::chrono::milliseconds timeLimit;
   };
 
-  void run(unsigned seed);
-  void useConnection(std::size_t daemon, std::mt19937& random);
-  KeptRequest draw(std::size_t daemon, std::mt19937& random);
+  void run(unsigned seed, Habit habit);
+  /// \param last the request before, also of an earlier connection.
+  void useConnection(std::size_t daemon, Habit habit, KeptRequest& last, std::mt19937& random);
+  KeptRequest draw(std::size_t daemon, Habit habit, const KeptRequest& last, std::mt19937& random);
   /// \returns whether the connection can be kept.
   bool exchange(Poco::Net::StreamSocket& socket, KeptRequest& request) const;
   /// The shortest that could be in force at \p time or later.
--- a/test/soak/KeptRequest.h
+++ b/test/soak/KeptRequest.h
@@ -15,6 +15,9 @@
   enum class Sort { stream, repeatable, once };
   std::string id;
   Sort sort = Sort::stream;
+  std::string body;
+  /// Attempts of the same request before this one.
+  int earlier = 0;
   /// By its position in the fleet.
   std::size_t daemon = 0;
   std::chrono::steady_clock::time_point at;
@@ -34,6 +37,11 @@
   int events = 0;
   /// Whether an event was missing, came twice or was not whole in a stream that went on.
   bool disordered = false;
+  /// Whether the body is the answer to another request.
+  bool foreign = false;
+
+  /// Whether the status promises that the attempt has not run and never will.
+  bool refused() const { return status == 408 || status == 421 || status == 429 || status == 503; }
 };
 
 }  // namespace Soak
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -16,6 +16,7 @@
 #include "test/soak/CrashSoak.h"
 #include "test/soak/CutSoak.h"
 #include "test/soak/LimitSoak.h"
+#include "test/soak/RefusalSoak.h"
 #include "test/soak/SilenceSoak.h"
 #include "test/soak/SiteSoak.h"
 #include "test/soak/SoakOptions.h"
@@ -43,12 +44,13 @@
   if (kind == "cuts") return Soak::runCutSoak(options) ? 0 : 1;
   if (kind == "jumps") return Soak::runJumpSoak(options) ? 0 : 1;
   if (kind == "limits") return Soak::runLimitSoak(options) ? 0 : 1;
+  if (kind == "refusals") return Soak::runRefusalSoak(options) ? 0 : 1;
   if (kind == "silences") return Soak::runSilenceSoak(options) ? 0 : 1;
   if (kind == "sites") return Soak::runSiteSoak(options) ? 0 : 1;
   if (kind == "stops") return Soak::runStopSoak(options) ? 0 : 1;
   if (kind == "versions") return Soak::runVersionSoak(options) ? 0 : 1;
   std::cerr << "usage: hallchute-gateway-soak BUILD "
-               "brittle|crashes|cuts|jumps|limits|silences|sites|stops|versions\n";
+               "brittle|crashes|cuts|jumps|limits|refusals|silences|sites|stops|versions\n";
   return 2;
 }
 
