Soak of refusals: sort what is left, and stop no daemon that just started

Cause, in the soak: restart() judged the contact as of the turn's begin, so that a daemon that was killed and started again could be stopped in the same turn, before it handles signals.

--- a/test/soak/KeptCallers.cpp
+++ b/test/soak/KeptCallers.cpp
@@ -181,7 +181,8 @@
   if (reader.hasHead()) request.status = reader.head().status;
   request.whole = progress == HttpProgress::complete;
   const std::string answerTo = Standin::ReplicaStandin::kAnswerTo;
-  request.foreign = request.whole && body.starts_with(answerTo) && body != answerTo + request.id;
+  request.passedOn = request.whole && body.starts_with(answerTo);
+  request.foreign = request.passedOn && body != answerTo + request.id;
   if (request.sort == Sort::stream && request.status == 200) {
     readEvents(body, request);
     request.disordered = request.disordered || (request.whole && request.events != kEvents);
--- a/test/soak/KeptRequest.h
+++ b/test/soak/KeptRequest.h
@@ -37,7 +37,9 @@
   int events = 0;
   /// Whether an event was missing, came twice or was not whole in a stream that went on.
   bool disordered = false;
-  /// Whether the body is the answer to another request.
+  /// Whether the body is an upstream's answer.
+  bool passedOn = false;
+  /// Whether it is the answer to another request.
   bool foreign = false;
 
   /// Whether the status promises that the attempt has not run and never will.
--- a/test/soak/RefusalSoak.cpp
+++ b/test/soak/RefusalSoak.cpp
@@ -88,7 +88,8 @@
   std::size_t any() { return random_() % stopSince_.size(); }
 
   void restart(std::size_t index, Clock::time_point now) {
-    if (stopSince_[index] || !fleet_.inContact(fleet_.daemons()[index].ip, now)) return;
+    // As of now: one that was started in this turn may not handle signals yet.
+    if (stopSince_[index] || !fleet_.inContact(fleet_.daemons()[index].ip, Clock::now())) return;
     if (hits(2)) {
       ++stops_;
       fleet_.stop(index);
@@ -163,6 +164,8 @@
   int ranAndFailed = 0;
   int unanswered = 0;
   int refusedAndRan = 0;
+  int onceRefusedAndRan = 0;
+  int passedOn = 0;
   int foreign = 0;
   int servedAfterRejection = 0;
   for (const KeptRequest& request : requests) {
@@ -181,6 +184,8 @@
     if (isOnce && isServed && rejected.contains(request.id)) ++servedAfterRejection;
     if (!request.refused() || ran == 0) continue;
     ++refusedAndRan;
+    if (isOnce) ++onceRefusedAndRan;
+    if (!isOnce && request.passedOn) ++passedOn;
     std::cout << request.id << " of " << (isOnce ? "once" : "run") << " " << request.body
               << ", gateway-" << request.daemon << ", answered " << request.status << ", ran "
               << ran << " times\n";
@@ -193,8 +198,9 @@
             << " ran and failed; " << rejected.size() << " rejected by a replica, "
             << servedAfterRejection << " that may run once served by another\n"
             << once.size() << " requests that may run once: " << onceServed << " served, "
-            << twice.size() << " RAN TWICE; " << refusedAndRan << " attempts REFUSED that ran, "
-            << foreign << " FOREIGN answers\n";
+            << twice.size() << " RAN TWICE; " << refusedAndRan << " attempts REFUSED that ran ("
+            << onceRefusedAndRan << " that may run once, " << passedOn
+            << " others by an upstream's answer), " << foreign << " FOREIGN answers\n";
   const bool fair = onceServed >= kServedPart * static_cast<double>(once.size());
   return twice.empty() && refusedAndRan == 0 && foreign == 0 && fair && servedAfterRejection > 0;
 }
