--- a/Hallchute/src/Relay/ExecutionProof.cpp
+++ b/Hallchute/src/Relay/ExecutionProof.cpp
@@ -48,8 +48,4 @@
          status == kServiceUnavailable;
 }
 
-bool mayForwardStatus(int status, bool repeatable) {
-  return repeatable || !promisesNotExecuted(status);
-}
-
 }  // namespace Hallchute
--- a/Hallchute/src/Relay/ExecutionProof.h
+++ b/Hallchute/src/Relay/ExecutionProof.h
@@ -30,13 +30,9 @@
 };
 
 /// \brief Whether callers take \p status as a promise that their request has not run: 408, 421, 429
-/// and 503. \ingroup Relay
-bool promisesNotExecuted(int status);
-
-/// \brief Whether the status of an upstream that may have run a request can be forwarded to the
-/// caller. \param repeatable whether the request may run again, so that a promise does no harm.
+/// and 503. Without a proof it must not be sent to them, also if it is an upstream's own.
 /// \ingroup Relay
-bool mayForwardStatus(int status, bool repeatable);
+bool promisesNotExecuted(int status);
 
 }  // namespace Hallchute
 
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -816,7 +816,7 @@
 
 void TrafficSession::perform(const RelayActions::ForwardResponse&) {
   const HttpHead& head = answering_ != nullptr ? answering_->head() : fallbackHead_;
-  if (!mayForwardStatus(head.status, admission_.route->mayRepeat())) {
+  if (promisesNotExecuted(head.status)) {
     // Without the upstream's fields: its signature vouches for its own status only.
     exchange_->respond(kBadGateway, {}, "");
     finish("mayHaveRun", kBadGateway);
