aRequestThatNeverArrivedIsNoRun: give the request time to be taken up

Seen: "taken up and never answered" expected 1 run, got 0, once in a whole run at a load of about 20.

Cause: the row's request of 1 MiB had to get from the caller through the daemon to the upstream, which reads 4 KiB at a time, within the time limit of 300 ms. If it was not through by then, it had not arrived, and 0 runs was right.

The row now has the time limit of the other tests of the rig (3 s), and the test asserts what the row says, that the upstream has the request.

--- a/test/TrafficContractTest.cpp
+++ b/test/TrafficContractTest.cpp
@@ -389,10 +389,12 @@
     struct Row {
       const char* story;
       bool upstreamReads;
+      /// Where the upstream reads, it has all of the request long before: only then it is a run.
+      Millis timeLimit;
       std::uint64_t runs;
     };
-    const std::vector<Row> rows{{"taken up and never answered", true, 1},
-                                {"held up on the way", false, 0}};
+    const std::vector<Row> rows{{"taken up and never answered", true, Millis(3'000), 1},
+                                {"held up on the way", false, Millis(300), 0}};
     const std::string body(std::size_t{1} << 20U, 'x');
     for (const Row& row : rows) {
       ScriptedUpstream hangs({{"", Then::hang}});
@@ -402,13 +404,14 @@
       deaf.listen();
       GatewayRig rig;
       Route route = plainRoute(WorkKind::once);
-      route.timeLimit = Millis(300);
+      route.timeLimit = row.timeLimit;
       rig.setSettings(settingsForOneOrganisation(route));
       rig.setUpstreams(
           {upstreamAt("i-1", row.upstreamReads ? hangs.address() : deaf.address().toString())});
       RawCaller caller(rig.address());
       caller.send(requestText("POST", "Authorization: Bearer key1\r\n", body));
       CPPUNIT_ASSERT_MESSAGE(row.story, caller.read("\r\n\r\n").starts_with("HTTP/1.1 504"));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.story, row.upstreamReads, hangs.requests().size() == 1);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(row.story, row.runs, runsOf(rig));
     }
   }
