rejectedRequestsBackOffForTheNamedTime: measure by the rejections, not by a time

Cause: the test sent requests for 500 ms and took it for granted that they reach each rejecting replica. The ids draw the replica; the first that draws the one of "one of three" is the fifth. Where five requests take 500 ms, none reached it. Likewise the Retry-After of "all" was compared with 0.15 to 0.3 s, which supposes that the last request was answered 400 to 550 ms after the rejection.

As strict: at least 60 requests are sent, for at least 500 ms as before; each rejecting replica must have rejected one, and no two of its rejections may be closer than the time it named, which within 500 ms means exactly one. The clock is the replicas': the daemon's is ahead of that of sleep_until once a test has simulated a suspension.

--- a/test/UpstreamBackoffTest.cpp
+++ b/test/UpstreamBackoffTest.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -10,12 +11,18 @@
 #include <vector>
 
 #include "GatewayRig.h"
-#include "Hallchute/src/Net/Clock.h"
 #include "standin/ReplicaStandin.h"
 
 namespace {
 
 using namespace Hallchute;
+/// The replicas' clock.
+using Clock = std::chrono::steady_clock;
+
+/// Requests among which each replica that is free gets one.
+constexpr int kRequests = 60;
+/// The least that a refusal names.
+constexpr Millis kLeastRetryAfter{100};
 
 /// A daemon in front of replicas that run in this process.
 class BackoffRig {
@@ -41,6 +48,12 @@
     return caller.read("\r\n\r\n");
   }
   Standin::ReplicaStandin& replica(std::size_t index) { return *replicas_[index]; }
+  /// By all replicas.
+  std::size_t rejections() const {
+    std::size_t count = 0;
+    for (const auto& replica : replicas_) count += replica->rejections().size();
+    return count;
+  }
 
   GatewayRig rig;
 
@@ -68,27 +81,46 @@
     for (const Row& row : rows) {
       BackoffRig rig(row.replicas);
       for (std::size_t i = 0; i < row.rejecting; ++i) rig.replica(i).rejectWith(kRetryAfter);
-      const Instant start = clockNow();
+      const Instant start = Clock::now();
       int served = 0;
+      Instant asked;
       std::string last;
-      // Each rejects one request; then all are known.
-      while (clockNow() - start < Millis(500)) {
+      std::size_t rejections = 0;
+      // When the daemon had read the last rejection.
+      Instant known;
+      for (int i = 0; i < kRequests || Clock::now() - start < Millis(500); ++i) {
+        asked = Clock::now();
         last = rig.ask();
         if (last.find("HTTP/1.1 200") == 0) ++served;
+        if (rig.rejections() == rejections) continue;
+        rejections = rig.rejections();
+        known = Clock::now();
       }
+      const Instant answered = Clock::now();
+      Instant firstFree = Instant::max();
       for (std::size_t i = 0; i < row.rejecting; ++i) {
-        CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::size_t{1}, rig.replica(i).rejections().size());
+        const std::vector<Standin::Rejection> all = rig.replica(i).rejections();
+        CPPUNIT_ASSERT_MESSAGE(row.name, !all.empty());
+        for (std::size_t j = 1; j < all.size(); ++j) {
+          CPPUNIT_ASSERT_MESSAGE(row.name,
+                                 all[j].arrival.at - all[j - 1].arrival.at >= kRetryAfter);
+        }
+        firstFree = std::min(firstFree, all.back().arrival.at + kRetryAfter);
       }
       CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.rejecting<row.replicas, served> 0);
       if (row.rejecting == row.replicas) {
         const std::string field = "Retry-After: ";
         CPPUNIT_ASSERT_MESSAGE(last, last.find("HTTP/1.1 503") == 0);
-        const double after = std::stod(last.substr(last.find(field) + field.size()));
-        CPPUNIT_ASSERT_MESSAGE(last, after >= 0.15 && after <= 0.3);
+        const std::chrono::duration<double> after(
+            std::stod(last.substr(last.find(field) + field.size())));
+        CPPUNIT_ASSERT_MESSAGE(last, after >= firstFree - answered);
+        CPPUNIT_ASSERT_MESSAGE(last, after <= std::max<Clock::duration>(known + kRetryAfter - asked,
+                                                                        kLeastRetryAfter) +
+                                                  Millis(1));
       }
       for (std::size_t i = 0; i < row.rejecting; ++i) rig.replica(i).rejectWith(Millis(0));
-      std::this_thread::sleep_until(start + kRetryAfter + Millis(100));
-      for (int i = 0; i < 60; ++i) rig.ask();
+      std::this_thread::sleep_until(known + kRetryAfter);
+      for (int i = 0; i < kRequests; ++i) rig.ask();
       for (std::size_t i = 0; i < row.replicas; ++i) {
         CPPUNIT_ASSERT_MESSAGE(row.name, !rig.replica(i).arrivals().empty());
       }
