Tests: keep the ports of unused addresses

Seen: under load, beside other runs of the tests, ForwardingTest fails in many ways, answersThroughAnotherDaemonByTable by 504 among them.

Cause: unusedAddress gave away a port that the kernel then gave to a listener of another test or process. An upstream "at which nobody listens" answered, hung or passed a stray request to another test's upstream.

The socket now stays bound without a listener until the process ends. Linux refuses connections to it, gives the port to no other socket that asks for any, and lets the daemon's listener with SO_REUSEADDR bind there. The tests ask for the same as before.

--- a/test/UnusedAddress.cpp
+++ b/test/UnusedAddress.cpp
@@ -5,12 +5,21 @@
 
 #include <Poco/Net/ServerSocket.h>
 
+#include <mutex>
+#include <vector>
+
 namespace Hallchute {
 
 std::string unusedAddress() {
-  Poco::Net::ServerSocket probe;
-  probe.bind(Poco::Net::SocketAddress("127.0.0.1", 0), true);
-  return probe.address().toString();
+  static std::mutex mutex;
+  static std::vector<Poco::Net::ServerSocket> held;
+  Poco::Net::ServerSocket socket;
+  // Bound without a listener, it refuses connections, lets a listener of SO_REUSEADDR bind, and
+  // keeps the kernel from giving the port to any other socket.
+  socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0), true, false);
+  const std::lock_guard lock(mutex);
+  held.push_back(socket);
+  return socket.address().toString();
 }
 
 }  // namespace Hallchute
--- a/test/UnusedAddress.h
+++ b/test/UnusedAddress.h
@@ -8,7 +8,9 @@
 
 namespace Hallchute {
 
-/// \brief A loopback address at which nobody listens.
+/// \brief A loopback address at which nobody listens unless the test does.
+///
+/// The port stays reserved until the process ends: the kernel would soon give it to another test.
 std::string unusedAddress();
 
 }  // namespace Hallchute
