--- a/review/standin/GatewayFleet.cpp
+++ b/review/standin/GatewayFleet.cpp
@@ -121,23 +121,33 @@
   return true;
 }
 
-std::string orderConfig(int version, const std::string& service, Millis timeout) {
-  return R"({"version":)" + std::to_string(version) +
-         R"(,"routes":[{"name":"orders","host":"h.example","path-prefix":"/orders/",)"
-         R"("kind":"unsafe","service":")" +
-         service + R"(","timeout-ms":)" + std::to_string(timeout.count()) +
-         R"(,"target-latency-ms":300,"max-attempts":1,"priority":1,"public":true}],)"
-         R"("services":[{"name":")" +
-         service +
+std::string routeText(const std::string& name, const std::string& service, Millis timeout) {
+  return R"({"name":")" + name + R"(","host":"h.example","path-prefix":"/)" + name +
+         R"(/","kind":"unsafe","service":")" + service + R"(","timeout-ms":)" +
+         std::to_string(timeout.count()) +
+         R"(,"target-latency-ms":300,"max-attempts":1,"priority":1,"public":true})";
+}
+
+std::string configText(int version, const std::string& service, const std::string& routes) {
+  return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes +
+         R"(],"services":[{"name":")" + service +
          R"(","max-connections":96}],"tenants":[],"limits":{"max-header-bytes":16384,)"
          R"("max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}})";
 }
 
-std::string orderText(const std::string& id, Millis deadline) {
-  const std::string body = "one order";
-  return "POST /orders/new HTTP/1.1\r\nHost: h.example\r\nHallchute-Attempt-Id: " + id +
+std::string orderConfig(int version, const std::string& service, Millis timeout) {
+  return configText(version, service, routeText("orders", service, timeout));
+}
+
+std::string requestText(const std::string& name, const std::string& id, const std::string& body,
+                        Millis deadline) {
+  return "POST /" + name + "/new HTTP/1.1\r\nHost: h.example\r\nHallchute-Attempt-Id: " + id +
          "\r\nHallchute-Deadline-Ms: " + std::to_string(deadline.count()) +
          "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+std::string orderText(const std::string& id, Millis deadline) {
+  return requestText("orders", id, "order " + id, deadline);
+}
+
 }  // namespace Review
--- a/review/standin/GatewayFleet.h
+++ b/review/standin/GatewayFleet.h
@@ -53,8 +53,15 @@
   std::vector<pid_t> processes_;
 };
 
-/// \brief The configuration of a deployment with one unsafe route, `/orders/` at `h.example`.
+/// \brief An unsafe route to \p service, `/NAME/` at `h.example`.
+std::string routeText(const std::string& name, const std::string& service, Millis timeout);
+/// \brief A configuration with these routes, all to \p service.
+std::string configText(int version, const std::string& service, const std::string& routes);
+/// \brief One with the route `orders` only.
 std::string orderConfig(int version, const std::string& service, Millis timeout);
+/// \brief The bytes of a request on the route \p name.
+std::string requestText(const std::string& name, const std::string& id, const std::string& body,
+                        Millis deadline);
 /// \brief The bytes of an order.
 std::string orderText(const std::string& id, Millis deadline);
 
--- a/review/standin/ReplicaStandin.cpp
+++ b/review/standin/ReplicaStandin.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <thread>
 #include <utility>
 
@@ -48,13 +49,39 @@
   for (const int socket : connections_) ::shutdown(socket, SHUT_RDWR);
 }
 
+void ReplicaStandin::crash() {
+  const linger reset{1, 0};
+  {
+    const std::lock_guard lock(mutex_);
+    for (const int socket : connections_) {
+      ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    }
+  }
+  end();
+}
+
 std::size_t ReplicaStandin::noteRun(const std::string& id) {
   record_.add("replica " + id_ + " runs " + id);
   const std::lock_guard lock(mutex_);
-  runs_.push_back({Clock::now(), id, false});
+  runs_.push_back({Clock::now(), id, false, false});
   return runs_.size() - 1;
 }
 
+void ReplicaStandin::noteRunEnded(std::size_t run, bool answered) {
+  const std::lock_guard lock(mutex_);
+  runs_[run].answered = answered;
+  runs_[run].ended = true;
+}
+
+bool ReplicaStandin::isRunning(const std::string& prefix) {
+  const std::lock_guard lock(mutex_);
+  // Few requests run at a time, and these are the last ones.
+  constexpr std::size_t kLast = 32;
+  const std::size_t first = runs_.size() - std::min(runs_.size(), kLast);
+  return std::any_of(runs_.begin() + static_cast<std::ptrdiff_t>(first), runs_.end(),
+                     [&](const Run& run) { return !run.ended && run.id.starts_with(prefix); });
+}
+
 void ReplicaStandin::serve(int socket) {
   Connection connection(socket);
   while (const auto request = connection.read()) {
@@ -65,9 +92,9 @@
                                "\r\nHallchute-Replica-Signature: " + id_ +
                                ".1\r\nKeep-Alive: timeout=10\r\n";
     const std::string body(answerBytes_, 'x');
-    if (ended_ || !connection.send(answerText(200, fields, body))) break;
-    const std::lock_guard lock(mutex_);
-    runs_[run].answered = true;
+    const bool answered = !ended_ && connection.send(answerText(200, fields, body));
+    noteRunEnded(run, answered);
+    if (!answered) break;
   }
   const std::lock_guard lock(mutex_);
   connections_.erase(socket);
--- a/review/standin/ReplicaStandin.h
+++ b/review/standin/ReplicaStandin.h
@@ -21,6 +21,7 @@
   /// Of the requester's attempt.
   std::string id;
   bool answered = false;
+  bool ended = false;
 };
 
 /// \brief A sound replica of a plain service. Its threads run until the process ends.
@@ -35,14 +36,19 @@
   std::string entry(const std::string& state) const;
   /// \brief Answers have a body of this many bytes from now on.
   void setAnswerBytes(std::size_t bytes) { answerBytes_ = bytes; }
+  /// \brief Crashes it: it answers nothing more, and its connections are reset.
+  void crash();
   /// \brief Ends it as the end of a process does: it listens no more, and its connections end.
   void end();
   std::vector<Run> runs();
+  /// \brief Whether it runs a request whose id begins like that.
+  bool isRunning(const std::string& prefix);
 
  private:
   void accept();
   void serve(int socket);
   std::size_t noteRun(const std::string& id);
+  void noteRunEnded(std::size_t run, bool answered);
 
   std::string id_;
   std::string service_;
--- a/review/standin/StoreStandin.cpp
+++ b/review/standin/StoreStandin.cpp
@@ -115,7 +115,15 @@
 void StoreStandin::set(const std::string& kind, const std::string& name, const std::string& spec) {
   Stored& stored = objects_[kind][name];
   stored = {++revision_, spec};
-  events_.push_back({revision_, kind, objectText(name, stored)});
+  events_.push_back({revision_, kind, objectText(name, stored), false});
+  changed_.notify_all();
+}
+
+void StoreStandin::remove(const std::string& kind, const std::string& name) {
+  const std::lock_guard lock(mutex_);
+  if (objects_[kind].erase(name) == 0) return;
+  ++revision_;
+  events_.push_back({revision_, kind, objectText(name, {revision_, "{}"}), true});
   changed_.notify_all();
 }
 
@@ -163,7 +171,7 @@
     for (const Event& event : events_) {
       if (event.kind != kind || event.revision <= since) continue;
       events += (events.empty() ? R"({"object":)" : R"(,{"object":)") + event.object +
-                R"(,"deleted":false})";
+                (event.deleted ? R"(,"deleted":true})" : R"(,"deleted":false})");
     }
   } while (events.empty() && changed_.wait_until(lock, end) == std::cv_status::no_timeout);
   return {kOk, R"({"events":[)" + events + R"(],"as-of":)" + std::to_string(revision_) + "}"};
--- a/review/standin/StoreStandin.h
+++ b/review/standin/StoreStandin.h
@@ -27,6 +27,8 @@
   std::string address() const { return address_; }
   /// \brief Writes an object as the operator or a replica does. \returns when the store had it.
   Instant put(const std::string& kind, const std::string& name, const std::string& spec);
+  /// \brief Removes an object, as when a replica's entry lapses.
+  void remove(const std::string& kind, const std::string& name);
   /// \brief Connections that are open now neither take nor send anything more; they stay open. New
   /// ones work. \returns when that was so.
   Instant silenceOpenConnections();
@@ -40,6 +42,7 @@
     std::uint64_t revision = 0;
     std::string kind;
     std::string object;
+    bool deleted = false;
   };
   using Answer = std::pair<int, std::string>;
 
