stream.origin names what a conclusion rests on, and its age

Callers whose streams were joined from two versions, or refused, could not be told apart afterwards: the line named a version and whether it was recorded, not what a conclusion without a record went by. No decision changes.

--- a/Hallchute/src/Gateway/StreamOrigins.h
+++ b/Hallchute/src/Gateway/StreamOrigins.h
@@ -40,7 +40,16 @@
   void noteEarlier(std::span<const ServiceVersion> versions, Instant now);
   std::vector<ServiceVersion> recentVersions(Instant now) const { return history_.recent(now); }
   /// \brief Sets whether no daemon knows of a newer listing of the directory than this one.
-  void setDirectoryCurrent(bool current) { directoryCurrent_ = current; }
+  void setDirectoryCurrent(bool current, Instant now) {
+    directoryCurrent_ = current;
+    directoryCheckedAt_ = now;
+  }
+  bool directoryCurrent() const { return directoryCurrent_; }
+  /// \brief When directoryCurrent() was last set; nothing if it never was.
+  const std::optional<Instant>& directoryCheckedAt() const { return directoryCheckedAt_; }
+  VersionKnowledge versionKnowledge(const ServiceName& service, Instant now) const {
+    return history_.knowledge(service, now);
+  }
 
   /// \brief Records a stream that began at this daemon, at a process of \p upstream.
   /// \returns whether to report it to other daemons.
@@ -79,6 +88,7 @@
 
   VersionHistory history_;
   bool directoryCurrent_ = true;
+  std::optional<Instant> directoryCheckedAt_;
   std::unordered_map<StreamKey, Entry> entries_;
   /// Services whose streams are not reported.
   std::set<ServiceName> quietServices_;
--- a/Hallchute/src/Gateway/VersionHistory.cpp
+++ b/Hallchute/src/Gateway/VersionHistory.cpp
@@ -3,6 +3,7 @@
 
 #include "Hallchute/src/Gateway/VersionHistory.h"
 
+#include <algorithm>
 #include <set>
 
 #include "Hallchute/src/Gateway/UpstreamRecord.h"
@@ -41,6 +42,17 @@
   return only;
 }
 
+VersionKnowledge VersionHistory::knowledge(const ServiceName& service, Instant now) const {
+  VersionKnowledge known;
+  known.versions = static_cast<std::size_t>(
+      std::count_if(versions_.begin(), versions_.end(), [&](const auto& item) {
+        return item.first.service == service && isRecent(item.second, now);
+      }));
+  if (listedSince_) known.listedFor = std::chrono::duration_cast<Millis>(now - *listedSince_);
+  known.earlierKnown = earlierKnown_;
+  return known;
+}
+
 std::vector<ServiceVersion> VersionHistory::recent(Instant now) const {
   std::vector<ServiceVersion> versions;
   for (const auto& [version, unlistedAt] : versions_) {
--- a/Hallchute/src/Gateway/VersionHistory.h
+++ b/Hallchute/src/Gateway/VersionHistory.h
@@ -24,6 +24,16 @@
   auto operator<=>(const ServiceVersion&) const = default;
 };
 
+/// \brief On what the versions known of a service are based, for logs. \ingroup Gateway
+struct VersionKnowledge {
+  /// Versions within the horizon.
+  std::size_t versions = 0;
+  /// Time since the first listing; nothing without one.
+  std::optional<Millis> listedFor;
+  /// Whether the versions before the start are known.
+  bool earlierKnown = false;
+};
+
 /// \brief The software versions that each service had lately, by the directory's listings. Not
 /// thread-safe; no I/O, no clock. \ingroup Gateway
 ///
@@ -42,6 +52,7 @@
   /// \brief The only version that the service has had for the horizon; nothing if there were
   /// several, or if the history is shorter.
   std::optional<SoftwareVersion> sole(const ServiceName& service, Instant now) const;
+  VersionKnowledge knowledge(const ServiceName& service, Instant now) const;
   /// \brief The versions listed within the horizon, in order.
   std::vector<ServiceVersion> recent(Instant now) const;
 
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -194,7 +194,7 @@
   crashes_.setFleet(view.limitFleet);
   upstreams_.limits().setFleet(view.limitFleet);
   upstreams_.rejectionLimits().setFleet(view.limitFleet);
-  origins_.setDirectoryCurrent(view.directoryCurrent);
+  origins_.setDirectoryCurrent(view.directoryCurrent, clockNow());
   reportStreams(origins_.takeUnreported(clockNow()));
   if (admission_.enabled()) {
     admission_.noteReports({view.waiting, daemonCount_, view.reportLag});
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -204,17 +204,34 @@
   engine_.originExchange()->ask(streamKey(), service_, onReply);
 }
 
-/// Without an origin the stream is refused: another daemon may know it.
-void TrafficSession::adoptOrigin(const std::optional<StreamOriginReply>& reply,
-                                 std::string_view source) {
-  const bool known = reply && reply->origin.service == service_ && !reply->origin.version.empty();
+/// Names what a conclusion rests on, and its age: the number of versions known, since when the
+/// directory has been listed, and when it was last found current.
+void TrafficSession::logOrigin(const SoftwareVersion& version, bool recorded,
+                               std::string_view source) const {
+  const Instant now = clockNow();
+  const StreamOrigins& origins = engine_.origins();
+  const VersionKnowledge known = origins.versionKnowledge(service_, now);
+  const auto checkedAt = origins.directoryCheckedAt();
   LogLine(LogLevel::info, "stream.origin")
       .with("request", selection_.requestId)
       .with("resumes", admission_.request.resumes.str())
       .with("service", service_.str())
-      .with("version", known ? reply->origin.version.str() : std::string())
-      .with("recorded", reply && reply->recorded)
-      .with("source", source);
+      .with("version", version.str())
+      .with("recorded", recorded)
+      .with("source", source)
+      .with("versions", static_cast<std::uint64_t>(known.versions))
+      .with("listedForMs", known.listedFor.value_or(Millis(-1)))
+      .with("earlierKnown", known.earlierKnown)
+      .with("current", origins.directoryCurrent())
+      .with("currentAgeMs",
+            checkedAt ? std::chrono::duration_cast<Millis>(now - *checkedAt) : Millis(-1));
+}
+
+/// Without an origin the stream is refused: another daemon may know it.
+void TrafficSession::adoptOrigin(const std::optional<StreamOriginReply>& reply,
+                                 std::string_view source) {
+  const bool known = reply && reply->origin.service == service_ && !reply->origin.version.empty();
+  logOrigin(known ? reply->origin.version : SoftwareVersion(), reply && reply->recorded, source);
   engine_.metrics().add("hallchute_streams_resumed_total",
                         known ? "origin=\"known\"" : "origin=\"unknown\"");
   if (!known) {
--- a/Hallchute/src/Traffic/TrafficSession.h
+++ b/Hallchute/src/Traffic/TrafficSession.h
@@ -71,6 +71,7 @@
   /// Finds the software version that began the stream, if the caller continues one.
   void resolveOrigin();
   void adoptOrigin(const std::optional<StreamOriginReply>& reply, std::string_view source);
+  void logOrigin(const SoftwareVersion& version, bool recorded, std::string_view source) const;
   StreamKey streamKey() const;
   void noteStreamStarted();
   /// \param source the dispatch that the event comes from, if any.
--- a/test/StreamOriginFleetTest.cpp
+++ b/test/StreamOriginFleetTest.cpp
@@ -323,7 +323,7 @@
                                    origins.soleVersion(kService, now).has_value());
       const Instant later = now + VersionHistory::kHorizon;
       CPPUNIT_ASSERT_MESSAGE(row.story, origins.soleVersion(kService, later) == record.version);
-      origins.setDirectoryCurrent(false);
+      origins.setDirectoryCurrent(false, later);
       CPPUNIT_ASSERT_MESSAGE(row.story, !origins.soleVersion(kService, later));
     }
   }
