Streams outlive their daemons: an archive in the store, and one place that decides

Causes: what was known of streams lived in daemons only, and was told to nobody while there was one version (H9); without a record a daemon concluded the only version of a listing whose age it didn't know: a stale first read (H1), a record older than the version (H3), a cut (H6), and peers believed such conclusions (H8). Class: absence of knowledge taken for knowledge.

What changes: decideContinuation() alone decides, by evidence. A record is a fact however old. Without one the service must have had one version by a read of the store that began after the caller's request arrived, over a history without gaps: archived versions name the directory revision that they reach, and the store's changes since are read in the same question. Unknown is refused. Daemons report each stream when it begins; two of them for each shard (one shard in a small fleet, four in a large one) write those of services with several versions into the store, each its own part. Of a fleet only these read the archive for others.

The versions in the duties' record are gone with their test (theRecordKeepsTheVersions), as is setDirectoryCurrent.

Evidence: aKillOfAllLeavesVersionsKnown, aDaemonOutOfStepMixesNothing and the soak failed before. StreamContinuationTest has the table of knowledge, age and event.

--- a/Hallchute/src/Duty/DutyRecord.h
+++ b/Hallchute/src/Duty/DutyRecord.h
@@ -12,7 +12,6 @@
 #include "Hallchute/src/Gateway/CrashHistory.h"
 #include "Hallchute/src/Gateway/ServiceLimit.h"
 #include "Hallchute/src/Gateway/UsageLedger.h"
-#include "Hallchute/src/Gateway/VersionHistory.h"
 
 namespace Hallchute {
 
@@ -40,8 +39,6 @@
   /// Contents under which upstreams crashed, so that a restart of all daemons doesn't let them
   /// crash further ones.
   std::vector<CrashHistory> crashHistories{};
-  /// Software versions that the services had lately, in order; see VersionHistory.
-  std::vector<ServiceVersion> versions{};
   /// Limits on rejections that upstreams of the services name, in order: a daemon that starts must
   /// not learn of them by causing rejections.
   std::vector<ServiceLimit> rejectionLimits{};
--- a/Hallchute/src/Duty/DutyStateMachine.cpp
+++ b/Hallchute/src/Duty/DutyStateMachine.cpp
@@ -261,7 +261,6 @@
   }
   DutyRecord updated = record;
   updated.crashHistories = historiesToStore(facts, now);
-  if (!facts.versions.empty()) updated.versions = facts.versions;
   // A holder that has just taken over may not have merged the record's into its own yet.
   const bool merged = now - acquiredAt_ >= policy_.lease;
   if (merged || !facts.rejectionLimits.empty()) updated.rejectionLimits = facts.rejectionLimits;
@@ -274,7 +273,7 @@
   updated.openUsage = openWindowUsage(facts, updated);
   const bool changed =
       updated.openUsage != record.openUsage || updated.crashHistories != record.crashHistories ||
-      updated.versions != record.versions || updated.rejectionLimits != record.rejectionLimits;
+      updated.rejectionLimits != record.rejectionLimits;
   if (!urgent && !changed) return DutySteps::Nothing{};
   // A holder that has just taken over may not have discovered all daemons yet.
   const bool settled = now - acquiredAt_ >= policy_.lease;
--- a/Hallchute/src/Duty/DutyStateMachine.h
+++ b/Hallchute/src/Duty/DutyStateMachine.h
@@ -43,8 +43,6 @@
   UsageByWindow usage;
   /// Contents under which upstreams crashed, in order of their fingerprints.
   std::vector<CrashHistory> crashHistories;
-  /// Software versions that the services had lately, in order.
-  std::vector<ServiceVersion> versions;
   /// Limits on rejections that upstreams of the services name, in order.
   std::vector<ServiceLimit> rejectionLimits;
   /// Rollouts by service; nothing if this daemon doesn't run them.
--- a/Hallchute/src/Fleet/FleetRoster.cpp
+++ b/Hallchute/src/Fleet/FleetRoster.cpp
@@ -65,8 +65,8 @@
   return election(now).small;
 }
 
-std::vector<DaemonId> FleetRoster::highestRanked(const FailureDomainName& domain, std::size_t most,
-                                                 Instant now) const {
+std::vector<const FleetMember*> FleetRoster::highestRanked(const FailureDomainName& domain,
+                                                           std::size_t most, Instant now) const {
   std::vector<const FleetMember*> members;
   if (self_.domain == domain) members.push_back(&self_);
   for (const auto& [daemon, peer] : peers_) {
@@ -76,9 +76,8 @@
   const std::size_t count = std::min(most, members.size());
   const auto end = members.begin() + static_cast<std::ptrdiff_t>(count);
   std::partial_sort(members.begin(), end, members.end(), ranksHigher);
-  std::vector<DaemonId> ranked;
-  for (std::size_t i = 0; i < count; ++i) ranked.push_back(members[i]->daemon);
-  return ranked;
+  members.resize(count);
+  return members;
 }
 
 DaemonId FleetRoster::relayOf(const FailureDomainName& domain, Instant now) const {
@@ -89,8 +88,26 @@
 
 bool FleetRoster::watchesStore(Instant now) const {
   if (isSmall(now)) return true;
-  const std::vector<DaemonId> watchers = highestRanked(self_.domain, kWatchersPerDomain, now);
-  return std::find(watchers.begin(), watchers.end(), self_.daemon) != watchers.end();
+  const auto watchers = highestRanked(self_.domain, kWatchersPerDomain, now);
+  return std::find(watchers.begin(), watchers.end(), &self_) != watchers.end();
+}
+
+std::vector<FleetMember> FleetRoster::storeWatchers(Instant now) const {
+  std::vector<FleetMember> watchers;
+  if (isSmall(now)) {
+    watchers.push_back(self_);
+    for (const auto& [daemon, peer] : peers_) {
+      if (peer.alive(now)) watchers.push_back(peer.report.self);
+    }
+    return watchers;
+  }
+  for (const auto& [domain, relay] : election(now).relays) {
+    for (const FleetMember* member : highestRanked(domain, kWatchersPerDomain, now)) {
+      watchers.push_back(*member);
+    }
+  }
+  if (watchers.empty()) watchers.push_back(self_);
+  return watchers;
 }
 
 Millis FleetRoster::reportLag(Instant now) const {
@@ -142,8 +159,8 @@
 }
 
 DaemonId FleetRoster::standby(Instant now) const {
-  const std::vector<DaemonId> ranked = highestRanked(self_.domain, kWatchersPerDomain, now);
-  return ranked.size() == kWatchersPerDomain ? ranked.back() : DaemonId();
+  const auto ranked = highestRanked(self_.domain, kWatchersPerDomain, now);
+  return ranked.size() == kWatchersPerDomain ? ranked.back()->daemon : DaemonId();
 }
 
 std::size_t FleetRoster::liveCount(Instant now) const {
--- a/Hallchute/src/Fleet/FleetRoster.h
+++ b/Hallchute/src/Fleet/FleetRoster.h
@@ -58,6 +58,9 @@
   DaemonId standby(Instant now) const;
   /// \brief Whether this daemon watches the store on behalf of its domain.
   bool watchesStore(Instant now) const;
+  /// \brief The live daemons that watch the store, this one perhaps included: all in a small fleet,
+  /// those of the highest precedence of each domain in a larger one. Never empty.
+  std::vector<FleetMember> storeWatchers(Instant now) const;
   /// \brief Time for a report to reach all other daemons.
   Millis reportLag(Instant now) const;
 
@@ -90,8 +93,8 @@
 
   const Election& election(Instant now) const;
   /// The live daemons of a domain by precedence, at most \p most of them.
-  std::vector<DaemonId> highestRanked(const FailureDomainName& domain, std::size_t most,
-                                      Instant now) const;
+  std::vector<const FleetMember*> highestRanked(const FailureDomainName& domain, std::size_t most,
+                                                Instant now) const;
   bool isOtherProcess(const FleetPeer& peer, const FleetMember& member, bool confirmed,
                       Instant now) const;
 
--- a/Hallchute/src/Fleet/FleetView.h
+++ b/Hallchute/src/Fleet/FleetView.h
@@ -106,6 +106,7 @@
   std::vector<FleetMember> originHoldersToAsk(StreamKey stream, Instant now) const {
     return Hallchute::originHolders(roster_, stream, kOriginHoldersAsked, now);
   }
+  ArchiveShards archiveShards(Instant now) const { return Hallchute::archiveShards(roster_, now); }
   /// \brief The daemon that grants an upstream's slots, unless it is this one; see
   /// slotCoordinator().
   std::optional<FleetMember> slotCoordinator(const UpstreamId& upstream, bool leaving,
--- a/Hallchute/src/Gateway/StreamOrigin.h
+++ b/Hallchute/src/Gateway/StreamOrigin.h
@@ -5,6 +5,7 @@
 #define HALLCHUTE_GATEWAY_STREAMORIGIN_H
 
 #include <cstdint>
+#include <string_view>
 
 #include "Hallchute/src/Core/Id.h"
 
@@ -23,12 +24,27 @@
   bool operator==(const StreamOrigin&) const = default;
 };
 
-/// \brief What a daemon replies to another one that asks for a stream's origin. \ingroup Gateway
+/// \brief How a stream's origin is known. \ingroup Gateway
+enum class OriginBasis : std::uint8_t {
+  /// It isn't.
+  none,
+  /// A daemon that lives recorded it when the stream began.
+  record,
+  /// The archive in the platform's store names it.
+  archive,
+  /// The service had no other version; see VersionClaim::sole().
+  soleVersion,
+};
+
+std::string_view describe(OriginBasis basis);
+
+/// \brief What daemons reply to one that asks for a stream's origin. \ingroup Gateway
 struct StreamOriginReply {
+  OriginBasis basis = OriginBasis::none;
+  /// Whether the archive was read for this question.
+  bool archiveRead = false;
+  /// Without meaning if the basis is `none`.
   StreamOrigin origin;
-  /// Whether the origin was recorded; otherwise the service has had this version alone for longer
-  /// than any stream lasts.
-  bool recorded = false;
 };
 
 }  // namespace Hallchute
--- a/Hallchute/src/Gateway/StreamOrigins.cpp
+++ b/Hallchute/src/Gateway/StreamOrigins.cpp
@@ -14,14 +14,6 @@
   return StreamKey{stableHash(attempt.str())};
 }
 
-void StreamOrigins::noteListed(std::span<const UpstreamRecord> records, Instant now) {
-  history_.noteListed(records, now);
-}
-
-void StreamOrigins::noteEarlier(std::span<const ServiceVersion> versions, Instant now) {
-  history_.noteEarlier(versions, now);
-}
-
 StreamOrigins::Entry& StreamOrigins::entryOf(StreamKey stream) {
   if (entries_.size() >= kMaxStreams && !entries_.contains(stream)) evictOldest();
   return entries_[stream];
@@ -37,11 +29,8 @@
   for (auto it = ranked.begin(); it != end; ++it) entries_.erase(it->second);
 }
 
-bool StreamOrigins::noteBegan(const StreamOrigin& origin, const UpstreamId& upstream, Instant now) {
-  Entry& entry = entryOf(origin.stream);
-  entry = {origin, now, upstream, !soleVersion(origin.service, now)};
-  if (!entry.reported) quietServices_.insert(origin.service);
-  return entry.reported;
+void StreamOrigins::noteBegan(const StreamOrigin& origin, const UpstreamId& upstream, Instant now) {
+  entryOf(origin.stream) = {origin, now, upstream};
 }
 
 void StreamOrigins::merge(std::span<const StreamOrigin> origins, Instant now) {
@@ -72,40 +61,18 @@
   return it == entries_.end() ? nullptr : &it->second.origin;
 }
 
-std::optional<SoftwareVersion> StreamOrigins::soleVersion(const ServiceName& service,
-                                                          Instant now) const {
-  if (!directoryCurrent_) return std::nullopt;
-  return history_.sole(service, now);
-}
-
-std::optional<StreamOriginReply> StreamOrigins::reply(StreamKey stream, const ServiceName& service,
-                                                      Instant now) const {
-  if (const StreamOrigin* origin = find(stream)) return StreamOriginReply{*origin, true};
-  const std::optional<SoftwareVersion> sole = soleVersion(service, now);
-  if (!sole) return std::nullopt;
-  return StreamOriginReply{{stream, service, *sole}, false};
-}
-
-std::vector<StreamOrigin> StreamOrigins::takeUnreported(Instant now) {
-  std::set<ServiceName> ended;
-  for (const ServiceName& service : quietServices_) {
-    if (!soleVersion(service, now)) ended.insert(service);
+std::vector<StreamOrigin> StreamOrigins::recorded(const ArchiveShards& shards,
+                                                  Instant since) const {
+  std::vector<std::pair<Instant, const StreamOrigin*>> ranked;
+  for (const auto& [stream, entry] : entries_) {
+    if (entry.at > since && shards.contains(stream)) ranked.emplace_back(entry.at, &entry.origin);
   }
-  if (ended.empty()) return {};
-  std::vector<std::pair<Instant, Entry*>> ranked;
-  for (auto& [stream, entry] : entries_) {
-    if (entry.reported || entry.upstream.empty() || !ended.contains(entry.origin.service)) continue;
-    ranked.emplace_back(entry.at, &entry);
-  }
-  std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) { return a > b; });
-  ranked.resize(std::min(ranked.size(), kMaxReportedAtOnce));
+  std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) {
+    return a.first != b.first ? a.first > b.first : a.second->stream < b.second->stream;
+  });
   std::vector<StreamOrigin> origins;
   origins.reserve(ranked.size());
-  for (const auto& [at, entry] : ranked) {
-    entry->reported = true;
-    origins.push_back(entry->origin);
-  }
-  for (const ServiceName& service : ended) quietServices_.erase(service);
+  for (const auto& [at, origin] : ranked) origins.push_back(*origin);
   return origins;
 }
 
--- a/Hallchute/src/Node/DutyRunner.cpp
+++ b/Hallchute/src/Node/DutyRunner.cpp
@@ -107,7 +107,6 @@
   }
   if (stored.ok() && !stored->record.rejectionLimits.empty())
     callbacks_.onEarlierLimits(stored->record.rejectionLimits);
-  reportEarlierVersions(stored);
   const bool answered = stored.ok() || absl::IsNotFound(stored.status());
   LogLine(LogLevel::info, "fleet.earlierSize")
       .with("daemons", static_cast<std::uint64_t>(stored.ok() ? stored->record.daemons : 0))
@@ -116,17 +115,6 @@
   return answered;
 }
 
-/// Without a record, or with one that counts nothing, the fleet has served nobody before.
-void DutyRunner::reportEarlierVersions(const absl::StatusOr<StoredDutyRecord>& stored) {
-  if (!stored.ok()) {
-    if (absl::IsNotFound(stored.status())) callbacks_.onEarlierVersions({});
-    return;
-  }
-  const DutyRecord& record = stored->record;
-  const bool servedNobody = record.finalUsage.empty() && record.openUsage.empty();
-  if (servedNobody || !record.versions.empty()) callbacks_.onEarlierVersions(record.versions);
-}
-
 void DutyRunner::run() {
   nameThread("duties");
   bool sizeRead = false;
--- a/Hallchute/src/Node/DutyRunner.h
+++ b/Hallchute/src/Node/DutyRunner.h
@@ -52,9 +52,6 @@
     std::function<void(std::size_t)> onEarlierSize;
     /// Reports the requests in quarantine that the store records.
     std::function<void(std::vector<CrashHistory>)> onQuarantine;
-    /// Reports the software versions that services had before this daemon started; not called if
-    /// the store's record doesn't tell.
-    std::function<void(std::vector<ServiceVersion>)> onEarlierVersions;
     /// Reports the limits on rejections that services had before this daemon started, if any.
     std::function<void(std::vector<ServiceLimit>)> onEarlierLimits;
     /// Reports after each iteration of the holder the epoch under which it holds the duties and the
@@ -88,7 +85,6 @@
   void release(const DutyFacts& facts);
   /// \returns whether the store responded.
   bool readEarlierSize();
-  void reportEarlierVersions(const absl::StatusOr<StoredDutyRecord>& stored);
   void perform(const DutySteps::Nothing& step, const DutyInput& input);
   void perform(const DutySteps::Read& step, const DutyInput& input);
   void perform(const DutySteps::Create& step, const DutyInput& input);
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -5,13 +5,17 @@
 
 #include <algorithm>
 #include <fstream>
+#include <set>
 #include <sstream>
 #include <utility>
 
 #include "Hallchute/src/Fleet/ReportSums.h"
 #include "Hallchute/src/Net/Clock.h"
+#include "Hallchute/src/Node/ArchiveReader.h"
+#include "Hallchute/src/Node/ArchiveWriter.h"
 #include "Hallchute/src/Observability/LogLine.h"
 #include "Hallchute/src/Observability/ThreadName.h"
+#include "Hallchute/src/Ports/DutyPort.h"
 
 namespace Hallchute {
 namespace {
@@ -75,6 +79,14 @@
   return known;
 }
 
+std::vector<ServiceVersion> listedVersions(const UpstreamTable& upstreams) {
+  std::set<ServiceVersion> versions;
+  for (const auto& [id, entry] : upstreams.entries()) {
+    if (!entry.unlistedSince) versions.insert({entry.record.service, entry.record.version});
+  }
+  return {versions.begin(), versions.end()};
+}
+
 FleetMember memberOf(const NodeStartup& startup) {
   return {startup.daemon, startup.peerListen, static_cast<std::uint64_t>(wallClockMs()),
           startup.domain, startup.capacity};
@@ -118,20 +130,18 @@
   serveMetrics();
   fleet_.addAddresses(startup_.seeds);
   fleet_.noteWallClock(Millis(wallClockMs()), clockNow());
-  engine_.setFleet({1,
-                    {},
-                    fleet_.quotaFleet(clockNow()),
-                    fleet_.clock().offset(),
-                    CrashLedger::kMaxCrashes,
-                    {},
-                    false});
+  engine_.setFleet(
+      {1, {}, fleet_.quotaFleet(clockNow()), fleet_.clock().offset(), CrashLedger::kMaxCrashes});
   startRollouts();
   startDuties();
+  startArchive();
 }
 
 GatewayNode::~GatewayNode() {
   // The duty thread calls into the control loop, so that one must end last.
   duties_.reset();
+  archiveWriter_.reset();
+  if (archiveReader_) archiveReader_->stop();
   if (rollouts_) rollouts_->stop();
   storeCopy_.stop();
   controlLoop_.stop();
@@ -139,6 +149,7 @@
   // Sessions that are left end after it.
   engine_.setForwarder(nullptr);
   engine_.setOriginExchange(nullptr);
+  engine_.setOriginArchive(nullptr);
   engine_.setSlotExchange(nullptr);
 }
 
@@ -231,9 +242,6 @@
       DutyRunner::Callbacks{
           [this] { return dutyInput(); }, [this](std::size_t daemons) { noteEarlierSize(daemons); },
           [this](std::vector<CrashHistory> histories) { mergeCrashes(std::move(histories)); },
-          [this](std::vector<ServiceVersion> versions) {
-            noteEarlierVersions(std::move(versions));
-          },
           [this](std::vector<ServiceLimit> limits) { noteEarlierLimits(std::move(limits)); },
           [this](std::uint64_t epoch, const std::vector<RolloutRecord>& stored) {
             if (rollouts_) rollouts_->noteHeld(epoch, stored);
@@ -241,6 +249,22 @@
       metrics_);
 }
 
+void GatewayNode::startArchive() {
+  if (ports_.archive == nullptr) return;
+  archiveReader_ = std::make_unique<ArchiveReader>(trafficLoop_, *ports_.archive, metrics_);
+  engine_.setOriginArchive(archiveReader_.get());
+  archiveWriter_ = std::make_unique<ArchiveWriter>(
+      *ports_.archive, self_.daemon, [this] { return servedBefore(); }, metrics_);
+}
+
+/// Without an archive the fleet may still have served: by a release that kept none.
+bool GatewayNode::servedBefore() const {
+  if (ports_.duties == nullptr || !startup_.reportsUsage) return false;
+  const absl::StatusOr<StoredDutyRecord> stored = ports_.duties->read(ReadConsistency::latest);
+  if (!stored.ok()) return !absl::IsNotFound(stored.status());
+  return !stored->record.finalUsage.empty() || !stored->record.openUsage.empty();
+}
+
 void GatewayNode::noteEarlierSize(std::size_t daemons) {
   controlLoop_.post([this, daemons] {
     fleet_.noteEarlierSize(daemons);
@@ -253,12 +277,6 @@
   trafficLoop_.post([this, histories = std::move(histories)] { engine_.mergeCrashes(histories); });
 }
 
-void GatewayNode::noteEarlierVersions(std::vector<ServiceVersion> versions) {
-  trafficLoop_.post([this, versions = std::move(versions)] {
-    engine_.origins().noteEarlier(versions, clockNow());
-  });
-}
-
 void GatewayNode::noteEarlierLimits(std::vector<ServiceLimit> limits) {
   LogLine(LogLevel::info, "fleet.earlierLimits")
       .with("services", static_cast<std::uint64_t>(limits.size()));
@@ -301,22 +319,11 @@
           [this](std::span<const StreamOrigin> origins) {
             engine_.origins().merge(origins, clockNow());
           },
-          [this](StreamKey stream, const ServiceName& service) {
-            return engine_.origins().reply(stream, service, clockNow());
+          [this](StreamKey stream, const ServiceName& service, OriginLink::PeerReplySink onReply) {
+            engine_.originResolver().reply(stream, service, clockNow(), std::move(onReply));
           }};
 }
 
-/// Whether the upstreams' software versions in this daemon's copy can be taken for all that the
-/// fleet uses: the store answers, and no daemon reports a newer copy.
-bool GatewayNode::directoryCurrent(Instant now) const {
-  if (!fleet_.discoveryComplete(now) || storeCopy_.age(now) >= startup_.bounds.contact)
-    return false;
-  const std::uint64_t own = storeCopy_.state().upstreamsVersion;
-  const std::vector<const FleetReport*> reports = fleet_.reports(now);
-  return std::none_of(reports.begin(), reports.end(),
-                      [&](const FleetReport* report) { return report->upstreamsVersion > own; });
-}
-
 DutyHolder GatewayNode::latestHolder(Instant now) const {
   DutyHolder latest = duties_ ? duties_->holder() : DutyHolder{};
   for (const FleetReport* report : fleet_.reports(now)) latest.mergeNewer(report->duties);
@@ -339,7 +346,6 @@
     facts.usage = fleet_.usageElsewhere(now);
     addUsage(facts.usage, localReport_.usage);
     facts.crashHistories = localReport_.crashHistories;
-    facts.versions = localReport_.versions;
     facts.rejectionLimits = localReport_.serviceLimits;
     facts.live = fleet_.liveOthers(now);
     if (!leaving_) facts.live[self_.daemon] = self_.incarnation;
@@ -395,7 +401,6 @@
                     engine_.upstreamTable().limits().report(forwards_, clockNow()),
                     engine_.upstreamTable().rejectionLimits().report(forwards_, clockNow()),
                     engine_.paths().lostServices(),
-                    engine_.origins().recentVersions(clockNow()),
                     engine_.upstreams().serviceRejectionLimits(),
                     engine_.versionShares().report(clockNow()),
                     engine_.versionShares().evidence()};
@@ -403,6 +408,9 @@
     if (entry.record.state != UpstreamState::draining) continue;
     local.draining.emplace_back(id, entry.leaving.value_or(entry.record.incarnation));
   }
+  if (archiveWriter_ && !engine_.originResolver().shards().owned.empty()) {
+    archiveWriter_->update({engine_.streamsToArchive(), listedVersions(engine_.upstreams())});
+  }
   controlLoop_.post([this, window, local = std::move(local)] {
     fleet_.forgetUsageBefore(window - kUsageWindowsKept);
     sendFleetReport(local);
@@ -453,7 +461,7 @@
                                fleet_.clock().offset(),
                                crashLimit(now),
                                fleet_.limitFleet(now),
-                               directoryCurrent(now),
+                               fleet_.archiveShards(now),
                                fleet_.retrySharers(now),
                                fleet_.waitingElsewhere(now),
                                fleet_.reportLag(now)};
@@ -462,6 +470,7 @@
   if (leaving_) trafficView.limitFleet.active = false;
   if (leaving_) trafficView.retrySharers = 0;
   logFleetState(trafficView, now);
+  if (archiveReader_) archiveReader_->setDaemons(trafficView.expectedDaemons);
   slotLink_.setFleet(fleet_.liveFraction(now), self_.daemon, now);
   trafficLoop_.post(
       [this, trafficView = std::move(trafficView), stale = storeCopy_.mayBeStale(now)] {
@@ -547,6 +556,8 @@
   storeCopy_.start();
   if (rollouts_) rollouts_->start();
   if (duties_) duties_->start();
+  if (archiveReader_) archiveReader_->start();
+  if (archiveWriter_) archiveWriter_->start();
   LogLine(LogLevel::info, "daemon.start")
       .with("callers", startup_.callerListen)
       .with("incarnation", self_.incarnation)
--- a/Hallchute/src/Node/GatewayNode.h
+++ b/Hallchute/src/Node/GatewayNode.h
@@ -28,6 +28,9 @@
 
 namespace Hallchute {
 
+class ArchiveReader;
+class ArchiveWriter;
+
 /// \brief A gateway daemon with all its components.
 /// \ingroup Node
 ///
@@ -64,7 +67,6 @@
     std::vector<NamedLimit> limits;
     std::vector<NamedLimit> rejectionLimits;
     std::vector<ServiceName> lostPaths;
-    std::vector<ServiceVersion> versions;
     std::vector<ServiceLimit> serviceLimits;
     std::vector<RolloutStage> rollouts;
     VersionEvidences evidence;
@@ -88,13 +90,13 @@
   void sendFleetReport(const LocalReport& local);
   void noteEarlierSize(std::size_t daemons);
   void mergeCrashes(std::vector<CrashHistory> histories);
-  void noteEarlierVersions(std::vector<ServiceVersion> versions);
+  void startArchive();
+  bool servedBefore() const;
   void noteEarlierLimits(std::vector<ServiceLimit> limits);
   void mergeLimits(const FleetReport& report);
   std::size_t crashLimit(Instant now) const;
   ForwardingLink::Callbacks forwardingCallbacks();
   OriginLink::Callbacks originCallbacks();
-  bool directoryCurrent(Instant now) const;
   void updateTraffic(Instant now);
   void logClockOffset(Millis hostClock, Instant now);
   void logFleetState(const FleetTrafficView& trafficView, Instant now);
@@ -141,6 +143,9 @@
   /// Null unless this daemon takes part in rollouts.
   std::unique_ptr<RolloutRunner> rollouts_;
   std::unique_ptr<DutyRunner> duties_;
+  /// Null where the platform keeps no archive.
+  std::unique_ptr<ArchiveReader> archiveReader_;
+  std::unique_ptr<ArchiveWriter> archiveWriter_;
   std::thread controlThread_;
   std::atomic<bool> stopRequested_{false};
 };
--- a/Hallchute/src/Node/NodePorts.h
+++ b/Hallchute/src/Node/NodePorts.h
@@ -17,6 +17,7 @@
 namespace Hallchute {
 
 class DutyPort;
+class OriginArchivePort;
 class RolloutPort;
 class TrafficCodec;
 
@@ -34,6 +35,8 @@
   std::function<std::optional<UpstreamRecord>(const SourceObject&, Findings&)> readUpstream;
   /// Null where the deployment has no duties.
   DutyPort* duties = nullptr;
+  /// Null where streams aren't archived: after a restart of all daemons none is continued.
+  OriginArchivePort* archive = nullptr;
   /// Has one object per rollout; null where operators can't order any, as the next two.
   ObjectSource* rollouts = nullptr;
   RolloutPort* rolloutStatus = nullptr;
--- a/Hallchute/src/Node/OriginLink.cpp
+++ b/Hallchute/src/Node/OriginLink.cpp
@@ -24,12 +24,6 @@
   ServiceName service;
 };
 
-/// A reply, if there is one.
-struct OriginReplyMessage {
-  bool known = false;
-  StreamOriginReply reply;
-};
-
 struct OriginsMessage {
   std::vector<StreamOrigin> origins;
 };
@@ -40,7 +34,7 @@
   return std::tie(m.stream, m.service, m.version);
 }
 inline auto wireFields(StreamOriginReply& m) {
-  return std::tie(m.origin, m.recorded);
+  return std::tie(m.basis, m.archiveRead, m.origin);
 }
 
 namespace {
@@ -48,9 +42,6 @@
 auto wireFields(OriginQuestion& m) {
   return std::tie(m.stream, m.service);
 }
-auto wireFields(OriginReplyMessage& m) {
-  return std::tie(m.known, m.reply);
-}
 auto wireFields(OriginsMessage& m) {
   return std::tie(m.origins);
 }
@@ -105,42 +96,41 @@
   const std::vector<FleetMember> holders = callbacks_.holdersToAsk(stream);
   question.pending = holders.size();
   if (holders.empty()) {
-    finish(id, std::nullopt);
+    finish(id, {});
     return;
   }
   question.timer = control_.after(kAskTimeout, [this, id] {
     questions_.at(id).timer = 0;
-    finish(id, questions_.at(id).conclusion);
+    finish(id, {});
   });
   const std::string message = pack(OriginQuestion{stream, service});
   for (const FleetMember& holder : holders) {
     const PeerStreamPtr asked = transport_.open(holder.address, kAskPath, message);
     asked->onMessage = [this, id](std::string_view bytes) {
-      const auto reply = unpack<OriginReplyMessage>(bytes);
+      const auto reply = unpack<StreamOriginReply>(bytes);
       if (!reply) logUnreadable(bytes);
-      const bool known = reply && reply->known;
-      receive(id, known ? std::optional(reply->reply) : std::nullopt);
+      receive(id, reply.value_or(StreamOriginReply{}));
     };
     // Not called after a reply, as a stream stays open until this side closes it too.
-    asked->onClosed = [this, id] { receive(id, std::nullopt); };
+    asked->onClosed = [this, id] { receive(id, {}); };
     question.streams.push_back(asked);
   }
 }
 
-void OriginLink::receive(std::uint64_t id, const std::optional<StreamOriginReply>& reply) {
+void OriginLink::receive(std::uint64_t id, const StreamOriginReply& reply) {
   const auto it = questions_.find(id);
   if (it == questions_.end()) return;
-  Question& question = it->second;
-  if (reply && reply->recorded) {
+  if (reply.basis != OriginBasis::none) {
     finish(id, reply);
     return;
   }
-  if (reply) question.conclusion = reply;
+  Question& question = it->second;
+  question.archiveRead = question.archiveRead || reply.archiveRead;
   --question.pending;
-  if (question.pending == 0) finish(id, question.conclusion);
+  if (question.pending == 0) finish(id, {OriginBasis::none, question.archiveRead, {}});
 }
 
-void OriginLink::finish(std::uint64_t id, const std::optional<StreamOriginReply>& reply) {
+void OriginLink::finish(std::uint64_t id, const StreamOriginReply& reply) {
   const auto node = questions_.extract(id);
   Question& question = node.mapped();
   control_.cancel(question.timer);
@@ -172,14 +162,15 @@
       return;
     }
     traffic_.post([this, weak, question = *question] {
-      const auto reply = callbacks_.reply(question.stream, question.service);
-      control_.post([weak, reply] {
-        const PeerStreamPtr open = weak.lock();
-        if (!open) return;
-        open->send(
-            pack(OriginReplyMessage{reply.has_value(), reply.value_or(StreamOriginReply{})}));
-        open->finish();
-      });
+      callbacks_.reply(question.stream, question.service,
+                       [this, weak](const StreamOriginReply& reply) {
+                         control_.post([weak, reply] {
+                           const PeerStreamPtr open = weak.lock();
+                           if (!open) return;
+                           open->send(pack(reply));
+                           open->finish();
+                         });
+                       });
     });
   };
 }
--- a/Hallchute/src/Node/OriginLink.h
+++ b/Hallchute/src/Node/OriginLink.h
@@ -8,7 +8,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -29,13 +28,14 @@
 /// belong to the control thread, callers to the traffic thread.
 class OriginLink final : public OriginExchange {
  public:
+  using PeerReplySink = std::function<void(const StreamOriginReply&)>;
   struct Callbacks {
     /// Control thread: the daemons that are told, or asked, of a stream.
     std::function<std::vector<FleetMember>(StreamKey)> holders;
     std::function<std::vector<FleetMember>(StreamKey)> holdersToAsk;
     /// Traffic thread: takes what another daemon tells, and replies to its questions.
     std::function<void(std::span<const StreamOrigin>)> merge;
-    std::function<std::optional<StreamOriginReply>(StreamKey, const ServiceName&)> reply;
+    std::function<void(StreamKey, const ServiceName&, PeerReplySink)> reply;
   };
 
   OriginLink(EventLoop& traffic, EventLoop& control, PeerTransport& transport, Callbacks callbacks);
@@ -48,16 +48,15 @@
   struct Question {
     std::vector<PeerStreamPtr> streams;
     std::size_t pending = 0;
-    /// What a daemon without a record concludes.
-    std::optional<StreamOriginReply> conclusion;
+    bool archiveRead = false;
     ReplySink onReply;
     std::uint64_t timer = 0;
   };
 
   void send(const std::vector<StreamOrigin>& origins);
   void open(StreamKey stream, const ServiceName& service, ReplySink onReply);
-  void receive(std::uint64_t question, const std::optional<StreamOriginReply>& reply);
-  void finish(std::uint64_t question, const std::optional<StreamOriginReply>& reply);
+  void receive(std::uint64_t question, const StreamOriginReply& reply);
+  void finish(std::uint64_t question, const StreamOriginReply& reply);
   void serveTold(const PeerStreamPtr& stream);
   void serveQuestion(const PeerStreamPtr& stream);
 
--- a/Hallchute/src/Traffic/OriginExchange.h
+++ b/Hallchute/src/Traffic/OriginExchange.h
@@ -5,7 +5,6 @@
 #define HALLCHUTE_TRAFFIC_ORIGINEXCHANGE_H
 
 #include <functional>
-#include <optional>
 #include <vector>
 
 #include "Hallchute/src/Gateway/StreamOrigin.h"
@@ -16,7 +15,7 @@
 /// only. \ingroup Traffic
 class OriginExchange {
  public:
-  using ReplySink = std::function<void(const std::optional<StreamOriginReply>& reply)>;
+  using ReplySink = std::function<void(const StreamOriginReply& reply)>;
 
   OriginExchange() = default;
   OriginExchange(const OriginExchange&) = delete;
@@ -25,8 +24,7 @@
 
   virtual void tell(std::vector<StreamOrigin> origins) = 0;
   /// \brief Asks for the origin of a stream of \p service. \p onReply is called once from the loop:
-  /// with a record, as soon as one comes; otherwise with what the others conclude, or nothing, once
-  /// all have replied or the time is up.
+  /// with an origin, as soon as one comes; otherwise once all have replied or the time is up.
   virtual void ask(StreamKey stream, const ServiceName& service, ReplySink onReply) = 0;
 };
 
--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -128,9 +128,7 @@
     if (record.incarnation != before) noteProcessEnded({record.id, before});
   }
   noteReplacedProcesses(records, now);
-  origins_.noteListed(records, now);
   versionShares_.noteListed(records, now);
-  reportStreams(origins_.takeUnreported(now));
   for (const UpstreamId& removed : upstreams_.replace(records, now)) {
     const UpstreamEntry* entry = upstreams_.find(removed);
     const bool restarted = entry != nullptr && !entry->unlistedSince;
@@ -154,7 +152,24 @@
 }
 
 void TrafficEngine::noteStreamBegan(const StreamOrigin& origin, const UpstreamId& upstream) {
-  if (origins_.noteBegan(origin, upstream, clockNow())) reportStreams({origin});
+  origins_.noteBegan(origin, upstream, clockNow());
+  reportStreams({origin});
+}
+
+/// Another daemon may have to continue it next, and may know less by then.
+void TrafficEngine::noteStreamContinued(const StreamOrigin& origin) {
+  if (origins_.find(origin.stream) != nullptr) return;
+  origins_.merge({&origin, 1}, clockNow());
+  reportStreams({origin});
+}
+
+std::vector<StreamOrigin> TrafficEngine::streamsToArchive() const {
+  if (routes_ == nullptr) return {};
+  Millis longest{0};
+  for (const Route& route : routes_->settings().routes) {
+    if (route.resumable) longest = std::max(longest, route.timeLimit);
+  }
+  return origins_.recorded(originResolver_.shards(), clockNow() - longest - kStreamReportDelay);
 }
 
 void TrafficEngine::reportStreams(std::vector<StreamOrigin> origins) {
@@ -194,8 +209,7 @@
   crashes_.setFleet(view.limitFleet);
   upstreams_.limits().setFleet(view.limitFleet);
   upstreams_.rejectionLimits().setFleet(view.limitFleet);
-  origins_.setDirectoryCurrent(view.directoryCurrent, clockNow());
-  reportStreams(origins_.takeUnreported(clockNow()));
+  originResolver_.setShards(view.archiveShards);
   if (admission_.enabled()) {
     admission_.noteReports({view.waiting, daemonCount_, view.reportLag});
   }
--- a/Hallchute/src/Traffic/TrafficEngine.h
+++ b/Hallchute/src/Traffic/TrafficEngine.h
@@ -29,6 +29,7 @@
 #include "Hallchute/src/Gateway/VersionShares.h"
 #include "Hallchute/src/Traffic/AdmissionGate.h"
 #include "Hallchute/src/Traffic/ForwardedReply.h"
+#include "Hallchute/src/Traffic/OriginResolver.h"
 #include "Hallchute/src/Traffic/PathProber.h"
 #include "Hallchute/src/Traffic/TrafficOptions.h"
 #include "Hallchute/src/Traffic/UpstreamSelector.h"
@@ -39,6 +40,7 @@
 class AssistedDispatch;
 class EventLoop;
 class Metrics;
+class OriginArchive;
 class OriginExchange;
 class RequestForwarder;
 class SlotExchange;
@@ -65,8 +67,8 @@
   std::size_t crashLimit = CrashLedger::kMaxCrashes;
   /// The daemons that divide the limits which upstreams name.
   LimitFleet limitFleet{};
-  /// No daemon is known to have a newer listing of the upstreams, and the store answers.
-  bool directoryCurrent = true;
+  /// The streams that this daemon archives.
+  ArchiveShards archiveShards{};
   /// Number of daemons that share the slack of the retry budget; 0 if this one has no share yet, or
   /// no more.
   std::size_t retrySharers = 0;
@@ -106,8 +108,15 @@
   void setForwarder(RequestForwarder* forwarder) { forwarder_ = forwarder; }
   RequestForwarder* forwarder() const { return forwarder_; }
   /// \brief Sets how daemons tell each other of streams; null, or must outlive this.
-  void setOriginExchange(OriginExchange* exchange) { originExchange_ = exchange; }
-  OriginExchange* originExchange() const { return originExchange_; }
+  void setOriginExchange(OriginExchange* exchange) {
+    originExchange_ = exchange;
+    originResolver_.setExchange(exchange);
+  }
+  /// \brief Sets the archive of streams; null, or must outlive this.
+  void setOriginArchive(OriginArchive* archive) { originResolver_.setArchive(archive); }
+  OriginResolver& originResolver() { return originResolver_; }
+  /// \brief The streams that callers may take up and that this daemon archives, the newest first.
+  std::vector<StreamOrigin> streamsToArchive() const;
   /// \brief Sets how slots of upstreams are taken; null, or must outlive this.
   void setSlotExchange(SlotExchange* exchange) { selector_.setExchange(exchange); }
   /// \brief Sets the predicate that tells whether requests of a service wait to be dispatched;
@@ -166,8 +175,10 @@
   void excludeVersions(UpstreamCriteria& criteria, bool repeated) const;
   void refundQuota(const OrganisationName& organisation, double amount);
   void noteRun(const OrganisationName& organisation);
-  /// \brief Records that a stream began at an upstream, and reports it if callers need that.
+  /// \brief Records that a stream began at an upstream, and reports it.
   void noteStreamBegan(const StreamOrigin& origin, const UpstreamId& upstream);
+  /// \brief Records the origin of a stream that a caller takes up here, and reports it.
+  void noteStreamContinued(const StreamOrigin& origin);
   /// \brief Records the limits that an answer names, or that it names none.
   void noteNamedLimits(const UpstreamIncarnation& upstream, const UpstreamResponse& answer);
   void noteCrash(const CrashSuspects& suspects, const UpstreamIncarnation& upstream);
@@ -222,6 +233,7 @@
   std::uint64_t nextSessionId_ = 1;
   std::unordered_map<std::uint64_t, std::shared_ptr<AssistedDispatch>> assists_;
   StreamOrigins origins_;
+  OriginResolver originResolver_{origins_};
   /// Origins to report once the delay of a batch has passed.
   std::vector<StreamOrigin> unreportedOrigins_;
   OriginExchange* originExchange_ = nullptr;
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -182,66 +182,61 @@
 }
 
 void TrafficSession::resolveOrigin() {
-  if (const StreamOrigin* origin = engine_.origins().find(streamKey())) {
-    adoptOrigin(StreamOriginReply{*origin, true}, "own");
-    return;
-  }
-  if (engine_.originExchange() == nullptr) {
-    adoptOrigin(engine_.origins().reply(streamKey(), service_, clockNow()), "own");
-    return;
-  }
-  const auto onReply = [weak = weak_from_this()](const std::optional<StreamOriginReply>& reply) {
-    const auto session = weak.lock();
-    if (session == nullptr || session->relay_.ended()) return;
-    if (reply) {
-      session->adoptOrigin(reply, "peers");
-      return;
-    }
-    TrafficEngine& engine = session->engine_;
-    session->adoptOrigin(
-        engine.origins().reply(session->streamKey(), session->service_, clockNow()), "own");
-  };
-  engine_.originExchange()->ask(streamKey(), service_, onReply);
+  ContinuationEvidence evidence;
+  evidence.service = service_;
+  evidence.timeLimit = admission_.route->timeLimit;
+  evidence.askedAt = clockNow();
+  engine_.originResolver().resolve(streamKey(), evidence,
+                                   [weak = weak_from_this()](const ContinuationEvidence& known,
+                                                             const ContinuationVerdict& verdict) {
+                                     const auto session = weak.lock();
+                                     if (session == nullptr || session->relay_.ended()) return;
+                                     session->logOrigin(known, verdict);
+                                     std::visit([&](const auto& v) { session->adopt(v); }, verdict);
+                                   });
+}
+
+void TrafficSession::adopt(const ContinuationVerdicts::Continue& verdict) {
+  engine_.metrics().add("hallchute_streams_resumed_total",
+                        "origin=\"" + std::string(describe(verdict.basis)) + "\"");
+  selection_.version = verdict.version;
+  lastEventId_ = admission_.request.lastEventId;
+  engine_.noteStreamContinued({streamKey(), service_, verdict.version});
+  handleEvent(RelayEvents::Begin{});
 }
 
-/// Names what a conclusion rests on, and its age: the number of versions known, since when the
-/// directory has been listed, and when it was last found current.
-void TrafficSession::logOrigin(const SoftwareVersion& version, bool recorded,
-                               std::string_view source) const {
+/// Refused, as it hasn't run: another daemon may know its version.
+void TrafficSession::adopt(const ContinuationVerdicts::Refuse&) {
+  engine_.metrics().add("hallchute_streams_resumed_total", "origin=\"unknown\"");
+  handleEvent(RelayEvents::NoUpstreamAvailable{});
+}
+
+/// Names all that the decision rests on, and its age.
+void TrafficSession::logOrigin(const ContinuationEvidence& known,
+                               const ContinuationVerdict& verdict) const {
+  const auto* found = std::get_if<ContinuationVerdicts::Continue>(&verdict);
+  const auto* refused = std::get_if<ContinuationVerdicts::Refuse>(&verdict);
   const Instant now = clockNow();
-  const StreamOrigins& origins = engine_.origins();
-  const VersionKnowledge known = origins.versionKnowledge(service_, now);
-  const auto checkedAt = origins.directoryCheckedAt();
-  LogLine(LogLevel::info, "stream.origin")
-      .with("request", selection_.requestId)
+  const auto took = std::chrono::duration_cast<Millis>(now - known.askedAt);
+  engine_.metrics().time("hallchute_stream_origin_ms", "", took);
+  LogLine line(LogLevel::info, "stream.origin");
+  line.with("request", selection_.requestId)
       .with("resumes", admission_.request.resumes.str())
       .with("service", service_.str())
-      .with("version", version.str())
-      .with("recorded", recorded)
-      .with("source", source)
-      .with("versions", static_cast<std::uint64_t>(known.versions))
-      .with("listedForMs", known.listedFor.value_or(Millis(-1)))
-      .with("earlierKnown", known.earlierKnown)
-      .with("current", origins.directoryCurrent())
-      .with("currentAgeMs",
-            checkedAt ? std::chrono::duration_cast<Millis>(now - *checkedAt) : Millis(-1));
-}
-
-/// Without an origin the stream is refused: another daemon may know it.
-void TrafficSession::adoptOrigin(const std::optional<StreamOriginReply>& reply,
-                                 std::string_view source) {
-  const bool known = reply && reply->origin.service == service_ && !reply->origin.version.empty();
-  logOrigin(known ? reply->origin.version : SoftwareVersion(), reply && reply->recorded, source);
-  engine_.metrics().add("hallchute_streams_resumed_total",
-                        known ? "origin=\"known\"" : "origin=\"unknown\"");
-  if (!known) {
-    handleEvent(RelayEvents::NoUpstreamAvailable{});
-    return;
-  }
-  selection_.version = reply->origin.version;
-  lastEventId_ = admission_.request.lastEventId;
-  engine_.origins().merge({&reply->origin, 1}, clockNow());
-  handleEvent(RelayEvents::Begin{});
+      .with("version", found == nullptr ? std::string() : found->version.str())
+      .with("basis", describe(found == nullptr ? OriginBasis::none : found->basis))
+      .with("refused", refused == nullptr ? std::string_view() : describe(refused->reason))
+      .with("own", known.recorded.has_value())
+      .with("peersAsked", known.peers.has_value())
+      .with("peersReadArchive", known.peers && known.peers->archiveRead)
+      .with("tookMs", took);
+  if (!known.archive) return;
+  const std::optional<VersionClaim>& versions = known.archive->versions;
+  line.with("archiveAnswered", known.archive->answered)
+      .with("archiveAgeMs", std::chrono::duration_cast<Millis>(now - known.archive->readAt))
+      .with("archived", known.archive->streams.size())
+      .with("versionsAsOf", versions ? versions->asOf : std::uint64_t{0})
+      .with("versionsComplete", versions && versions->complete);
 }
 
 /// From the first event on, only the same version may continue the stream.
--- a/Hallchute/src/Traffic/TrafficSession.h
+++ b/Hallchute/src/Traffic/TrafficSession.h
@@ -15,6 +15,7 @@
 #include "Hallchute/src/Gateway/AdmissionRequest.h"
 #include "Hallchute/src/Gateway/CrashSuspects.h"
 #include "Hallchute/src/Gateway/RouteTable.h"
+#include "Hallchute/src/Gateway/StreamContinuation.h"
 #include "Hallchute/src/Gateway/StreamOrigin.h"
 #include "Hallchute/src/Gateway/UpstreamPick.h"
 #include "Hallchute/src/Ports/TrafficCodec.h"
@@ -70,8 +71,12 @@
   int urgency() const;
   /// Finds the software version that began the stream, if the caller continues one.
   void resolveOrigin();
-  void adoptOrigin(const std::optional<StreamOriginReply>& reply, std::string_view source);
-  void logOrigin(const SoftwareVersion& version, bool recorded, std::string_view source) const;
+  void adopt(const ContinuationVerdicts::Continue& verdict);
+  void adopt(const ContinuationVerdicts::Refuse& verdict);
+  /// The resolver returns no others.
+  void adopt(const ContinuationVerdicts::AskPeers&) {}
+  void adopt(const ContinuationVerdicts::ReadArchive&) {}
+  void logOrigin(const ContinuationEvidence& known, const ContinuationVerdict& verdict) const;
   StreamKey streamKey() const;
   void noteStreamStarted();
   /// \param source the dispatch that the event comes from, if any.
