A silent connection to the store ends within the contact bound

Cause: a watch may wait 2,500 ms and its answer took up to 1,500 ms more; until then the awaited answer counted as contact, for longer than the contact bound of 3,000 ms. Class: sums of time-outs against the bound that they have to keep.

Why this works: a watch asks for 2,200 ms and its answer may take 500 ms more, as a store that has nothing answers at the end of the wait; the list that follows uses a new connection and has the remaining 300 ms. Costs 14 % more watches.

--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -39,10 +39,6 @@
 constexpr std::size_t kMaxPageConnections = 64;
 /// A page gets one connection for this many descriptors, up to that number.
 constexpr std::size_t kDescriptorsPerPage = 16;
-/// Upper bound of a watch's timeout. The timeout also stays below the contact bound, within which a
-/// lost connection must be noticed.
-constexpr Millis kMaxWatchTimeout{3'000};
-constexpr Millis kWatchMargin{500};
 /// Minimum time between two log lines on how many daemons are heard from.
 constexpr Millis kFleetLogInterval{1'000};
 /// Changes of the clock's offset below this are not logged: they occur on a busy host.
@@ -53,10 +49,6 @@
 constexpr std::int64_t kUsageWindowsKept = 8;
 constexpr double kPermille = 1'000;
 
-Millis watchTimeout(const NodeBounds& bounds) {
-  return std::clamp(bounds.contact - kWatchMargin, kWatchMargin, kMaxWatchTimeout);
-}
-
 /// Sum of the organisations' token rates; 0 if one has no limit or its limit doesn't count tokens.
 double quotaTokensOf(const GatewaySettings& settings) {
   double sum = 0;
@@ -106,7 +98,7 @@
       callerServer_(trafficLoop_, startup_.callerListen, engine_, metrics_),
       readinessServer_(trafficLoop_, startup_.readinessListen, readiness_, metrics_),
       fleet_(self_, clockNow()),
-      storeCopy_(controlLoop_, ports_, watchTimeout(startup_.bounds),
+      storeCopy_(controlLoop_, ports_, watchTimeout(startup_.bounds.contact),
                  {[this](const GatewaySettings& settings) { applySettings(settings); },
                   [this](const std::vector<UpstreamRecord>& upstreams) {
                     trafficLoop_.post([this, upstreams] { engine_.setUpstreams(upstreams); });
@@ -188,7 +180,7 @@
                              bounds.rollback};
   rollouts_ = std::make_unique<RolloutRunner>(
       RolloutPorts{*ports_.rollouts, *ports_.rolloutStatus, ports_.readRollout}, policy, self_,
-      watchTimeout(bounds), metrics_);
+      watchTimeout(bounds.contact), metrics_);
 }
 
 void GatewayNode::mergeStages(std::vector<RolloutStage> stages) {
--- a/Hallchute/src/Node/ObjectFollower.cpp
+++ b/Hallchute/src/Node/ObjectFollower.cpp
@@ -3,6 +3,7 @@
 
 #include "Hallchute/src/Node/ObjectFollower.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "Hallchute/src/Net/Clock.h"
@@ -19,6 +20,12 @@
 /// Delay before retrying where no other daemon relies on this one: failed calls are billed too.
 constexpr Millis kProbeInterval{2'000};
 
+/// Bounds of a watch's timeout. It also stays below the contact bound, within which a lost connection
+/// must be noticed and a new list read, by the time that the answer and the list may take.
+constexpr Millis kMinWatchTimeout{500};
+constexpr Millis kMaxWatchTimeout{3'000};
+constexpr Millis kWatchMargin{800};
+
 /// Time between two log lines on a store that stays unavailable.
 constexpr Millis kFailureLogInterval{30'000};
 
@@ -40,6 +47,10 @@
 
 }  // namespace
 
+Millis watchTimeout(Millis contact) {
+  return std::clamp(contact - kWatchMargin, kMinWatchTimeout, kMaxWatchTimeout);
+}
+
 ObjectFollower::ObjectFollower(std::string name, ObjectSource& source, FollowTiming timing,
                                Callbacks callbacks)
     : name_(std::move(name)), source_(source), timing_(timing), callbacks_(std::move(callbacks)) {}
--- a/Hallchute/src/Node/ObjectFollower.h
+++ b/Hallchute/src/Node/ObjectFollower.h
@@ -31,6 +31,10 @@
   Millis initialWatchDelay{0};
 };
 
+/// \brief How long a watch may return nothing, in a deployment with this contact bound.
+/// \ingroup Node
+Millis watchTimeout(Millis contact);
+
 /// \brief Maintains a copy of the objects of one kind by listing them once and watching for
 /// changes. \ingroup Node
 ///
