A caller that reads late keeps its connection

Cause: TCP_USER_TIMEOUT of 2.5 s on callers' connections, meant for peers that are gone, also ends those whose peer is there and keeps its window closed. Class: a kernel time-out that can't tell the dead from the slow.

Why this works: callers' connections are still probed while idle; one with unacknowledged bytes is left to its owner, which bounds it by the request's deadline and the idle time-out. Connections to upstreams were left to their owner before; those between daemons always read and keep the time-out.

--- a/Hallchute/src/Http/TcpChannel.cpp
+++ b/Hallchute/src/Http/TcpChannel.cpp
@@ -30,7 +30,7 @@
     : loop_(loop), owner_(owner), socket_(socket), fd_(socket.impl()->sockfd()) {
   socket_.setBlocking(false);
   socket_.setNoDelay(true);
-  enableDeadPeerDetection(socket_);
+  enableIdlePeerDetection(socket_);
   loop_.watch(fd_, POLLIN, [this](short events) { onEvents(events); });
 }
 
--- a/Hallchute/src/Net/SocketLiveness.cpp
+++ b/Hallchute/src/Net/SocketLiveness.cpp
@@ -27,13 +27,17 @@
 
 }  // namespace
 
-void enableDeadPeerDetection(Poco::Net::Socket& socket) {
+void enableIdlePeerDetection(Poco::Net::Socket& socket) {
   const int fd = socket.impl()->sockfd();
   setOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
   setOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
   setOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
   setOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
-  setOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+}
+
+void enableDeadPeerDetection(Poco::Net::Socket& socket) {
+  enableIdlePeerDetection(socket);
+  setOption(socket.impl()->sockfd(), IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
 }
 
 void disableDeadPeerDetection(Poco::Net::Socket& socket) {
--- a/Hallchute/src/Net/SocketLiveness.h
+++ b/Hallchute/src/Net/SocketLiveness.h
@@ -10,11 +10,17 @@
 
 namespace Hallchute {
 
-/// \brief Makes the kernel close the connection within about 3 s if the peer is unreachable.
+/// \brief Makes the kernel close an idle connection within about 3 s if the peer is unreachable.
 /// \ingroup Net
 ///
-/// By default a connection hangs for minutes after a network partition. Idle connections are probed
-/// after 1 s, and sent bytes that are not acknowledged within 2.5 s close the connection.
+/// One with bytes that the peer hasn't acknowledged is left to its owner: the kernel doesn't tell a
+/// peer that is gone from one that is there and reads late.
+void enableIdlePeerDetection(Poco::Net::Socket& socket);
+
+/// \brief Makes the kernel close the connection within about 3 s if the peer is unreachable, or has
+/// no room for sent bytes for 2.5 s: for peers that always read. \ingroup Net
+///
+/// By default a connection hangs for minutes after a network partition.
 void enableDeadPeerDetection(Poco::Net::Socket& socket);
 
 /// \brief Leaves it to the owner to reset the connection if the peer is unreachable. \ingroup Net
--- a/test/TcpChannelTest.cpp
+++ b/test/TcpChannelTest.cpp
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(anAbortResetsEvenAfterTheOtherSideFinished);
   CPPUNIT_TEST(nothingIsSentWhereNobodyListens);
   CPPUNIT_TEST(whatAPeerHasNoRoomForIsNotAcknowledged);
+  CPPUNIT_TEST(aCallerThatReadsLateGetsItsAnswer);
   CPPUNIT_TEST(aSourcePortCanBeListenedAt);
   CPPUNIT_TEST(aSourcePortInTimeWaitCanBeListenedAt);
   CPPUNIT_TEST(theSourcePortOfAnExchangeCanBeListenedAt);
@@ -131,6 +132,34 @@
     CPPUNIT_ASSERT(emptied);
   }
 
+  /// The kernel reset the connection of a caller that kept its window closed for 2.5 s.
+  void aCallerThatReadsLateGetsItsAnswer() {
+    constexpr std::size_t kBytes = 4U << 20U;
+    constexpr std::chrono::milliseconds kUnread{4'000};
+    Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+    Poco::Net::StreamSocket caller;
+    caller.connectNB(listener.address());
+    caller.setBlocking(true);
+    EventLoop loop;
+    Owner owner;
+    std::thread thread([&] { loop.run(); });
+    loop.call([&] {
+      owner.channel = std::make_unique<TcpChannel>(loop, listener.acceptConnection(), owner);
+      owner.channel->send(std::string(kBytes, 'x'));
+    });
+    std::this_thread::sleep_for(kUnread);
+    std::size_t received = 0;
+    char buffer[32'768];
+    const int fd = caller.impl()->sockfd();
+    while (received < kBytes) {
+      const ssize_t got = ::recv(fd, buffer, sizeof buffer, 0);
+      if (got <= 0) break;
+      received += static_cast<std::size_t>(got);
+    }
+    stop(loop, thread, owner);
+    CPPUNIT_ASSERT_EQUAL(kBytes, received);
+  }
+
   /// An outgoing connection kept a daemon from starting whose listen port it had been given.
   void aSourcePortCanBeListenedAt() {
     Poco::Net::ServerSocket listener(Poco::Net::SocketAddress(kOwnIp, 0));
