An empty archive proves a new fleet only before its first stream

Now streams that begin before the archive is read make the history incomplete for a minute.

Evidence: the row 'streams began while the store was away' of anArchivedHistoryStandsInForAShortOne, by the rule as it was, is known at once.

--- a/Hallchute/src/Gateway/ArchivePlan.cpp
+++ b/Hallchute/src/Gateway/ArchivePlan.cpp
@@ -15,6 +15,7 @@
 }
 
 ArchiveStep ArchivePlan::next(const ArchiveInput& input, Instant now) {
+  if (!archiveKnown_ && !input.streams.empty()) streamsBegan_ = true;
   if (now < retryAt_) return ArchiveSteps::Nothing{};
   if (!archiveKnown_) return ArchiveSteps::ReadArchive{};
   if (history_.asOf() == 0) return ArchiveSteps::ListVersions{};
@@ -59,7 +60,7 @@
       if (!kept) inherited_.push_back({origin, now + VersionHistory::kHorizon});
     }
   }
-  fleetIsNew_ = parts.empty() && !servedBefore;
+  fleetIsNew_ = parts.empty() && !servedBefore && !streamsBegan_;
   const VersionClaim* newest = newestComplete(parts);
   if (history_.asOf() == 0 && newest != nullptr) history_.adopt(*newest, now);
 }
--- a/Hallchute/src/Gateway/ArchivePlan.h
+++ b/Hallchute/src/Gateway/ArchivePlan.h
@@ -70,6 +70,8 @@
   DaemonId self_;
   VersionHistory history_;
   bool archiveKnown_ = false;
+  /// Whether streams began before this daemon read the archive, as the store was away.
+  bool streamsBegan_ = false;
   /// Whether the history, when it begins with a list, is complete from there on.
   bool fleetIsNew_ = false;
   std::vector<Inherited> inherited_;
--- a/test/StreamOriginFleetTest.cpp
+++ b/test/StreamOriginFleetTest.cpp
@@ -585,16 +585,23 @@
       std::vector<ArchivedOrigins> parts;
       bool servedBefore;
       bool known;
+      std::vector<StreamOrigin> streams{};
     };
     const std::vector<Row> rows{
         {"nothing is known of the time before", {}, true, false},
         {"the fleet served nobody before", {}, false, true},
+        {"streams began while the store was away",
+         {},
+         false,
+         false,
+         {{StreamKey{1}, kService, SoftwareVersion("v1")}}},
         {"it had the same version", archived(true, {serviceVersion("v1")}), true, true},
         {"its history was too short", archived(false, {serviceVersion("v1")}), true, false},
         {"another one was there", archived(true, {serviceVersion("v1"), serviceVersion("v2")}),
          true, false}};
     for (const Row& row : rows) {
       ArchivePlan plan(DaemonId("own"));
+      plan.next({row.streams, {}}, now);
       plan.noteArchive(row.parts, row.servedBefore, now);
       if (plan.claim(now).asOf == 0) plan.noteListed(listed, now);
       plan.noteVersions(listed, now);
