--- a/test/ResumedStreamTest.cpp
+++ b/test/ResumedStreamTest.cpp
@@ -98,6 +98,7 @@
   CPPUNIT_TEST(goesOnAtItsVersionWithinAnAnswer);
   CPPUNIT_TEST(breaksOffRatherThanMixVersionsWithinAnAnswer);
   CPPUNIT_TEST(goesOnAtItsVersionWhenTheCallerReturns);
+  CPPUNIT_TEST(eachEventComesOnceAndInOrder);
   CPPUNIT_TEST(isRefusedIfItsVersionIsGone);
   CPPUNIT_TEST(isRefusedIfNobodyKnowsItsVersion);
   CPPUNIT_TEST_SUITE_END();
@@ -131,6 +132,42 @@
     }
   }
 
+  /// However the run that goes on begins or ends.
+  void eachEventComesOnceAndInOrder() {
+    const std::string end = "0\r\n\r\n";
+    const auto run = [](const std::vector<int>& ids) {
+      std::string text = head();
+      for (const int id : ids) text += event(id, "v1");
+      return text;
+    };
+    struct Row {
+      const char* story;
+      UpstreamScript next;
+      bool complete;
+    };
+    const std::vector<Row> rows{
+        {"it goes on", {run({2, 3}) + end, Then::keep}, true},
+        {"it begins anew", {run({1, 2, 3}) + end, Then::keep}, true},
+        {"it repeats an event", {run({2, 2, 3}) + end, Then::keep}, true},
+        {"its numbers go back", {run({2, 3, 1, 2}) + end, Then::keep}, true},
+        {"it breaks off", {run({2, 3}), Then::reset}, false},
+        {"it breaks off within an event", {run({2, 3}) + "15\r\nid: 4\nda", Then::reset}, false}};
+    for (const Row& row : rows) {
+      VersionRig rig({beginsAndBreaks("v1"), {"v1", "d2", row.next}});
+      const std::string answer = rig.ask("a1");
+      const std::string story = std::string(row.story) + ": " + answer;
+      std::size_t at = 0;
+      for (const char* id : {"id: 1\n", "id: 2\n", "id: 3\n"}) {
+        const std::size_t found = answer.find(id, at);
+        CPPUNIT_ASSERT_MESSAGE(story, found != std::string::npos);
+        at = found + 1;
+        CPPUNIT_ASSERT_MESSAGE(story, answer.find(id, at) == std::string::npos);
+      }
+      CPPUNIT_ASSERT_MESSAGE(story, answer.find("id: 4") == std::string::npos);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(story, row.complete, answer.ends_with(end));
+    }
+  }
+
   void isRefusedIfItsVersionIsGone() {
     VersionRig rig({beginsAndBreaks("v1")});
     CPPUNIT_ASSERT(holds(rig.ask("a1"), "v1"));
