--- a/test/ForeignEntryTest.cpp
+++ b/test/ForeignEntryTest.cpp
@@ -116,7 +116,7 @@
       items.push_back(item("i-x", changed("48", value)));
       items.push_back(item("i-x", changed(R"("sequence":4)", R"("sequence":4,"other":)" + value)));
       std::string revised = item("i-x", kGoodSpec);
-      revised.replace(revised.find("3"), 1, value);
+      revised.replace(revised.find('3'), 1, value);
       items.push_back(revised);
     }
     return items;
