--- a/test/TrafficContractTest.cpp
+++ b/test/TrafficContractTest.cpp
@@ -54,6 +54,7 @@
 class TrafficContractTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(TrafficContractTest);
   CPPUNIT_TEST(answersByTable);
+  CPPUNIT_TEST(statusesOutsideTheProtocolByTable);
   CPPUNIT_TEST(hidesTheKeyAndSetsItsOwnFields);
   CPPUNIT_TEST(refusesByTable);
   CPPUNIT_TEST(callerLeavingStopsTheUpstream);
@@ -268,6 +269,42 @@
     for (const Row& row : rows) check(row);
   }
 
+  /// A status below 100 was taken for that of an interim answer: the request was held until its
+  /// time limit, and what its body said could become the answer.
+  void statusesOutsideTheProtocolByTable() {
+    const UpstreamScript fine{whole(200, "fine")};
+    const auto answer = [](const std::string& status, std::size_t length) {
+      return "HTTP/1.1 " + status + " X\r\n" + kSigned +
+             "Content-Length: " + std::to_string(length) + "\r\n\r\n";
+    };
+    for (const std::string status : {"000", "007", "099", "101"}) {
+      const UpstreamScript invalid{answer(status, 2) + "no"};
+      const std::string forged = whole(200, "forged");
+      const UpstreamScript late{answer(status, forged.size()), Then::keep, Millis(50), forged};
+      const std::vector<Row> rows{
+          {"", WorkKind::once, false, invalid, fine, "HTTP/1.1 502", "", "fine", 1},
+          {"", WorkKind::once, false, late, fine, "HTTP/1.1 502", "", "forged", 1},
+          {"", WorkKind::repeatable, false, invalid, fine, "HTTP/1.1 200", "fine", "no", 2},
+          {"", WorkKind::stream, true, late, fine, "HTTP/1.1 200", "fine", "forged", 2},
+      };
+      for (Row row : rows) {
+        row.name = status;
+        check(row);
+      }
+    }
+    for (const int status : {600, 999}) {
+      check({"not assigned",
+             WorkKind::once,
+             false,
+             {whole(status, "odd")},
+             fine,
+             "HTTP/1.1 " + std::to_string(status),
+             "odd",
+             "fine",
+             1});
+    }
+  }
+
   void hidesTheKeyAndSetsItsOwnFields() {
     ScriptedUpstream upstream({{whole(200, "fine"), Then::keep}});
     GatewayRig rig;
--- a/test/scenario/Expectations.cpp
+++ b/test/scenario/Expectations.cpp
@@ -132,6 +132,7 @@
     return sumOver(argument(1) == "engines" ? Kind::engine : Kind::plain, argument(2),
                    kind == "most");
   }
+  if (kind == "memory-mb") return static_cast<double>(memory_->peakBytes() >> 20U);
   if (kind == "metric") return metric(argument(1), argument(2));
   if (kind == "metrics") {
     double sum = 0;
--- a/test/scenario/Runner.cpp
+++ b/test/scenario/Runner.cpp
@@ -77,6 +77,7 @@
       {"cli", &Runner::cli},
       {"run", &Runner::runProgram},
       {"raw", &Runner::raw},
+      {"crowd", &Runner::crowd},
       {"mark", &Runner::mark},
       {"storm", &Runner::storm},
       {"expect", &Runner::expect},
@@ -344,6 +345,22 @@
   require(answer.find(" " + std::to_string(expected) + " ") != std::string::npos, answer);
 }
 
+/// `crowd DAEMON clients=N bytes=B`: requests that stop one byte short of the end of their body and
+/// stay open until the script ends. `memory-mb` is what they cost the daemon at most.
+void Runner::crowd(const Step& step) {
+  const Node& daemon = fleet_.node(word(step, 1));
+  const auto bytes = static_cast<std::size_t>(step.number("bytes", 0));
+  memory_ = std::make_unique<TestSupport::MemoryWatch>(
+      daemon.process->id(), std::vector<int>{Poco::Net::SocketAddress(daemon.address).port()});
+  const std::string head =
+      absl::StrCat("POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer ",
+                   kCallerToken, "\r\nContent-Length: ", bytes, "\r\n\r\n");
+  crowds_.push_back(std::make_unique<TestSupport::ClientCrowd>(
+      daemon.address, static_cast<std::size_t>(step.number("clients", 1)),
+      TestSupport::ClientScript{head, std::string(bytes - 1, 'a'), 1}));
+  crowds_.back()->awaitSent();
+}
+
 void Runner::mark(const Step& step) {
   marks_[word(step, 1)] = value(step, 2);
 }
--- a/test/scenario/Runner.h
+++ b/test/scenario/Runner.h
@@ -13,6 +13,8 @@
 #include <thread>
 #include <vector>
 
+#include "test/ClientCrowd.h"
+#include "test/MemoryWatch.h"
 #include "test/scenario/Caller.h"
 #include "test/scenario/Fleet.h"
 #include "test/scenario/Script.h"
@@ -64,6 +66,7 @@
   void runProgram(const Step& step);
   std::string withAddresses(std::string text);
   void raw(const Step& step);
+  void crowd(const Step& step);
   void mark(const Step& step);
   void storm(const Step& step);
   // Expectations.
@@ -88,6 +91,9 @@
   std::map<std::string, std::vector<std::unique_ptr<Caller>>> callers_;
   std::map<std::string, std::pair<int, std::string>> applied_;
   std::map<std::string, double> marks_;
+  /// Clients that send what doesn't end, and what they cost their daemon.
+  std::vector<std::unique_ptr<TestSupport::ClientCrowd>> crowds_;
+  std::unique_ptr<TestSupport::MemoryWatch> memory_;
   /// Connections that were opened and left idle.
   std::vector<Poco::Net::StreamSocket> silent_;
   std::vector<std::thread> later_;
