A request's body is held once, and freed with its request

What callers saw: nothing by itself; with many large requests at once their daemon ended for want of memory.

Cause: a body existed up to four times: in the reader, whose buffer doubles beyond an announced length and lived until the connection's next request (for a refused one, through the second of lingering); in the exchange; in the bytes built for each dispatch; and in the send buffer of the upstream's channel, whose capacity lived as long as the channel, idle in the pool too.

Why it works: the exchange, its dispatches, the copy for another daemon and the channel share one string (SharedBytes); SendQueue releases what was sent; the reader lives as long as its request is read and grows to the announced length at most; a closing connection drops its input. Bodies up to 32 KiB are still copied behind their head, which saves a system call.

--- a/Hallchute/src/Front/FrontConnection.cpp
+++ b/Hallchute/src/Front/FrontConnection.cpp
@@ -19,6 +19,8 @@
 /// How long a closing connection waits for the caller to close its side (lingering close): closing
 /// a socket with unread bytes resets the connection, and the last response may be lost.
 constexpr Millis kLingerTime{1'000};
+/// Capacity that an empty receive buffer keeps, in bytes: most requests fit.
+constexpr std::size_t kKeptCapacity = std::size_t{4} << 10U;
 /// Response bytes buffered for a caller that doesn't read.
 constexpr std::size_t kMaxUnsentBytes = 8U << 20U;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -33,7 +35,7 @@
 
 FrontConnection::FrontConnection(FrontServer& server, std::uint64_t id,
                                  const Poco::Net::StreamSocket& socket)
-    : server_(server), id_(id), channel_(server.loop(), socket, *this), reader_(makeReader()) {
+    : server_(server), id_(id), channel_(server.loop(), socket, *this) {
   startIdle();
 }
 
@@ -104,19 +106,20 @@
       reader_ = makeReader();
       setTimer(server_.limits().headTimeout, kRequestTimeout);
     }
-    const HttpProgress progress = reader_.read(receiveBuffer_);
+    const HttpProgress progress = reader_->read(receiveBuffer_);
     handleProgress(progress);
     if (progress == HttpProgress::needsMore) break;
   }
   parsing_ = false;
+  if (receiveBuffer_.empty() && receiveBuffer_.capacity() > kKeptCapacity) receiveBuffer_ = {};
 }
 
 void FrontConnection::handleProgress(HttpProgress progress) {
   switch (progress) {
     case HttpProgress::needsMore:
-      if (!reader_.hasHead()) return;
+      if (!reader_->hasHead()) return;
       setTimer(server_.limits().headTimeout, kRequestTimeout);
-      if (!continueSent_ && reader_.head().fields.hasToken("Expect", "100-continue")) {
+      if (!continueSent_ && reader_->head().fields.hasToken("Expect", "100-continue")) {
         continueSent_ = true;
         channel_.send(kContinue);
       }
@@ -140,13 +143,14 @@
 void FrontConnection::dispatch() {
   stopTimer();
   phase_ = Phase::responding;
-  HttpHead head = reader_.head();
+  HttpHead head = reader_->takeHead();
+  std::string body = reader_->takeBody();
+  reader_.reset();
   responseBegun_ = false;
   reusable_ = head.keepAlive;
   isHeadRequest_ = head.method == "HEAD";
   chunked_ = head.version >= 11;
-  exchange_ =
-      std::make_shared<FrontExchange>(*this, std::move(head), reader_.takeBody(), clockNow());
+  exchange_ = std::make_shared<FrontExchange>(*this, std::move(head), std::move(body), clockNow());
   const std::shared_ptr<FrontExchange> exchange = exchange_;
   server_.handler().handle(exchange);
 }
@@ -258,12 +262,18 @@
 
 void FrontConnection::startClosing() {
   phase_ = Phase::closing;
-  receiveBuffer_.clear();
+  releaseInput();
   channel_.setReading(true);
   channel_.shutdownSend();
   setTimer(channel_.unsent() > 0 ? server_.limits().idleTimeout : kLingerTime, kNoResponse);
 }
 
+/// What arrives from now on is discarded.
+void FrontConnection::releaseInput() {
+  receiveBuffer_ = {};
+  reader_.reset();
+}
+
 void FrontConnection::onChannelDrained() {
   if (phase_ == Phase::closing) setTimer(kLingerTime, kNoResponse);
 }
--- a/Hallchute/src/Front/FrontConnection.h
+++ b/Hallchute/src/Front/FrontConnection.h
@@ -5,6 +5,7 @@
 #define HALLCHUTE_FRONT_FRONTCONNECTION_H
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -63,6 +64,7 @@
   void startIdle();
   void startClosing();
   bool holdsInput() const;
+  void releaseInput();
   void notifyCallerDisconnected();
   void setTimer(Millis delay, int status);
   void stopTimer();
@@ -74,7 +76,8 @@
   std::uint64_t id_;
   TcpChannel channel_;
   Phase phase_ = Phase::idle;
-  HttpReader reader_;
+  /// The request that is being read; nothing between requests.
+  std::optional<HttpReader> reader_;
   std::string receiveBuffer_;
   std::shared_ptr<FrontExchange> exchange_;
   std::uint64_t timer_ = 0;
--- a/Hallchute/src/Front/FrontExchange.cpp
+++ b/Hallchute/src/Front/FrontExchange.cpp
@@ -12,7 +12,7 @@
 FrontExchange::FrontExchange(FrontConnection& connection, HttpHead head, std::string body,
                              Instant receivedAt)
     : head_(std::move(head)),
-      body_(std::move(body)),
+      body_(std::make_shared<const std::string>(std::move(body))),
       receivedAt_(receivedAt),
       connection_(&connection) {}
 
--- a/Hallchute/src/Front/FrontExchange.h
+++ b/Hallchute/src/Front/FrontExchange.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "Hallchute/src/Core/SharedBytes.h"
 #include "Hallchute/src/Core/Time.h"
 #include "Hallchute/src/Http/HttpReader.h"
 
@@ -26,7 +27,8 @@
   FrontExchange& operator=(const FrontExchange&) = delete;
 
   const HttpHead& head() const { return head_; }
-  const std::string& body() const { return body_; }
+  const std::string& body() const { return *body_; }
+  const SharedBytes& sharedBody() const { return body_; }
   /// \brief When the request was completely received.
   Instant receivedAt() const { return receivedAt_; }
 
@@ -48,7 +50,7 @@
   friend class FrontConnection;
 
   HttpHead head_;
-  std::string body_;
+  SharedBytes body_;
   Instant receivedAt_;
   /// Null after the response has ended or the caller has disconnected.
   FrontConnection* connection_;
--- a/Hallchute/src/Http/HttpReader.cpp
+++ b/Hallchute/src/Http/HttpReader.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -88,9 +89,24 @@
   }
   void on_finish_impl(Error& error) override { error = {}; }
   void keepBody(string_view bytes) {
+    if (body.size() + bytes.size() > body.capacity()) growBody(bytes.size());
     body.append(bytes.data(), bytes.size());
     bodyBytes += bytes.size();
   }
+  /// Doubles the capacity, but not beyond an announced length.
+  void growBody(std::size_t added) {
+    std::size_t capacity = std::max(body.size() + added, 2 * body.capacity());
+    if (const auto announced = this->content_length()) {
+      const std::uint64_t left = *announced - std::min(*announced, bodyBytes);
+      capacity =
+          std::min<std::uint64_t>(capacity, std::max<std::uint64_t>(added, left) + body.size());
+    }
+    // A string that grows in place doubles its capacity in any case.
+    std::string grown;
+    grown.reserve(capacity);
+    grown.append(body);
+    body = std::move(grown);
+  }
 
   bool hasHead_ = false;
 };
@@ -198,10 +214,28 @@
   return parser_->visit([](auto& parser) -> const HttpHead& { return parser.head; });
 }
 
+HttpHead HttpReader::takeHead() {
+  return parser_->visit([](auto& parser) { return std::exchange(parser.head, {}); });
+}
+
+std::size_t HttpReader::heldBytes() const {
+  return parser_->visit([](auto& parser) {
+    return (parser.is_header_done() ? parser.head.heldBytes() : 0) + parser.body.size();
+  });
+}
+
 std::string HttpReader::takeBody() {
   return parser_->visit([](auto& parser) { return std::exchange(parser.body, {}); });
 }
 
+std::size_t HttpHead::heldBytes() const {
+  std::size_t sum = method.size() + target.size();
+  for (const HttpField& field : fields.all()) {
+    sum += sizeof(HttpField) + field.name.size() + field.value.size();
+  }
+  return sum;
+}
+
 bool HttpHead::holdsEvents() const {
   return fields.get("Content-Type").starts_with("text/event-stream");
 }
--- a/Hallchute/src/Http/HttpReader.h
+++ b/Hallchute/src/Http/HttpReader.h
@@ -33,6 +33,9 @@
 
   /// \brief Whether the body is a stream of events, by its content type.
   bool holdsEvents() const;
+  /// \brief Approximate memory that the head takes, in bytes. Many short fields take far more than
+  /// they have bytes.
+  std::size_t heldBytes() const;
 };
 
 /// \brief The state of a reader after the bytes it was given.
@@ -88,8 +91,12 @@
   /// \brief Whether any byte of the message has been read, even of a partial head.
   bool started() const;
   const HttpHead& head() const;
+  /// \brief Returns and removes the head.
+  HttpHead takeHead();
   /// \brief Returns and removes the body bytes read since the last call.
   std::string takeBody();
+  /// \brief Approximate memory of the head and the body bytes that were not taken, in bytes.
+  std::size_t heldBytes() const;
 
  private:
   class Parser;
--- a/Hallchute/src/Http/HttpWriter.cpp
+++ b/Hallchute/src/Http/HttpWriter.cpp
@@ -30,15 +30,13 @@
 
 }  // namespace
 
-std::string requestBytes(std::string_view method, std::string_view target, const HttpFields& fields,
-                         std::string_view body) {
+std::string requestHeadBytes(std::string_view method, std::string_view target,
+                             const HttpFields& fields, std::size_t bodyBytes) {
   std::string out = absl::StrCat(abslView(method), " ", abslView(target), " HTTP/1.1\r\n");
   appendFields(fields, out);
-  const bool bodyless = body.empty() && (method == "GET" || method == "HEAD");
-  if (!bodyless) absl::StrAppend(&out, "Content-Length: ", body.size(), "\r\n");
-  out += "\r\n";
-  out += body;
-  return out;
+  const bool bodyless = bodyBytes == 0 && (method == "GET" || method == "HEAD");
+  if (!bodyless) absl::StrAppend(&out, "Content-Length: ", bodyBytes, "\r\n");
+  return out + "\r\n";
 }
 
 std::string responseBytes(int status, const HttpFields& fields, std::string_view body,
--- a/Hallchute/src/Http/HttpWriter.h
+++ b/Hallchute/src/Http/HttpWriter.h
@@ -11,11 +11,11 @@
 
 namespace Hallchute {
 
-/// \brief Serialises a request with its complete body.
+/// \brief Serialises the head of a request with a body of \p bodyBytes bytes.
 /// \ingroup Http
 /// \param fields without framing fields: Content-Length is added.
-std::string requestBytes(std::string_view method, std::string_view target, const HttpFields& fields,
-                         std::string_view body);
+std::string requestHeadBytes(std::string_view method, std::string_view target,
+                             const HttpFields& fields, std::size_t bodyBytes);
 
 /// \brief Whether the connection stays open after a response.
 /// \ingroup Http
--- a/Hallchute/src/Http/TcpChannel.cpp
+++ b/Hallchute/src/Http/TcpChannel.cpp
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <cerrno>
+#include <utility>
 
 #include "Hallchute/src/Net/EventLoop.h"
 #include "Hallchute/src/Net/OutgoingSocket.h"
@@ -63,7 +64,7 @@
 }
 
 void TcpChannel::updateWatch() {
-  const bool writing = connecting_ || !sendBuffer_.empty();
+  const bool writing = connecting_ || !sendQueue_.empty();
   const int reading = reading_ ? POLLIN : POLLRDHUP;
   loop_.setEvents(fd_, static_cast<short>((connecting_ ? 0 : reading) | (writing ? POLLOUT : 0)));
 }
@@ -75,8 +76,13 @@
 }
 
 void TcpChannel::send(std::string_view bytes) {
+  send(bytes, nullptr);
+}
+
+void TcpChannel::send(std::string_view first, SharedBytes rest) {
   if (ended_) return;
-  sendBuffer_.append(bytes);
+  sendQueue_.append(first);
+  sendQueue_.append(std::move(rest));
   if (!connecting_) sendPending();
 }
 
@@ -86,7 +92,7 @@
 }
 
 void TcpChannel::shutdownIfDrained() {
-  if (!shutdownRequested_ || ended_ || connecting_ || !sendBuffer_.empty()) return;
+  if (!shutdownRequested_ || ended_ || connecting_ || !sendQueue_.empty()) return;
   ::shutdown(fd_, SHUT_WR);
 }
 
@@ -97,7 +103,7 @@
 std::size_t TcpChannel::unacknowledged() const {
   int unacknowledgedInKernel = 0;
   if (fd_ < 0 || ::ioctl(fd_, SIOCOUTQ, &unacknowledgedInKernel) != 0) unacknowledgedInKernel = 0;
-  return sendBuffer_.size() + static_cast<std::size_t>(unacknowledgedInKernel);
+  return sendQueue_.size() + static_cast<std::size_t>(unacknowledgedInKernel);
 }
 
 bool TcpChannel::isOpenAndIdle() const {
@@ -109,7 +115,7 @@
 
 void TcpChannel::abort() {
   ended_ = true;
-  sendBuffer_ = {};
+  sendQueue_.clear();
   if (fd_ < 0) return;
   loop_.unwatch(fd_);
   const linger noLinger{1, 0};
@@ -154,7 +160,7 @@
   connectTimer_ = 0;
   updateWatch();
   owner_.onChannelConnected();
-  if (!sendBuffer_.empty()) sendPending();
+  if (!sendQueue_.empty()) sendPending();
 }
 
 void TcpChannel::receiveAvailable() {
@@ -172,12 +178,12 @@
 }
 
 void TcpChannel::sendPending() {
-  while (!sendBuffer_.empty()) {
-    const ssize_t sent =
-        ::send(fd_, sendBuffer_.data(), sendBuffer_.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  while (!sendQueue_.empty()) {
+    const std::string_view next = sendQueue_.front();
+    const ssize_t sent = ::send(fd_, next.data(), next.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
     if (sent > 0) {
       sentBytes_ += static_cast<std::uint64_t>(sent);
-      sendBuffer_.erase(0, static_cast<std::size_t>(sent));
+      sendQueue_.consume(static_cast<std::size_t>(sent));
       continue;
     }
     if (errno == EINTR) continue;
@@ -189,7 +195,7 @@
     return;
   }
   updateWatch();
-  if (!sendBuffer_.empty()) return;
+  if (!sendQueue_.empty()) return;
   shutdownIfDrained();
   owner_.onChannelDrained();
 }
--- a/Hallchute/src/Http/TcpChannel.h
+++ b/Hallchute/src/Http/TcpChannel.h
@@ -12,7 +12,9 @@
 #include <string>
 #include <string_view>
 
+#include "Hallchute/src/Core/SharedBytes.h"
 #include "Hallchute/src/Core/Time.h"
+#include "Hallchute/src/Http/SendQueue.h"
 
 namespace Hallchute {
 
@@ -67,13 +69,15 @@
 
   /// \brief Sends what the kernel accepts now and buffers the rest.
   void send(std::string_view bytes);
+  /// \brief Sends \p first and then \p rest, which isn't copied; it may be null.
+  void send(std::string_view first, SharedBytes rest);
   /// \brief Shuts down the sending side once all bytes are sent.
   void shutdownSend();
   /// \brief Stops or resumes reading: what arrives meanwhile waits in the kernel. The peer's end is
   /// reported at once all the same, and bytes before it are then lost.
   void setReading(bool reading);
   /// \brief Bytes passed to send() that the kernel has not accepted yet.
-  std::size_t unsent() const { return sendBuffer_.size(); }
+  std::size_t unsent() const { return sendQueue_.size(); }
   /// \brief Bytes that the kernel has accepted since the connection was opened.
   std::uint64_t sentBytes() const { return sentBytes_; }
   /// \brief Whether the peer's host refused the connection, which is otherwise not established.
@@ -103,7 +107,7 @@
   TcpChannelOwner& owner_;
   Poco::Net::StreamSocket socket_;
   int fd_ = -1;
-  std::string sendBuffer_;
+  SendQueue sendQueue_;
   std::uint64_t sentBytes_ = 0;
   std::uint64_t connectTimer_ = 0;
   bool connecting_ = false;
--- a/Hallchute/src/Node/ForwardingLink.cpp
+++ b/Hallchute/src/Node/ForwardingLink.cpp
@@ -112,8 +112,8 @@
     sendReply(assist, ForwardedReplies::Declined{"unreadable"});
     return;
   }
-  traffic_.post([this, assist, request = std::move(*request)] {
-    callbacks_.assist(assist, request, [this, assist](const ForwardedReply& reply) {
+  traffic_.post([this, assist, request = std::move(*request)]() mutable {
+    callbacks_.assist(assist, std::move(request), [this, assist](const ForwardedReply& reply) {
       control_.post([this, assist, reply] { sendReply(assist, reply); });
     });
   });
--- a/Hallchute/src/Node/ForwardingWire.cpp
+++ b/Hallchute/src/Node/ForwardingWire.cpp
@@ -3,6 +3,9 @@
 
 #include "Hallchute/src/Node/ForwardingWire.h"
 
+#include <memory>
+#include <string>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -49,6 +52,22 @@
     }
   };
 
+  template <>
+  struct pack<Hallchute::SharedBytes> {
+    template <typename Stream>
+    packer<Stream>& operator()(packer<Stream>& out, const Hallchute::SharedBytes& bytes) const {
+      return out.pack(std::string_view(bytes == nullptr ? std::string_view() : *bytes));
+    }
+  };
+  template <>
+  struct convert<Hallchute::SharedBytes> {
+    const msgpack::object& operator()(const msgpack::object& in,
+                                      Hallchute::SharedBytes& bytes) const {
+      bytes = std::make_shared<const std::string>(in.as<std::string>());
+      return in;
+    }
+  };
+
   }  // namespace adaptor
 }
 }  // namespace msgpack
--- a/Hallchute/src/Traffic/ForwardedRequest.h
+++ b/Hallchute/src/Traffic/ForwardedRequest.h
@@ -5,8 +5,8 @@
 #define HALLCHUTE_TRAFFIC_FORWARDEDREQUEST_H
 
 #include <cstdint>
-#include <string>
 
+#include "Hallchute/src/Core/SharedBytes.h"
 #include "Hallchute/src/Gateway/CrashSuspects.h"
 #include "Hallchute/src/Gateway/UpstreamPick.h"
 #include "Hallchute/src/Http/HttpReader.h"
@@ -26,7 +26,7 @@
   bool repeatable = false;
   /// Without the caller's API key.
   HttpHead head;
-  std::string body;
+  SharedBytes body;
   /// What doesn't depend on the upstream.
   DispatchMetadata terms;
 };
--- a/Hallchute/src/Traffic/TrafficSession.cpp
+++ b/Hallchute/src/Traffic/TrafficSession.cpp
@@ -413,7 +413,7 @@
   SessionDispatch& dispatch = addDispatch();
   const bool sent =
       dispatch.sendTo(engine_, upstream,
-                      {exchange_->head(), exchange_->body(), dispatchTerms(action.resume),
+                      {exchange_->head(), exchange_->sharedBody(), dispatchTerms(action.resume),
                        selection_, admission_.suspects, admission_.request.promptTokens.value_or(0),
                        admission_.route->mayRepeat(), slot, admission_.request.maxOutputTokens});
   noteUpstream(dispatch);
@@ -459,7 +459,7 @@
   request.head = exchange_->head();
   // Removes the API key, among others.
   request.head.fields = engine_.codec().dispatchFields(exchange_->head(), request.terms);
-  request.body = exchange_->body();
+  request.body = exchange_->sharedBody();
   ++dispatchCount_;
   // What is silent at one daemon is replaced through another one.
   std::set<DaemonId> excluded = excludedPeers_;
--- a/Hallchute/src/Traffic/UpstreamDispatch.cpp
+++ b/Hallchute/src/Traffic/UpstreamDispatch.cpp
@@ -20,6 +20,10 @@
 /// 5 ms and also delays work at the source.
 constexpr std::uint64_t kMinCopiedTokens = 1'000;
 
+/// Bytes of a body up to which a copy, sent together with the head, is cheaper than a system call
+/// of its own.
+constexpr std::size_t kMaxCopiedBody = std::size_t{32} << 10U;
+
 std::string cacheSourceAddress(TrafficEngine& engine, const UpstreamCriteria& criteria,
                                const UpstreamEntry& chosen) {
   if (criteria.affinity.empty() || criteria.sharedTokens < kMinCopiedTokens) return {};
@@ -89,8 +93,11 @@
   engine_.upstreamTable().noteSent(upstream_.id, startedAt_);
   engine_.upstreamTable().noteDispatched(upstream_.id, promptTokens_);
   engine_.upstreamTable().noteMemoryTaken(upstream_, memoryTokens_);
-  channel_->start(requestBytes(request.head.method, request.head.target, fields, request.body),
-                  request.head.method == "HEAD", listener);
+  const std::size_t bodyBytes = request.body == nullptr ? 0 : request.body->size();
+  std::string bytes = requestHeadBytes(request.head.method, request.head.target, fields, bodyBytes);
+  const bool copied = bodyBytes > 0 && bodyBytes <= kMaxCopiedBody;
+  if (copied) bytes += *request.body;
+  channel_->start(bytes, request.head.method == "HEAD", listener, copied ? nullptr : request.body);
 }
 
 void UpstreamDispatch::noteAnswer(const UpstreamResponse& answer) {
--- a/Hallchute/src/Traffic/UpstreamDispatch.h
+++ b/Hallchute/src/Traffic/UpstreamDispatch.h
@@ -7,8 +7,8 @@
 #include <cstdint>
 #include <memory>
 #include <string>
-#include <string_view>
 
+#include "Hallchute/src/Core/SharedBytes.h"
 #include "Hallchute/src/Gateway/CrashSuspects.h"
 #include "Hallchute/src/Gateway/DispatchForecast.h"
 #include "Hallchute/src/Gateway/UpstreamPick.h"
@@ -24,7 +24,7 @@
 /// \brief What is sent to an upstream. \ingroup Traffic
 struct DispatchRequest {
   const HttpHead& head;
-  std::string_view body;
+  SharedBytes body;
   /// Completed with what depends on the upstream.
   DispatchMetadata terms;
   const UpstreamCriteria& criteria;
--- a/Hallchute/src/Upstream/UpstreamChannel.cpp
+++ b/Hallchute/src/Upstream/UpstreamChannel.cpp
@@ -65,7 +65,7 @@
 }
 
 void UpstreamChannel::start(std::string_view request, bool answerHasNoBody,
-                            UpstreamListener& listener) {
+                            UpstreamListener& listener, const SharedBytes& rest) {
   listener_ = &listener;
   answerHasNoBody_ = answerHasNoBody;
   reader_ = newReader();
@@ -77,8 +77,8 @@
   heldByListener_ = 0;
   excess_ = {};
   sentBytesAtStart_ = channel_.sentBytes();
-  channel_.send(request);
-  watchAcknowledgement(request.size());
+  channel_.send(request, rest);
+  watchAcknowledgement(request.size() + (rest == nullptr ? 0 : rest->size()));
 }
 
 /// Reports a late acknowledgement and then waits for the rest of the timeout.
--- a/Hallchute/src/Upstream/UpstreamChannel.h
+++ b/Hallchute/src/Upstream/UpstreamChannel.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 
+#include "Hallchute/src/Core/SharedBytes.h"
 #include "Hallchute/src/Core/Time.h"
 #include "Hallchute/src/Http/HttpReader.h"
 #include "Hallchute/src/Http/TcpChannel.h"
@@ -88,7 +89,9 @@
   UpstreamChannel& operator=(const UpstreamChannel&) = delete;
 
   /// \brief Sends a request; \p listener receives the response.
-  void start(std::string_view request, bool answerHasNoBody, UpstreamListener& listener);
+  /// \param rest what follows \p request, not copied; it may be null.
+  void start(std::string_view request, bool answerHasNoBody, UpstreamListener& listener,
+             const SharedBytes& rest = nullptr);
   /// \brief Resets the connection; the listener isn't called again.
   void abort();
   /// \brief Whether this connection can carry another request.
