A new caller takes the place of one that rests or stalls

What callers saw: no connection, for as long as slow or silent clients had all places of a daemon: each byte of a body started its time limit anew, and accept() closed the newcomer, never the stalled.

Why it works: when all places are taken, PlacePolicy chooses a connection that is answered, stalled or idle, in this order and the slowest or longest first, and never one with a request in progress. No time limit ends a slow request while there are places, so that no caller within the limits is cut without need.

--- a/Hallchute/src/Front/FrontConnection.cpp
+++ b/Hallchute/src/Front/FrontConnection.cpp
@@ -67,7 +67,7 @@
     remove();
   } else if (status != kNoResponse) {
     reject(status);
-  } else if (const Instant due = idleSince_ + server_.limits().idleTimeout; clockNow() < due) {
+  } else if (const Instant due = restsSince_ + server_.limits().idleTimeout; clockNow() < due) {
     // Newer settings have a longer idle time, and callers rely on it.
     setTimer(std::chrono::ceil<Millis>(due - clockNow()), kNoResponse);
   } else {
@@ -331,12 +331,13 @@
 
 void FrontConnection::startIdle() {
   phase_ = Phase::idle;
-  idleSince_ = clockNow();
+  restsSince_ = clockNow();
   setTimer(server_.limits().idleTimeout, kNoResponse);
 }
 
 void FrontConnection::startClosing() {
   phase_ = Phase::closing;
+  restsSince_ = clockNow();
   releaseInput();
   channel_.setReading(true);
   channel_.shutdownSend();
@@ -354,6 +355,20 @@
   if (phase_ == Phase::closing) setTimer(kLingerTime, kNoResponse);
 }
 
+HeldPlace FrontConnection::place() const {
+  switch (phase_) {
+    case Phase::reading:
+      return {PlaceUse::receiving, requestBegan_, heldRequest().bytes};
+    case Phase::responding:
+      return {PlaceUse::inProgress, requestBegan_};
+    case Phase::idle:
+    case Phase::closing:
+      break;
+  }
+  if (channel_.unsent() > 0) return {PlaceUse::unread, restsSince_};
+  return {phase_ == Phase::idle ? PlaceUse::idle : PlaceUse::answered, restsSince_};
+}
+
 bool FrontConnection::holdsInput() const {
   return !receiveBuffer_.empty() || !channel_.isOpenAndIdle();
 }
--- a/Hallchute/src/Front/FrontConnection.h
+++ b/Hallchute/src/Front/FrontConnection.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include "Hallchute/src/Gateway/HeldPlace.h"
 #include "Hallchute/src/Gateway/HeldRequest.h"
 #include "Hallchute/src/Gateway/RequestHolder.h"
 #include "Hallchute/src/Http/HttpReader.h"
@@ -35,6 +36,12 @@
   void closeIfIdle();
   /// \brief Whether a request or response would be cut if the connection ended now.
   bool busy() const;
+  /// \brief What it does with its place among the connections.
+  HeldPlace place() const;
+  /// \brief Whether bytes of a caller wait to be looked at; peeks at the socket.
+  bool holdsInput() const;
+  /// \brief Closes the connection, which must have no request in progress.
+  void remove();
   /// \brief Bytes of responses that the kernel has not accepted yet.
   std::size_t unsent() const { return channel_.unsent(); }
   /// \brief Answers the request in progress with \p status and closes the connection, unless its
@@ -73,13 +80,11 @@
   void finishResponse();
   void startIdle();
   void startClosing();
-  bool holdsInput() const;
   void releaseInput();
   void notifyCallerDisconnected();
   void setTimer(Millis delay, int status);
   void stopTimer();
   void timeOut(int status);
-  void remove();
   ConnectionPersistence connectionPersistence() const;
 
   FrontServer& server_;
@@ -94,7 +99,8 @@
   std::size_t exchangeBytes_ = 0;
   Instant requestBegan_;
   std::uint64_t timer_ = 0;
-  Instant idleSince_;
+  /// Since when it is idle, or closing.
+  Instant restsSince_;
   bool reusable_ = true;
   bool isHeadRequest_ = false;
   bool chunked_ = true;
--- a/Hallchute/src/Front/FrontServer.cpp
+++ b/Hallchute/src/Front/FrontServer.cpp
@@ -8,7 +8,10 @@
 
 #include "Hallchute/src/Front/FrontConnection.h"
 #include "Hallchute/src/Front/FrontHandler.h"
+#include "Hallchute/src/Gateway/PlacePolicy.h"
+#include "Hallchute/src/Net/Clock.h"
 #include "Hallchute/src/Net/EventLoop.h"
+#include "Hallchute/src/Observability/LogLine.h"
 #include "Hallchute/src/Observability/Metrics.h"
 
 namespace Hallchute {
@@ -37,7 +40,7 @@
 FrontServer::~FrontServer() = default;
 
 void FrontServer::accept(const Poco::Net::StreamSocket& socket) {
-  if (connections_.size() >= limits_.connections) {
+  if (connections_.size() >= limits_.connections && !freePlace()) {
     metrics_.add("hallchute_front_connections_refused_total", "");
     return;
   }
@@ -45,6 +48,34 @@
   connections_[id] = std::make_unique<FrontConnection>(*this, id, socket);
 }
 
+bool FrontServer::freePlace() {
+  std::vector<std::uint64_t> ids;
+  std::vector<HeldPlace> places;
+  for (const auto& [id, connection] : connections_) {
+    ids.push_back(id);
+    places.push_back(connection->place());
+  }
+  const Instant now = clockNow();
+  while (const auto chosen = placeToGiveUp(places, limits_.headTimeout, now)) {
+    HeldPlace& place = places[*chosen];
+    FrontConnection& connection = *connections_.at(ids[*chosen]);
+    if (place.use == PlaceUse::idle && connection.holdsInput()) {
+      place.use = PlaceUse::inProgress;
+      continue;
+    }
+    LogLine(LogLevel::info, "caller.displaced")
+        .with("use", describe(place.use))
+        .with("sinceMs", std::chrono::duration_cast<Millis>(now - place.since))
+        .with("received", place.received)
+        .with("connections", connections_.size());
+    metrics_.add("hallchute_front_displaced_total",
+                 "use=\"" + std::string(describe(place.use)) + "\"");
+    connection.remove();
+    return true;
+  }
+  return false;
+}
+
 void FrontServer::remove(std::uint64_t connection) {
   // May be called from a callback of this connection: destroying it is deferred to the event loop.
   const auto it = connections_.find(connection);
--- a/Hallchute/src/Front/FrontServer.h
+++ b/Hallchute/src/Front/FrontServer.h
@@ -70,6 +70,8 @@
   void noteUnsent();
 
  private:
+  /// Closes a connection in favour of a new one. \returns whether there was one to close.
+  bool freePlace();
   void shedUnsent();
   void accept(const Poco::Net::StreamSocket& socket);
 
