Messages of peers and strangers at the peers' port are bounded

What callers saw: no connection, or the end of their daemon. Whoever reached the port for other daemons could take all of a daemon's descriptors by connecting, or, with the secret, its memory by messages that were not completed: up to 8 MiB in each of 4,096 streams.

Why it works: incomplete messages of all peers count towards a RequestMemory of the control thread, a twelfth of memoryMb but always enough for the largest message; the slowest is reset. Streams without the secret store nothing. Of the connections on which nobody has shown the secret, the 64 newest are kept.

--- a/Hallchute/src/Net/PeerConnection.cpp
+++ b/Hallchute/src/Net/PeerConnection.cpp
@@ -23,7 +23,10 @@
 
 PeerConnection::PeerConnection(PeerTransport& transport, std::uint64_t id, PeerSession::Role role,
                                const Poco::Net::StreamSocket& socket)
-    : transport_(transport), id_(id), socket_(socket), session_(role, transport.secret_, events()) {
+    : transport_(transport),
+      id_(id),
+      socket_(socket),
+      session_(role, transport.secret_, events(), &transport.messages_) {
   socket_.setBlocking(false);
   socket_.setNoDelay(true);
   enableDeadPeerDetection(socket_);
@@ -51,6 +54,7 @@
 PeerSession::Events PeerConnection::events() {
   PeerSession::Events events;
   events.onOpened = [this](std::int32_t id, const std::string& path) {
+    authenticated_ = true;
     const PeerTransport::StreamHandler* streamHandler = transport_.findHandler(path);
     if (streamHandler == nullptr) {
       session_.reset(id);
@@ -81,6 +85,10 @@
     const auto handler = stream->onClosed;
     if (handler) handler();
   };
+  events.onGivenUp = [this](std::size_t bytes) {
+    transport_.noteGivenUp(bytes);
+    scheduleFlush();
+  };
   return events;
 }
 
--- a/Hallchute/src/Net/PeerConnection.h
+++ b/Hallchute/src/Net/PeerConnection.h
@@ -31,6 +31,8 @@
   void send(std::int32_t stream, std::string_view message);
   void finish(std::int32_t stream);
   void close(std::int32_t stream);
+  /// \brief Whether the peer has opened a stream with the right secret.
+  bool authenticated() const { return authenticated_; }
 
  private:
   void onReady(short events);
@@ -49,6 +51,7 @@
   PeerSession session_;
   std::string output_;
   bool flushScheduled_ = false;
+  bool authenticated_ = false;
 };
 
 }  // namespace Hallchute
--- a/Hallchute/src/Net/PeerSession.cpp
+++ b/Hallchute/src/Net/PeerSession.cpp
@@ -7,6 +7,8 @@
 #include <array>
 
 #include "Hallchute/src/Core/SecretHash.h"
+#include "Hallchute/src/Gateway/RequestMemory.h"
+#include "Hallchute/src/Net/Clock.h"
 
 namespace Hallchute {
 namespace {
@@ -35,7 +37,7 @@
   static int onHeader(nghttp2_session*, const nghttp2_frame* frame, const std::uint8_t* name,
                       std::size_t nameSize, const std::uint8_t* value, std::size_t valueSize,
                       std::uint8_t, void* user) {
-    Stream& stream = self(user).streams_[frame->hd.stream_id];
+    Stream& stream = self(user).stream(frame->hd.stream_id);
     const std::string_view key = viewOf(name, nameSize);
     if (key == ":path") stream.path = viewOf(value, valueSize);
     if (key == "authorization") stream.secret = viewOf(value, valueSize);
@@ -46,8 +48,9 @@
     PeerSession& session = self(user);
     const std::int32_t id = frame->hd.stream_id;
     if (frame->hd.type == NGHTTP2_HEADERS && session.role_ == Role::server) {
-      const Stream& stream = session.streams_[id];
+      Stream& stream = session.stream(id);
       if (!equalInConstantTime(stream.secret, session.secret_)) {
+        stream.discarded = true;
         session.reset(id);
         return 0;
       }
@@ -65,9 +68,10 @@
                     std::size_t size, void* user) {
     PeerSession& session = self(user);
     const auto it = session.streams_.find(id);
-    if (it == session.streams_.end()) return 0;
+    if (it == session.streams_.end() || it->second.discarded) return 0;
     it->second.in.append(viewOf(data, size));
     session.takeMessages(id, it->second);
+    session.noteIncomplete(id);
     return 0;
   }
 
@@ -99,8 +103,15 @@
   }
 };
 
-PeerSession::PeerSession(Role role, std::string secret, Events events)
-    : role_(role), secret_("Bearer " + std::move(secret)), events_(std::move(events)) {
+PeerSession::Stream::~Stream() {
+  if (session.memory_ != nullptr) session.memory_->remove(*this);
+}
+
+PeerSession::PeerSession(Role role, std::string secret, Events events, RequestMemory* memory)
+    : role_(role),
+      secret_("Bearer " + std::move(secret)),
+      events_(std::move(events)),
+      memory_(memory) {
   nghttp2_session_callbacks* callbacks = nullptr;
   nghttp2_session_callbacks_new(&callbacks);
   nghttp2_session_callbacks_set_on_header_callback(callbacks, Callbacks::onHeader);
@@ -154,7 +165,7 @@
   const nghttp2_data_provider source = provider();
   const std::int32_t id =
       nghttp2_submit_request(session_, nullptr, headers.data(), headers.size(), &source, nullptr);
-  if (id >= 0) streams_[id].path = path;
+  if (id >= 0) stream(id).path = path;
   return id;
 }
 
@@ -180,6 +191,34 @@
   nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
 }
 
+PeerSession::Stream& PeerSession::stream(std::int32_t id) {
+  return streams_.try_emplace(id, *this, id).first->second;
+}
+
+void PeerSession::noteIncomplete(std::int32_t id) {
+  const auto it = streams_.find(id);
+  if (memory_ == nullptr || it == streams_.end()) return;
+  Stream& stream = it->second;
+  if (stream.in.empty()) {
+    stream.in = {};
+    stream.messageBegan = {};
+    memory_->remove(stream);
+    return;
+  }
+  if (stream.messageBegan == Instant()) stream.messageBegan = clockNow();
+  memory_->update(stream, {stream.in.size(), 0, false, stream.messageBegan});
+  if (memory_->exceeded()) memory_->relieve(clockNow());
+}
+
+void PeerSession::giveUp(Stream& stream) {
+  const std::size_t bytes = stream.in.size();
+  stream.discarded = true;
+  stream.in = {};
+  memory_->remove(stream);
+  reset(stream.id);
+  if (events_.onGivenUp) events_.onGivenUp(bytes);
+}
+
 void PeerSession::takeMessages(std::int32_t id, Stream& stream) {
   while (stream.in.size() >= kLengthBytes) {
     std::uint32_t size = 0;
--- a/Hallchute/src/Net/PeerTransport.cpp
+++ b/Hallchute/src/Net/PeerTransport.cpp
@@ -9,11 +9,22 @@
 #include "Hallchute/src/Net/EventLoop.h"
 #include "Hallchute/src/Net/OutgoingSocket.h"
 #include "Hallchute/src/Net/PeerConnection.h"
+#include "Hallchute/src/Net/PeerSession.h"
+#include "Hallchute/src/Observability/LogLine.h"
+#include "Hallchute/src/Observability/Metrics.h"
 
 namespace Hallchute {
 namespace {
 
 constexpr int kBacklog = 128;
+/// Connections on which nobody has shown the secret: a peer does so as soon as it is connected.
+constexpr std::size_t kMaxStrangers = 64;
+/// Memory of incomplete messages without a call of setMessageMemory(), in bytes.
+constexpr std::size_t kDefaultMessageMemory = std::size_t{64} << 20U;
+
+RequestMemoryLimits messageLimits(std::size_t bytes) {
+  return RequestMemoryLimits::divide(bytes, PeerSession::kMaxMessageBytes);
+}
 
 }  // namespace
 
@@ -40,6 +51,8 @@
     : loop_(loop),
       secret_(std::move(secret)),
       source_(Poco::Net::SocketAddress(listen).host(), 0),
+      metrics_(metrics),
+      messages_(messageLimits(kDefaultMessageMemory)),
       listener_(
           loop, listen, kBacklog, [this](const Poco::Net::StreamSocket& socket) { accept(socket); },
           metrics) {}
@@ -48,6 +61,18 @@
   connections_.clear();
 }
 
+void PeerTransport::setMessageMemory(std::size_t bytes) {
+  messages_.setLimits(messageLimits(bytes));
+}
+
+void PeerTransport::noteGivenUp(std::size_t bytes) {
+  LogLine(LogLevel::info, "peer.messageGivenUp")
+      .with("bytes", bytes)
+      .with("held", messages_.held())
+      .with("limit", messages_.limits().bytes);
+  if (metrics_ != nullptr) metrics_->add("hallchute_peer_messages_given_up_total", "");
+}
+
 void PeerTransport::serve(std::string_view path, StreamHandler handler) {
   handlers_[std::string(path)] = std::move(handler);
 }
@@ -65,6 +90,21 @@
 void PeerTransport::accept(const Poco::Net::StreamSocket& socket) {
   const std::uint64_t id = nextConnection_++;
   connections_[id] = std::make_unique<PeerConnection>(*this, id, PeerSession::Role::server, socket);
+  strangers_.push_back(id);
+  closeOldStrangers();
+}
+
+void PeerTransport::closeOldStrangers() {
+  std::erase_if(strangers_, [this](std::uint64_t id) {
+    const PeerConnection* connection = find(id);
+    return connection == nullptr || connection->authenticated();
+  });
+  while (strangers_.size() > kMaxStrangers) {
+    LogLine(LogLevel::info, "peer.strangerClosed").with("strangers", strangers_.size());
+    if (metrics_ != nullptr) metrics_->add("hallchute_peer_strangers_closed_total", "");
+    remove(strangers_.front());
+    strangers_.erase(strangers_.begin());
+  }
 }
 
 PeerConnection* PeerTransport::connectionTo(const std::string& address) {
--- a/Hallchute/src/Net/PeerTransport.h
+++ b/Hallchute/src/Net/PeerTransport.h
@@ -13,7 +13,9 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include "Hallchute/src/Gateway/RequestMemory.h"
 #include "Hallchute/src/Net/Listener.h"
 #include "Hallchute/src/Net/PeerStream.h"
 
@@ -27,7 +29,9 @@
 /// \ingroup Net
 ///
 /// Loop thread only. Outgoing connections are bound to the IP of the listening address. Bytes sent
-/// and received are counted towards the control-traffic budget.
+/// and received are counted towards the control-traffic budget. Messages that aren't complete are
+/// bounded together, and so are the connections on which nobody has shown the secret; log lines
+/// `peer.messageGivenUp`, `peer.strangerClosed`.
 class PeerTransport {
  public:
   using StreamHandler = std::function<void(const PeerStreamPtr& stream)>;
@@ -42,6 +46,9 @@
   PeerTransport(const PeerTransport&) = delete;
   PeerTransport& operator=(const PeerTransport&) = delete;
 
+  /// \brief Bounds the incomplete messages of all peers together, in bytes; one of the largest size
+  /// always passes.
+  void setMessageMemory(std::size_t bytes);
   /// \brief Registers the handler of the streams that peers open at \p path.
   void serve(std::string_view path, StreamHandler handler);
   /// \brief Opens a stream and sends its first message. If that fails, onClosed follows from the
@@ -59,15 +66,21 @@
   PeerConnection* connectionTo(const std::string& address);
   PeerConnection* find(std::uint64_t connection);
   void accept(const Poco::Net::StreamSocket& socket);
+  void closeOldStrangers();
+  void noteGivenUp(std::size_t bytes);
   void remove(std::uint64_t connection);
   const StreamHandler* findHandler(const std::string& path) const;
 
   EventLoop& loop_;
   std::string secret_;
   Poco::Net::SocketAddress source_;
+  Metrics* metrics_;
+  RequestMemory messages_;
   std::map<std::string, StreamHandler, std::less<>> handlers_;
   std::map<std::uint64_t, std::unique_ptr<PeerConnection>> connections_;
   std::map<std::string, std::uint64_t> outgoing_;
+  /// Accepted connections that may not have shown the secret, in the order of their acceptance.
+  std::vector<std::uint64_t> strangers_;
   std::uint64_t nextConnection_ = 1;
   std::uint64_t bytesSent_ = 0;
   std::uint64_t bytesReceived_ = 0;
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -39,6 +39,8 @@
 /// Reciprocal of the part of the process's memory that requests of callers may take. Answers,
 /// sockets' buffers, peers' requests and the daemon itself need the rest.
 constexpr std::size_t kCallersMemoryFraction = 4;
+/// The same for messages of peers that aren't complete.
+constexpr std::size_t kPeersMemoryFraction = 12;
 /// Connections to the readiness page, and to the metrics page: part of the reserved descriptors.
 constexpr std::size_t kMaxPageConnections = 64;
 /// A page gets one connection for this many descriptors, up to that number.
@@ -123,6 +125,8 @@
   engine_.setForwarder(&forwarding_);
   engine_.setOriginExchange(&originLink_);
   engine_.setSlotExchange(&slotLink_);
+  link_.transport().setMessageMemory(startup_.memory.value_or(physicalMemory()) /
+                                     kPeersMemoryFraction);
   callerServer_.setLimits(callerLimits({}));
   readinessServer_.setLimits(pageLimits());
   serveMetrics();
