Unread bytes of callers' connections are bounded, and pages take no large bodies

What callers saw: nothing by itself. Bytes that have arrived and aren't read count towards the memory of a machine's processes; the system lets megabytes wait for each connection while a request is in progress, or while the daemon stands still for a moment.

Cause: the receive buffers of accepted sockets were the system's.

Evidence: by reading for the buffers (no test stops a daemon while a crowd sends); ClientCrowdTest passes with them. A body for a page beyond 4 KiB now gets 413 before it is stored.

Why it works: accepted sockets inherit SO_RCVBUF from the listening one: an eighth of memoryMb divided by the places for callers, at least 16 KiB and at most 256 KiB each. A connection that isn't read from counts as much besides what it holds.

--- a/Hallchute/src/Front/FrontConnection.cpp
+++ b/Hallchute/src/Front/FrontConnection.cpp
@@ -211,8 +211,11 @@
   switch (phase_) {
     case Phase::reading:
       return {input + (reader_ ? reader_->heldBytes() : 0), 0, false, requestBegan_};
-    case Phase::responding:
-      return {exchangeBytes_, input, true, requestBegan_};
+    case Phase::responding: {
+      // As much may wait in the kernel while nothing is read.
+      const std::size_t unread = input > kMaxReadAheadBytes ? server_.receiveBuffer() : 0;
+      return {exchangeBytes_, input + unread, true, requestBegan_};
+    }
     case Phase::idle:
     case Phase::closing:
       break;
--- a/Hallchute/src/Front/FrontServer.cpp
+++ b/Hallchute/src/Front/FrontServer.cpp
@@ -48,6 +48,11 @@
   connections_[id] = std::make_unique<FrontConnection>(*this, id, socket);
 }
 
+void FrontServer::setReceiveBuffer(std::size_t bytes) {
+  receiveBuffer_ = bytes;
+  listener_.setReceiveBuffer(bytes);
+}
+
 bool FrontServer::freePlace() {
   std::vector<std::uint64_t> ids;
   std::vector<HeldPlace> places;
--- a/Hallchute/src/Front/FrontServer.h
+++ b/Hallchute/src/Front/FrontServer.h
@@ -39,6 +39,10 @@
 
   /// \brief Sets the limits for requests that begin after the call.
   void setLimits(const FrontLimits& limits) { limits_ = limits; }
+  /// \brief Bounds what may arrive on a new connection before it is read, in bytes.
+  void setReceiveBuffer(std::size_t bytes);
+  /// \brief That bound; 0 if there is none.
+  std::size_t receiveBuffer() const { return receiveBuffer_; }
   /// \brief Closes each connection after its next response.
   void drain() { draining_ = true; }
   /// \brief Closes the connections without a request in progress.
@@ -84,6 +88,7 @@
   std::uint64_t nextConnection_ = 1;
   bool draining_ = false;
   bool sheds_ = false;
+  std::size_t receiveBuffer_ = 0;
   Listener listener_;
 };
 
--- a/Hallchute/src/Net/Listener.cpp
+++ b/Hallchute/src/Net/Listener.cpp
@@ -61,6 +61,23 @@
   if (socket_) loop_.unwatch(socket_->impl()->sockfd());
 }
 
+void Listener::setReceiveBuffer(std::size_t bytes) {
+  receiveBuffer_ = bytes;
+  if (socket_) applyReceiveBuffer();
+}
+
+/// Accepted sockets inherit the option.
+void Listener::applyReceiveBuffer() {
+  if (receiveBuffer_ == 0) return;
+  const auto bytes = static_cast<int>(receiveBuffer_);
+  const int socket = socket_->impl()->sockfd();
+  if (::setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes) == 0) return;
+  LogLine(LogLevel::warning, "listener.receiveBuffer")
+      .with("address", address_.toString())
+      .with("bytes", receiveBuffer_)
+      .with("detail", std::generic_category().message(errno));
+}
+
 void Listener::open() {
   Poco::Net::ServerSocket socket;
   // POCO sets SO_REUSEPORT too unless told otherwise: another process could then listen here, and
@@ -69,6 +86,7 @@
   socket.listen(backlog_);
   socket.setBlocking(false);
   socket_ = socket;
+  applyReceiveBuffer();
   loop_.watch(socket_->impl()->sockfd(), POLLIN, [this](short) { accept(); });
 }
 
--- a/Hallchute/src/Net/Listener.h
+++ b/Hallchute/src/Net/Listener.h
@@ -8,6 +8,7 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -40,12 +41,17 @@
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
 
+  /// \brief Bounds what may arrive on each connection that is accepted from now on before it is
+  /// read, in bytes; some hosts count it as memory of the process. Without a call, the system's
+  /// default.
+  void setReceiveBuffer(std::size_t bytes);
   bool listening() const { return socket_.has_value(); }
   /// \brief The local address; until listening() the requested one.
   Poco::Net::SocketAddress address() const { return socket_ ? socket_->address() : address_; }
 
  private:
   void open();
+  void applyReceiveBuffer();
   void retryLater();
   void retry();
   void logUnavailable(const std::string& detail);
@@ -56,6 +62,8 @@
   EventLoop& loop_;
   Poco::Net::SocketAddress address_;
   int backlog_;
+  /// 0: the system's default.
+  std::size_t receiveBuffer_ = 0;
   AcceptHandler onAccept_;
   Metrics* metrics_;
   std::optional<Poco::Net::ServerSocket> socket_;
--- a/Hallchute/src/Node/GatewayNode.cpp
+++ b/Hallchute/src/Node/GatewayNode.cpp
@@ -41,6 +41,15 @@
 constexpr std::size_t kCallersMemoryFraction = 4;
 /// The same for messages of peers that aren't complete.
 constexpr std::size_t kPeersMemoryFraction = 12;
+/// Reciprocal of the part that bytes may take which have arrived and aren't read, if all places are
+/// taken; some hosts count them.
+constexpr std::size_t kUnreadMemoryFraction = 8;
+/// Of a receive buffer, in bytes: less slows an ordinary request down, more no large one up within
+/// a few milliseconds of distance.
+constexpr std::size_t kMinReceiveBuffer = std::size_t{16} << 10U;
+constexpr std::size_t kMaxReceiveBuffer = std::size_t{256} << 10U;
+/// Bytes of the body of a request for a page, which needs none.
+constexpr std::uint64_t kMaxPageBodyBytes = 4U << 10U;
 /// Connections to the readiness page, and to the metrics page: part of the reserved descriptors.
 constexpr std::size_t kMaxPageConnections = 64;
 /// A page gets one connection for this many descriptors, up to that number.
@@ -125,10 +134,11 @@
   engine_.setForwarder(&forwarding_);
   engine_.setOriginExchange(&originLink_);
   engine_.setSlotExchange(&slotLink_);
-  link_.transport().setMessageMemory(startup_.memory.value_or(physicalMemory()) /
-                                     kPeersMemoryFraction);
   callerServer_.setLimits(callerLimits({}));
+  link_.transport().setMessageMemory(memory() / kPeersMemoryFraction);
+  callerServer_.setReceiveBuffer(receiveBuffer());
   readinessServer_.setLimits(pageLimits());
+  readinessServer_.setReceiveBuffer(kMinReceiveBuffer);
   serveMetrics();
   fleet_.addAddresses(startup_.seeds);
   fleet_.noteWallClock(Millis(wallClockMs()), clockNow());
@@ -161,6 +171,7 @@
     metricsServer_.emplace(trafficLoop_, startup_.metricsListen, metricsPage_, metrics_,
                            requestMemory_);
     metricsServer_->setLimits(pageLimits());
+    metricsServer_->setReceiveBuffer(kMinReceiveBuffer);
   } catch (const Poco::Exception& e) {
     LogLine(LogLevel::error, "listener.unavailable")
         .with("address", startup_.metricsListen)
@@ -389,17 +400,29 @@
 FrontLimits GatewayNode::pageLimits() const {
   FrontLimits limits;
   limits.connections = std::min(startup_.descriptors / kDescriptorsPerPage, kMaxPageConnections);
+  limits.bodyBytes = kMaxPageBodyBytes;
   return limits;
 }
 
+std::size_t GatewayNode::memory() const {
+  return startup_.memory.value_or(physicalMemory());
+}
+
+/// Of a caller's connection, in bytes.
+std::size_t GatewayNode::receiveBuffer() const {
+  const std::size_t connections = std::max<std::size_t>(1, callerLimits({}).connections);
+  const std::size_t part = memory() / kUnreadMemoryFraction / connections;
+  return std::clamp(part, kMinReceiveBuffer, kMaxReceiveBuffer);
+}
+
 RequestMemoryLimits GatewayNode::requestMemoryLimits(const FrontLimits& limits) const {
-  const std::size_t share = startup_.memory.value_or(physicalMemory()) / kCallersMemoryFraction;
+  const std::size_t share = memory() / kCallersMemoryFraction;
   const std::size_t largest =
       RequestMemoryLimits::largestRequest(limits.headBytes, limits.bodyBytes);
   const RequestMemoryLimits divided = RequestMemoryLimits::divide(share, largest);
   const bool raised = divided.bytes > share;
   LogLine(raised ? LogLevel::warning : LogLevel::info, "request.memory")
-      .with("machine", startup_.memory.value_or(physicalMemory()))
+      .with("machine", memory())
       .with("limit", divided.bytes)
       .with("limitOfLarge", divided.largeBytes)
       .with("largestRequest", largest)
--- a/Hallchute/src/Node/GatewayNode.h
+++ b/Hallchute/src/Node/GatewayNode.h
@@ -83,6 +83,8 @@
   /// \p limits with as many connections as there are descriptors for.
   FrontLimits callerLimits(FrontLimits limits) const;
   FrontLimits pageLimits() const;
+  std::size_t memory() const;
+  std::size_t receiveBuffer() const;
   RequestMemoryLimits requestMemoryLimits(const FrontLimits& limits) const;
   void reportMemory();
   void applySettings(const GatewaySettings& settings);
