A status below 100, or of 101, is no answer

What callers saw: 504 at the time limit, also for requests that may repeat and had other replicas free. What a replica sent as the body of such an answer, if it came later than the head, was read as the next message and could become the answer.

Cause: every status below 200 was taken for that of an interim answer.

Why it works: the reader calls such a response malformed, which ends the exchange at once: what may repeat goes elsewhere, anything else gets 502. A daemon that passes a response on for another one is held to the same.

--- a/Hallchute/src/Http/HttpReader.cpp
+++ b/Hallchute/src/Http/HttpReader.cpp
@@ -24,6 +24,11 @@
 /// Bytes of heads and framing beyond those, in limits of a head.
 constexpr std::uint64_t kFramingHeads = 2;
 
+/// Of any response (RFC 9110, 15).
+constexpr int kFirstStatus = 100;
+/// Nothing here asks for another protocol.
+constexpr int kSwitchingProtocols = 101;
+
 std::string_view view(string_view text) {
   return {text.data(), text.size()};
 }
@@ -49,6 +54,8 @@
   }
   void on_response_impl(int status, string_view, int version, Error& error) override {
     error = {};
+    // What follows either of them isn't known to be a message.
+    if (status < kFirstStatus || status == kSwitchingProtocols) error = http::error::bad_status;
     head.status = status;
     head.version = version;
   }
--- a/Hallchute/src/Http/HttpReader.h
+++ b/Hallchute/src/Http/HttpReader.h
@@ -69,7 +69,8 @@
 /// \ingroup Http
 ///
 /// Based on Boost.Beast's parser, as POCO's reads from blocking streams only. Strict: a message
-/// with two lengths, or with a transfer coding other than `chunked`, is malformed. Bytes after the
+/// with two lengths, with a transfer coding other than `chunked`, or with a status below 100 or of
+/// 101 is malformed. A status of 600 or above is passed on like a server error. Bytes after the
 /// message are left in the buffer. The size and extensions of one chunk and the trailers are
 /// limited like a head; all of them together to that plus a multiple of the body so far, so that
 /// no message is endless whose body grows slowly or not at all.
--- a/Hallchute/src/Traffic/PeerDispatch.cpp
+++ b/Hallchute/src/Traffic/PeerDispatch.cpp
@@ -11,6 +11,11 @@
 #include "Hallchute/src/Traffic/TrafficEngine.h"
 
 namespace Hallchute {
+namespace {
+
+constexpr int kFirstFinalStatus = 200;
+
+}  // namespace
 
 PeerDispatch::PeerDispatch(TrafficEngine& engine, ForwardedRequest request,
                            std::set<DaemonId> excluded, PeerDispatchListener& listener)
@@ -69,8 +74,10 @@
 }
 
 void PeerDispatch::on(const ForwardedReplies::Head& reply) {
+  const bool isFinal = reply.head.status >= kFirstFinalStatus;
   // The other daemon waits for no further answer after one to another request.
-  if (!listener_.upstreamHead(reply.head)) listener_.upstreamFailed(ExchangeFailure::malformed);
+  if (!isFinal || !listener_.upstreamHead(reply.head))
+    listener_.upstreamFailed(ExchangeFailure::malformed);
 }
 
 void PeerDispatch::on(const ForwardedReplies::Body& reply) {
--- a/test/UpstreamContractTest.cpp
+++ b/test/UpstreamContractTest.cpp
@@ -123,6 +123,8 @@
         {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", true, "maybe-sent"},
         {"HTTP/1.1 200 OK\r\n\r\nok", false, "maybe-sent"},
         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok", false, "maybe-sent"},
+        {"HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nok", false, "maybe-sent"},
+        {"HTTP/1.1 101 X\r\nContent-Length: 2\r\n\r\nok", false, "maybe-sent"},
         {"nonsense", false, "maybe-sent"},
     };
     for (const Case& c : cases) {
