Bodies at the own interface are held within a part of the machine's memory

What callers saw: `hallchute serve` ended when many clients sent large bodies at once. Each connection has a thread that read its body whole, and only a single one was bounded; a byte now and then kept a thread for good.

A body that gives way ends early for the thread that reads it, which answers 503 with Retry-After and not-run; a complete one that doesn't fit gets the same. A body has to be complete within the time that its request may take (requestLimitMs); then it gets 408. The peers' port of this command gets the bound of the gateway's.

--- a/Hallchute/src/Cli/ServeCommand.cpp
+++ b/Hallchute/src/Cli/ServeCommand.cpp
@@ -14,6 +14,7 @@
 
 #include "Hallchute/src/Cli/ConfigFile.h"
 #include "Hallchute/src/Daemon/Daemon.h"
+#include "Hallchute/src/Net/ProcessMemory.h"
 #include "Hallchute/src/Observability/Log.h"
 
 namespace Hallchute {
@@ -30,6 +31,7 @@
         startup = readStartupFile(text, findings);
       });
   if (read != ExitCode::ok) return read;
+  separateLargeBlocks();
   const sigset_t signals = blockSignals(kStopSignals);
   startLogging(parseLogLevel(startup.logLevel), startup.daemon.str(), startup.domain.str());
   try {
--- a/Hallchute/src/Core/Refusal.cpp
+++ b/Hallchute/src/Core/Refusal.cpp
@@ -20,6 +20,7 @@
     ReasonRow{RefusalReason::forbidden, 403, "forbidden"},
     ReasonRow{RefusalReason::notFound, 404, "not-found"},
     ReasonRow{RefusalReason::tooLarge, 413, "too-large"},
+    ReasonRow{RefusalReason::requestTimeout, 408, "request-timeout"},
     ReasonRow{RefusalReason::idempotencyKeyRequired, 400, "idempotency-key-required"},
     ReasonRow{RefusalReason::idempotencyKeyReused, 422, "idempotency-key-reused"},
     ReasonRow{RefusalReason::inProgress, 409, "in-progress"},
--- a/Hallchute/src/Core/Refusal.h
+++ b/Hallchute/src/Core/Refusal.h
@@ -20,6 +20,7 @@
   forbidden,
   notFound,
   tooLarge,
+  requestTimeout,
   idempotencyKeyRequired,
   idempotencyKeyReused,
   inProgress,
--- a/Hallchute/src/Daemon/CallerRequest.cpp
+++ b/Hallchute/src/Daemon/CallerRequest.cpp
@@ -12,8 +12,10 @@
 #include <istream>
 
 #include "Hallchute/src/Daemon/CallerServices.h"
+#include "Hallchute/src/Daemon/HeldBody.h"
 #include "Hallchute/src/Daemon/SettingsStore.h"
 #include "Hallchute/src/Daemon/TrafficContext.h"
+#include "Hallchute/src/Net/Clock.h"
 
 namespace Hallchute {
 namespace {
@@ -21,6 +23,7 @@
 constexpr std::string_view kBearerPrefix = "Bearer ";
 constexpr std::size_t kReadBufferBytes = 16U << 10U;
 constexpr Millis kDrainingRetryAfter{1'000};
+constexpr Millis kMemoryRetryAfter{1'000};
 
 Refusal notRunRefusal(RefusalReason reason, std::string detail) {
   return {reason, std::move(detail), RunOutcome::notRun, std::nullopt};
@@ -76,25 +79,42 @@
   return &it->second;
 }
 
+int socketOf(Poco::Net::HTTPServerRequest& request) {
+  auto* impl = dynamic_cast<Poco::Net::HTTPServerRequestImpl*>(&request);
+  return impl == nullptr ? -1 : impl->socket().impl()->sockfd();
+}
+
 std::variant<std::string, Refusal> readBody(Poco::Net::HTTPServerRequest& request,
-                                            std::size_t maxBytes) {
+                                            const BodyLimits& limits, HeldBody* held) {
+  const std::size_t maxBytes = limits.maxBytes;
   const Refusal tooLarge = notRunRefusal(
       RefusalReason::tooLarge, "the body is larger than " + std::to_string(maxBytes) + " bytes");
   if (request.hasContentLength() &&
       request.getContentLength64() > static_cast<Poco::Int64>(maxBytes)) {
     return tooLarge;
   }
+  const Refusal noMemory{RefusalReason::overloaded, "this host holds too much of other requests",
+                         RunOutcome::notRun, kMemoryRetryAfter};
+  const Instant end = clockNow() + limits.time;
   std::string body;
   std::array<char, kReadBufferBytes> buffer;
   std::istream& in = request.stream();
-  while (in.good()) {
-    in.read(buffer.data(), static_cast<std::streamsize>(buffer.size()));
-    body.append(buffer.data(), static_cast<std::size_t>(in.gcount()));
+  // Waits for the next bytes, and takes those that have arrived.
+  while (in.peek() != std::istream::traits_type::eof()) {
+    const std::streamsize count =
+        in.readsome(buffer.data(), static_cast<std::streamsize>(buffer.size()));
+    body.append(buffer.data(), static_cast<std::size_t>(count));
     if (body.size() > maxBytes) return tooLarge;
+    if (held != nullptr && !held->noteRead(body.size())) return noMemory;
+    if (clockNow() >= end) {
+      return notRunRefusal(RefusalReason::requestTimeout, "the body took too long to arrive");
+    }
   }
+  if (held != nullptr && held->givenUp()) return noMemory;
   const bool truncated = request.hasContentLength() &&
                          static_cast<Poco::Int64>(body.size()) < request.getContentLength64();
   if (truncated) return notRunRefusal(RefusalReason::badRequest, "the body was cut short");
+  if (held != nullptr && !held->noteComplete(body.size())) return noMemory;
   return body;
 }
 
--- a/Hallchute/src/Daemon/CallerRequest.h
+++ b/Hallchute/src/Daemon/CallerRequest.h
@@ -11,6 +11,7 @@
 
 #include "Hallchute/src/Core/Id.h"
 #include "Hallchute/src/Core/Refusal.h"
+#include "Hallchute/src/Core/Time.h"
 #include "Hallchute/src/Settings/ChangeLog.h"
 
 namespace Poco::Net {
@@ -19,6 +20,7 @@
 
 namespace Hallchute {
 
+class HeldBody;
 struct CallerServices;
 
 /// \brief An authenticated caller, with the settings active when the request arrived.
@@ -49,10 +51,21 @@
                                                         const Caller& caller,
                                                         const ServiceName& service);
 
-/// \brief Reads a body of at most \p maxBytes bytes.
+/// \brief Limits of a body that is read. \ingroup Daemon
+struct BodyLimits {
+  std::size_t maxBytes = 0;
+  /// From now on until the body must be complete.
+  Millis time{0};
+};
+
+/// \brief Reads a body. \param held counts its memory; null: it isn't counted.
 /// \ingroup Daemon
 std::variant<std::string, Refusal> readBody(Poco::Net::HTTPServerRequest& request,
-                                            std::size_t maxBytes);
+                                            const BodyLimits& limits, HeldBody* held);
+
+/// \brief The descriptor of the caller's connection; -1 if there is none.
+/// \ingroup Daemon
+int socketOf(Poco::Net::HTTPServerRequest& request);
 
 /// \brief The refusal of a new request if this daemon accepts none because it is draining.
 /// \ingroup Daemon
--- a/Hallchute/src/Daemon/CallerServices.h
+++ b/Hallchute/src/Daemon/CallerServices.h
@@ -8,6 +8,7 @@
 
 namespace Hallchute {
 
+class BodyMemory;
 class JobRecords;
 class JobStarter;
 class OnceRecordStore;
@@ -22,6 +23,7 @@
   JobRecords& records;
   PeerJobs& peers;
   OnceRecordStore& onceRecords;
+  BodyMemory& bodies;
   /// Set when the daemon begins to drain: readiness checks fail from then on, so that the load
   /// balancer routes callers to other daemons.
   std::atomic<bool> draining{false};
--- a/Hallchute/src/Daemon/CompletionHandler.cpp
+++ b/Hallchute/src/Daemon/CompletionHandler.cpp
@@ -9,6 +9,7 @@
 #include "Hallchute/src/Daemon/AnswerWriter.h"
 #include "Hallchute/src/Daemon/CallerServices.h"
 #include "Hallchute/src/Daemon/CompletionBody.h"
+#include "Hallchute/src/Daemon/HeldBody.h"
 #include "Hallchute/src/Daemon/JobFactory.h"
 #include "Hallchute/src/Daemon/JobRecords.h"
 #include "Hallchute/src/Daemon/JobStarter.h"
@@ -63,17 +64,23 @@
   if (auto rejected = drainingRefusal(services_)) return rejected;
   const auto caller = authenticate(request, services_);
   if (const auto* refusal = std::get_if<Refusal>(&caller)) return *refusal;
-  const auto completion = readCompletion(request, std::get<Caller>(caller));
+  const PolicyScope scope{services_.context.domain, ServiceName(),
+                          std::get<Caller>(caller).organisation->name};
+  const SettingsTree& tree = std::get<Caller>(caller).settings->tree;
+  HeldBody held(services_.bodies, socketOf(request),
+                static_cast<std::size_t>(tree.policy(PolicyKey::maxBodyBytes, scope)));
+  const auto completion = readCompletion(request, std::get<Caller>(caller), held);
   if (const auto* refusal = std::get_if<Refusal>(&completion)) return *refusal;
   return serve(request, response, std::get<Caller>(caller), std::get<CompletionBody>(completion));
 }
 
 std::variant<CompletionBody, Refusal> CompletionHandler::readCompletion(
-    Poco::Net::HTTPServerRequest& request, const Caller& caller) const {
+    Poco::Net::HTTPServerRequest& request, const Caller& caller, HeldBody& held) const {
   const SettingsTree& tree = caller.settings->tree;
   PolicyScope scope{services_.context.domain, ServiceName(), caller.organisation->name};
   const auto maxBody = static_cast<std::size_t>(tree.policy(PolicyKey::maxBodyBytes, scope));
-  const auto text = readBody(request, maxBody);
+  const Millis time(tree.policy(PolicyKey::requestLimitMs, scope));
+  const auto text = readBody(request, {maxBody, time}, &held);
   if (const auto* refusal = std::get_if<Refusal>(&text)) return *refusal;
   const auto maxTokens = static_cast<std::size_t>(tree.policy(PolicyKey::maxOutputTokens, scope));
   Findings findings;
--- a/Hallchute/src/Daemon/CompletionHandler.h
+++ b/Hallchute/src/Daemon/CompletionHandler.h
@@ -14,6 +14,7 @@
 
 namespace Hallchute {
 
+class HeldBody;
 struct CompletionBody;
 struct JobParameters;
 
@@ -29,7 +30,7 @@
   std::optional<Refusal> handle(Poco::Net::HTTPServerRequest& request,
                                 Poco::Net::HTTPServerResponse& response);
   std::variant<CompletionBody, Refusal> readCompletion(Poco::Net::HTTPServerRequest& request,
-                                                       const Caller& caller) const;
+                                                       const Caller& caller, HeldBody& held) const;
   std::optional<Refusal> serve(Poco::Net::HTTPServerRequest& request,
                                Poco::Net::HTTPServerResponse& response, const Caller& caller,
                                const CompletionBody& body);
--- a/Hallchute/src/Daemon/Daemon.cpp
+++ b/Hallchute/src/Daemon/Daemon.cpp
@@ -19,6 +19,10 @@
 constexpr Millis kAdoptAfterChange{6'000};
 /// Time reserved before a reclaim for the handover of jobs and the final flush.
 constexpr Millis kReclaimMargin{5'000};
+/// Reciprocals of the parts of the process's memory that bodies of callers' requests may take, and
+/// messages of peers that aren't complete.
+constexpr std::size_t kBodiesMemoryFraction = 4;
+constexpr std::size_t kPeersMemoryFraction = 12;
 /// Daemons of a failure domain that search for orphans.
 constexpr std::size_t kAdoptersPerDomain = 1;
 
@@ -46,13 +50,15 @@
       records_(context_),
       starter_(context_, records_),
       peers_(control_, context_, starter_, records_),
-      services_{context_, starter_, records_, peers_, onceRecords_},
+      bodies_(startup_.memory / kBodiesMemoryFraction, metrics_),
+      services_{context_, starter_, records_, peers_, onceRecords_, bodies_},
       callerServer_(services_, startup_.callerListen, startup_.maxCallerConnections),
       editor_(platform_, settings_,
               [this](const SettingsChange& change) { control_.applyChange(change); }),
       follower_(platform_, editor_, control_, health_, metrics_),
       operatorServices_(operatorServices()),
       operatorServer_(operatorServices_, startup_.operatorListen) {
+  control_.transport().setMessageMemory(startup_.memory / kPeersMemoryFraction);
   control_.onMembersChanged([this] { membersChanged_ = true; });
   control_.onOwnLeave([this](Millis timeLeft) { stopWithin(timeLeft - kReclaimMargin); });
 }
--- a/Hallchute/src/Daemon/Daemon.h
+++ b/Hallchute/src/Daemon/Daemon.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <thread>
 
+#include "Hallchute/src/Daemon/BodyMemory.h"
 #include "Hallchute/src/Daemon/CallerServer.h"
 #include "Hallchute/src/Daemon/CallerServices.h"
 #include "Hallchute/src/Daemon/Control.h"
@@ -68,6 +69,7 @@
   JobRecords records_;
   JobStarter starter_;
   PeerJobs peers_;
+  BodyMemory bodies_;
   CallerServices services_;
   CallerServer callerServer_;
   SettingsEditor editor_;
--- a/Hallchute/src/Daemon/OperatorHandler.cpp
+++ b/Hallchute/src/Daemon/OperatorHandler.cpp
@@ -26,6 +26,7 @@
 namespace {
 
 constexpr std::size_t kMaxBodyBytes = 1U << 20U;
+constexpr Millis kBodyTime{30'000};
 constexpr std::size_t kHistoryPageSize = 200;
 constexpr std::int64_t kDefaultLeaveMs = 30'000;
 constexpr Millis kLeaveAckTimeout{1'000};
@@ -94,7 +95,7 @@
   if (request.getMethod() != Poco::Net::HTTPRequest::HTTP_POST) {
     return {405, "application/json", messageJson("GET and POST only")};
   }
-  const auto body = readBody(request, kMaxBodyBytes);
+  const auto body = readBody(request, {kMaxBodyBytes, kBodyTime}, nullptr);
   if (const auto* refusal = std::get_if<Refusal>(&body)) {
     return {httpStatus(refusal->reason), "application/json", messageJson(refusal->detail)};
   }
--- a/Hallchute/src/Daemon/PlainHandler.cpp
+++ b/Hallchute/src/Daemon/PlainHandler.cpp
@@ -9,6 +9,7 @@
 #include <array>
 
 #include "Hallchute/src/Daemon/CallerServices.h"
+#include "Hallchute/src/Daemon/HeldBody.h"
 #include "Hallchute/src/Daemon/PlainRunner.h"
 #include "Hallchute/src/Daemon/Problem.h"
 #include "Hallchute/src/Daemon/RandomName.h"
@@ -72,7 +73,9 @@
   const PolicyScope scope{services_.context.domain, service_, caller.organisation->name};
   const auto maxBody =
       static_cast<std::size_t>(caller.settings->tree.policy(PolicyKey::maxBodyBytes, scope));
-  auto body = readBody(request, maxBody);
+  HeldBody held(services_.bodies, socketOf(request), maxBody);
+  const Millis time(caller.settings->tree.policy(PolicyKey::requestLimitMs, scope));
+  auto body = readBody(request, {maxBody, time}, &held);
   if (const auto* refusal = std::get_if<Refusal>(&body)) return *refusal;
   return run(request, response, caller, *std::get<const WorkClass*>(workClass),
              std::move(std::get<std::string>(body)));
--- a/Hallchute/src/Daemon/StartupFile.cpp
+++ b/Hallchute/src/Daemon/StartupFile.cpp
@@ -5,15 +5,20 @@
 
 #include <Poco/Net/SocketAddress.h>
 
+#include <algorithm>
 #include <array>
 
 #include "Hallchute/src/Net/AddressMember.h"
+#include "Hallchute/src/Net/ProcessMemory.h"
 #include "Hallchute/src/Settings/JsonReader.h"
 
 namespace Hallchute {
 namespace {
 
 constexpr std::array<std::string_view, 4> kLogLevels{"info", "debug", "warning", "error"};
+/// Enough for the daemon itself and a few requests, and more than any host has.
+constexpr std::int64_t kMinMemoryMb = 32;
+constexpr std::int64_t kMaxMemoryMb = std::int64_t{1} << 24U;
 constexpr std::int64_t kMaxConnections = 65'536;
 constexpr std::int64_t kMinTimeoutMs = 10;
 constexpr std::int64_t kMaxTimeoutMs = 60'000;
@@ -32,6 +37,10 @@
   file.daemon = DaemonId(root.text("daemon", true));
   file.domain = FailureDomainName(root.text("failureDomain", true));
   file.logLevel = root.oneOf("logLevel", kLogLevels);
+  const auto machineMb = static_cast<std::int64_t>(physicalMemory() >> 20U);
+  const std::int64_t memoryMb =
+      root.integer("memoryMb", kMinMemoryMb, kMaxMemoryMb, std::max(kMinMemoryMb, machineMb));
+  file.memory = static_cast<std::size_t>(memoryMb) << 20U;
   for (const char* section : {"callers", "operators", "peers", "platform"}) {
     if (!root.has(section)) root.report(section, "is missing");
   }
--- a/Hallchute/src/Daemon/StartupFile.h
+++ b/Hallchute/src/Daemon/StartupFile.h
@@ -4,6 +4,7 @@
 #ifndef HALLCHUTE_DAEMON_STARTUPFILE_H
 #define HALLCHUTE_DAEMON_STARTUPFILE_H
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -34,6 +35,8 @@
   std::string platformToken;
   Millis platformTimeout{1'000};
   std::string logLevel = "info";
+  /// The memory that the process may use, in bytes.
+  std::size_t memory = 0;
 
   /// \brief The IP of `peerListen`, to which outgoing connections are bound.
   std::string ownIp() const;
--- a/test/scenario/Fleet.cpp
+++ b/test/scenario/Fleet.cpp
@@ -27,6 +27,8 @@
 
 constexpr Millis kCallLimit{5'000};
 constexpr Millis kStartLimit{20'000};
+/// The smallest machine of any deployment.
+constexpr int kMemoryMb = 120;
 constexpr int kHostsPerNet = 250;
 
 }  // namespace
@@ -151,6 +153,7 @@
   JsonObject json = new Poco::JSON::Object;
   json->set("daemon", node.name);
   json->set("failureDomain", node.domain);
+  json->set("memoryMb", kMemoryMb);
   json->set("callers", callers);
   json->set("operators", operators);
   json->set("peers", peers);
