A request is charged no more tokens than a replica holds

Cause: the quota took the whole figure. The daemon that refused the request gave it back to its own bucket only; the others are told sums that never fall.

Evidence: aRequestIsChargedNoMoreThanAReplicaHolds fails before (2,147,483,657 spent, 5,000 asked) and passes now.

Why it works: a replica rejects what is larger than its memory, so that tokens beyond it are never used by a request that runs; they are not charged. What a refused request was charged up to that size still stays with the other daemons, for 4.5 s of the quota in the site's settings: that part is open.

--- a/Hallchute/src/Traffic/TrafficEngine.cpp
+++ b/Hallchute/src/Traffic/TrafficEngine.cpp
@@ -55,10 +55,15 @@
 /// Minimum connections per upstream; in a large fleet a daemon's share would be too small to work.
 constexpr std::size_t kMinConnections = 3;
 
-double quotaAmount(const GatewayOrganisation& organisation, const ClientRequest& request) {
+/// What a request counts. Tokens beyond what a replica of its service can hold are never used, as
+/// it would reject the request.
+double quotaAmount(const GatewayOrganisation& organisation, const ClientRequest& request,
+                   const GatewayService* service) {
   if (!organisation.countsTokens) return 1;
   if (!request.promptTokens) return static_cast<double>(organisation.defaultTokens);
-  return static_cast<double>(*request.promptTokens + request.maxOutputTokens);
+  const std::uint64_t tokens = *request.promptTokens + request.maxOutputTokens;
+  const bool bounded = service != nullptr && service->engine && service->engine->cacheTokens > 0;
+  return static_cast<double>(bounded ? std::min(tokens, service->engine->cacheTokens) : tokens);
 }
 
 CrashSuspects suspectsOf(const FrontExchange& exchange, const SessionAdmission& admission) {
@@ -394,7 +399,8 @@
     }
   }
   if (organisation != nullptr) {
-    admission.quotaTaken = quotaAmount(*organisation, request);
+    const ServiceName& target = RouteTable::pickTarget(*route, request.firstAttempt().str());
+    admission.quotaTaken = quotaAmount(*organisation, request, routes_->service(target));
     const double draw = hashFraction(request.id.str());
     const std::optional<QuotaShortage> shortage =
         quota_.take(*organisation, admission.quotaTaken, now, draw);
--- a/test/TrafficContractTest.cpp
+++ b/test/TrafficContractTest.cpp
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(statusesOutsideTheProtocolByTable);
   CPPUNIT_TEST(hidesTheKeyAndSetsItsOwnFields);
   CPPUNIT_TEST(refusesByTable);
+  CPPUNIT_TEST(aRequestIsChargedNoMoreThanAReplicaHolds);
   CPPUNIT_TEST(callerLeavingStopsTheUpstream);
   CPPUNIT_TEST(aRequestThatNeverArrivedIsNoRun);
   CPPUNIT_TEST(aRequestCountsOnceAndOnlyIfItBegan);
@@ -338,6 +339,27 @@
     }
   }
 
+  /// A request that named two thousand million tokens and ran nowhere stayed charged at the other
+  /// daemons, which refused its organisation for a day.
+  void aRequestIsChargedNoMoreThanAReplicaHolds() {
+    ScriptedUpstream upstream({{whole(200, "fine"), Then::keep}});
+    GatewayRig rig;
+    GatewaySettings settings = settingsForOneOrganisation(plainRoute(WorkKind::once));
+    settings.organisations[0].countsTokens = true;
+    settings.organisations[0].rate = 1;
+    settings.organisations[0].burst = 400;
+    settings.services[0].engine = EngineTraits{8, 5'000};
+    rig.setSettings(settings);
+    rig.setUpstreams({upstreamAt("i-1", upstream.address())});
+    RawCaller caller(rig.address());
+    caller.send(requestText(
+        "POST", "Authorization: Bearer key1\r\nHallchute-Token-Counts: 10,2147483647\r\n", "{}"));
+    CPPUNIT_ASSERT(caller.read("\r\n\r\n").starts_with("HTTP/1.1 200"));
+    rig.loop().call([&] {
+      CPPUNIT_ASSERT_EQUAL(5'000.0, rig.engine().quota().spent().at(OrganisationName("org")));
+    });
+  }
+
   void refusesByTable() {
     ScriptedUpstream upstream({{whole(200, "fine"), Then::keep}});
     GatewayRig rig;
