What follows a request gives way to it without refusing it

What callers saw: nothing yet, as it came with the bound on requests: when memory was short, a request that had just become complete could be refused by 503 and dispatched all the same.

Cause: to make room for it, its own connection was told to give up what follows; it took itself for one whose request is still arriving, and refused that.

Evidence: found by reading. whatFollowsARequestGivesWayToIt fails before (503 for a request that was dispatched) and passes now. The new kind of ClientCrowdTest, large requests in a row on each connection, passed before and passes now.

Why it works: the connection counts as responding before room is made, so that it drops only what follows, and it then closes after the response.

--- a/Hallchute/src/Front/FrontConnection.cpp
+++ b/Hallchute/src/Front/FrontConnection.cpp
@@ -146,6 +146,8 @@
 
 void FrontConnection::dispatch() {
   stopTimer();
+  // From here on only what follows the request can be given up, also in favour of itself.
+  phase_ = Phase::responding;
   HttpHead head = reader_->takeHead();
   std::string body = reader_->takeBody();
   reader_.reset();
@@ -165,7 +167,7 @@
 void FrontConnection::beginExchange(HttpHead head, std::string body) {
   phase_ = Phase::responding;
   responseBegun_ = false;
-  reusable_ = head.keepAlive;
+  reusable_ = head.keepAlive && !discardsInput_;
   isHeadRequest_ = head.method == "HEAD";
   chunked_ = head.version >= 11;
   exchange_ = std::make_shared<FrontExchange>(*this, std::move(head), std::move(body), clockNow());
@@ -194,10 +196,9 @@
   stopTimer();
   HttpHead head = reader_->hasHead() ? reader_->takeHead() : HttpHead();
   releaseInput();
-  beginExchange(std::move(head), {});
   // The rest of the request must not be taken for another one.
-  reusable_ = false;
   discardsInput_ = true;
+  beginExchange(std::move(head), {});
   server_.handler().refuseForMemory(std::shared_ptr(exchange_));
 }
 
--- a/test/ClientCrowdTest.cpp
+++ b/test/ClientCrowdTest.cpp
@@ -198,6 +198,7 @@
   CPPUNIT_TEST(slowClientsTakeAllPlaces);
   CPPUNIT_TEST(silentClientsTakeAllPlaces);
   CPPUNIT_TEST(requestsArePipelined);
+  CPPUNIT_TEST(largeRequestsArePipelined);
   CPPUNIT_TEST(headsHaveManyFields);
   CPPUNIT_TEST(pagesGetBodies);
   CPPUNIT_TEST(peersLeaveMessagesUnfinished);
@@ -251,6 +252,11 @@
     expectBounded("127.12.0.10", {repeated(request, 400), repeated(request, 400), 9});
   }
 
+  void largeRequestsArePipelined() {
+    const std::string request = announced(200'000) + std::string(200'000, 'a');
+    expectBounded("127.12.0.15", {request + request, request, 6});
+  }
+
   void headsHaveManyFields() {
     expectBounded("127.12.0.11",
                   {kHead + repeated("a:\r\n", 4'000) + "Content-Length: 5\r\n\r\n1", "2345", 1});
--- a/test/GatewayRig.h
+++ b/test/GatewayRig.h
@@ -41,6 +41,7 @@
   TrafficEngine& engine() { return *engine_; }
   FrontServer& server() { return *server_; }
   Metrics& metrics() { return metrics_; }
+  RequestMemory& memory() { return memory_; }
 
  private:
   EventLoop loop_;
--- a/test/TrafficContractTest.cpp
+++ b/test/TrafficContractTest.cpp
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(statusesOutsideTheProtocolByTable);
   CPPUNIT_TEST(hidesTheKeyAndSetsItsOwnFields);
   CPPUNIT_TEST(refusesByTable);
+  CPPUNIT_TEST(whatFollowsARequestGivesWayToIt);
   CPPUNIT_TEST(aRequestIsChargedNoMoreThanAReplicaHolds);
   CPPUNIT_TEST(callerLeavingStopsTheUpstream);
   CPPUNIT_TEST(aRequestThatNeverArrivedIsNoRun);
@@ -360,6 +361,24 @@
     });
   }
 
+  /// The request that is about to be dispatched gave up what followed it on its own connection.
+  void whatFollowsARequestGivesWayToIt() {
+    ScriptedUpstream upstream({{whole(200, "fine"), Then::keep}});
+    GatewayRig rig;
+    rig.setSettings(settingsWith(plainRoute(WorkKind::once)));
+    rig.setUpstreams({upstreamAt("i-1", upstream.address())});
+    constexpr std::size_t kBody = 50'000;
+    rig.loop().call([&] { rig.memory().setLimits({kBody + 2'000, kBody + 2'000}); });
+    RawCaller caller(rig.address());
+    const std::string request = requestText("POST", "", std::string(kBody, 'a'));
+    caller.send(request + request + request);
+    const std::string answer = caller.readAll();
+    CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT(caller.ended());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, upstream.requests().size());
+    rig.loop().call([&] { CPPUNIT_ASSERT_EQUAL(std::size_t{0}, rig.memory().held()); });
+  }
+
   void refusesByTable() {
     ScriptedUpstream upstream({{whole(200, "fine"), Then::keep}});
     GatewayRig rig;
